--- /dev/null
+++ b/internal/telemetry/logger.go
@@ -0,0 +1,38 @@
+// Package telemetry builds the logger and the metrics scope of a process.
+//
+// It owns the counters of the scope. Logs hold lines for state changes only;
+// everything that happens per call is a counter.
+package telemetry
+
+import (
+	"io"
+
+	"github.com/sirupsen/logrus"
+)
+
+// LogFormat selects the encoding of log lines.
+type LogFormat string
+
+// The supported log formats.
+const (
+	LogText LogFormat = "text"
+	LogJSON LogFormat = "json"
+)
+
+// NewLogger returns a logger whose lines carry the node's name.
+func NewLogger(out io.Writer, format LogFormat, level logrus.Level, node string) *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(out)
+	logger.SetLevel(level)
+	if format == LogJSON {
+		logger.SetFormatter(&logrus.JSONFormatter{})
+	} else {
+		logger.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
+	}
+	return logger.WithField("node", node)
+}
+
+// DiscardLogger returns a logger that writes nothing.
+func DiscardLogger() *logrus.Entry {
+	return NewLogger(io.Discard, LogText, logrus.PanicLevel, "")
+}
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,36 @@
+package telemetry
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportInterval is how often buffered metrics reach the reporter.
+const reportInterval = time.Second
+
+// Metrics holds the root scope of a process and the handler that serves it.
+type Metrics struct {
+	Scope   tally.Scope
+	Handler http.Handler
+	closer  io.Closer
+}
+
+// NewMetrics returns a scope whose values are served in the Prometheus text
+// format.
+func NewMetrics(tags map[string]string) *Metrics {
+	reporter := promreporter.NewReporter(promreporter.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "rosemaryladder",
+		Tags:           tags,
+		CachedReporter: reporter,
+		Separator:      promreporter.DefaultSeparator,
+	}, reportInterval)
+	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
+}
+
+// Close reports what is buffered and stops the scope.
+func (m *Metrics) Close() error { return m.closer.Close() }
