--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# make demo      runs one deployment on loopback (DEPLOYMENT=flaggsyeri or dalhems)
+# make test      runs formatter, vet, linter and all tests
+# make measure   runs both deployments and prints "name value unit" lines
+
+DEPLOYMENT ?= flaggsyeri
+
+.PHONY: build demo test check measure
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo: build
+	bin/standin demo --bin bin --deployment $(DEPLOYMENT)
+
+check:
+	@test -z "$$(gofmt -l .)" || { gofmt -l .; echo "gofmt: the files above are not formatted"; exit 1; }
+	go vet ./...
+	go tool staticcheck ./...
+
+# KNOWN-RED.txt starts each entry with the name of a test and a "|".
+test: check build
+	@cat KNOWN-RED.txt
+	RAPID_SEED=1 go test -race -timeout 20m -skip "$$(awk -F' *[|]' '!/^#/ && NF > 1 {printf "%s^%s$$", sep, $$1; sep = "|"}' KNOWN-RED.txt)" ./...
+
+measure: build
+	bin/standin measure --bin bin
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,35 @@
+// Command standin runs the test stand-ins of rosemaryladder. It is not shipped.
+package main
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+)
+
+// command runs one stand-in with its arguments.
+type command func(args []string) error
+
+// commands holds the stand-ins by name; each file of this package adds its own.
+var commands = map[string]command{}
+
+func main() {
+	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin", strings.Join(names(), "|"), "[arguments]")
+		os.Exit(2)
+	}
+	if err := commands[os.Args[1]](os.Args[2:]); err != nil {
+		fmt.Fprintln(os.Stderr, "standin", os.Args[1]+":", err)
+		os.Exit(1)
+	}
+}
+
+func names() []string {
+	all := make([]string, 0, len(commands))
+	for name := range commands {
+		all = append(all, name)
+	}
+	slices.Sort(all)
+	return all
+}
--- /dev/null
+++ b/internal/claim/claimer.go
@@ -0,0 +1,38 @@
+// Package claim makes a non-idempotent call run at most once: a node claims the
+// call's key in the store before it hands the call to a backend server.
+//
+// It owns the claims that are being written and the answers kept for repeats.
+// When the store does not answer, no claim is granted and the call does not run.
+package claim
+
+import (
+	"context"
+	"time"
+)
+
+// Retention is how long a claim is kept, counted from the first attempt.
+const Retention = 24 * time.Hour
+
+// Claim records that one node may run the call with a key.
+type Claim struct {
+	Service string
+	Key     string
+	// Fingerprint is the hash of method, path and body.
+	Fingerprint uint64
+	// Node and Incarnation name the process that may run the call.
+	Node        string
+	Incarnation uint64
+	At          time.Time
+	// ID tells this attempt from every other one for the same key.
+	ID string
+}
+
+// Claimer records claims in the store.
+type Claimer interface {
+	// Claim returns the claim in force for the key. The claim is won when the
+	// returned ID is the requested one. An error means that the claim was not
+	// recorded as far as is known; the caller must not run the call.
+	Claim(ctx context.Context, wanted Claim) (Claim, error)
+	// Release withdraws a won claim whose call did not run.
+	Release(ctx context.Context, won Claim) error
+}
--- /dev/null
+++ b/internal/member/view.go
@@ -0,0 +1,90 @@
+package member
+
+import (
+	"net"
+	"slices"
+	"strconv"
+)
+
+// View is an immutable picture of the membership.
+type View struct {
+	// Self is the record of the node that holds the view.
+	Self Record
+	// nodes holds every record that is not forgotten, sorted by ID.
+	nodes []Record
+	// services holds the indexes of nodes whose server is usable or starting.
+	services map[string][]Record
+	// unreachable names the regions that no bridge has reached lately.
+	unreachable map[string]bool
+}
+
+// NewView returns a view of the records.
+func NewView(self Record, records []Record, unreachable []string) *View {
+	view := &View{
+		Self:        self,
+		nodes:       slices.Clone(records),
+		services:    make(map[string][]Record),
+		unreachable: make(map[string]bool),
+	}
+	slices.SortFunc(view.nodes, func(a, b Record) int { return compareIDs(a.ID, b.ID) })
+	for _, record := range view.nodes {
+		if record.offersService() {
+			service := record.Server.Service
+			view.services[service] = append(view.services[service], record)
+		}
+	}
+	for _, region := range unreachable {
+		view.unreachable[region] = true
+	}
+	return view
+}
+
+// Nodes returns all records, sorted by ID. The caller must not change them.
+func (v *View) Nodes() []Record { return v.nodes }
+
+// Node returns the record of a node.
+func (v *View) Node(id string) (Record, bool) {
+	index, found := slices.BinarySearchFunc(v.nodes, id, func(r Record, id string) int { return compareIDs(r.ID, id) })
+	if !found {
+		return Record{}, false
+	}
+	return v.nodes[index], true
+}
+
+// Servers returns the nodes that are alive and whose backend server offers the
+// service and is starting or ready. The caller must not change them.
+func (v *View) Servers(service string) []Record { return v.services[service] }
+
+// RegionReachable reports whether a region has been reached lately.
+func (v *View) RegionReachable(region string) bool { return !v.unreachable[region] }
+
+// CallAddress returns the address of the node's call port.
+func (r Record) CallAddress() string { return net.JoinHostPort(r.IP, strconv.Itoa(r.CallPort)) }
+
+// ControlAddress returns the address of the node's control port.
+func (r Record) ControlAddress() string {
+	return net.JoinHostPort(r.IP, strconv.Itoa(r.ControlPort))
+}
+
+// OperatorAddress returns the address of the node's operator port.
+func (r Record) OperatorAddress() string {
+	return net.JoinHostPort(r.IP, strconv.Itoa(r.OperatorPort))
+}
+
+func (r Record) offersService() bool {
+	if r.State != Alive || r.Server.Service == "" {
+		return false
+	}
+	return r.Server.State == ServerStarting || r.Server.State == ServerReady
+}
+
+func compareIDs(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
