--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -67,3 +68,19 @@
 		Entry("malformed number", "[limits]\ncalls = many\n", result.SettingsInvalid, "[limits]", "calls"),
 	)
 })
+
+// Guards against a key that operators cannot find in the documentation.
+var _ = Describe("docs/SETTINGS.md", func() {
+	It("has exactly one row for each key", func() {
+		page, err := os.ReadFile("../../docs/SETTINGS.md")
+		Expect(err).NotTo(HaveOccurred())
+		rows := 0
+		for section, keys := range settings.Keys() {
+			for key := range keys {
+				rows++
+				Expect(string(page)).To(ContainSubstring("| `[" + section + "]` | `" + key + "` |"))
+			}
+		}
+		Expect(strings.Count(string(page), "\n| `[")).To(Equal(rows))
+	})
+})
