config: add validation, encoding, deltas, holder, operator file and editor

Rules that depend on a node's settings are checked on changes only, so that nodes with different settings accept the same documents.

--- /dev/null
+++ b/internal/config/diff.go
@@ -0,0 +1,89 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// DiffKind says what happened to an object.
+type DiffKind string
+
+// The kinds of difference.
+const (
+	DiffAdded   DiffKind = "added"
+	DiffChanged DiffKind = "changed"
+	DiffDeleted DiffKind = "deleted"
+)
+
+// Difference is one object or key that differs between two documents.
+type Difference struct {
+	Kind DiffKind `json:"kind"`
+	// Object is "target" or "stop".
+	Object string `json:"object"`
+	Name   string `json:"name"`
+	// Key, Before and After are set for changed objects, one difference a key.
+	Key    string `json:"key,omitempty"`
+	Before string `json:"before,omitempty"`
+	After  string `json:"after,omitempty"`
+}
+
+// String returns the difference as one line of text.
+func (d Difference) String() string {
+	switch d.Kind {
+	case DiffAdded:
+		return fmt.Sprintf("+ %s %s", d.Object, d.Name)
+	case DiffDeleted:
+		return fmt.Sprintf("- %s %s", d.Object, d.Name)
+	default:
+		return fmt.Sprintf("~ %s %s: %s: %s -> %s", d.Object, d.Name, d.Key, d.Before, d.After)
+	}
+}
+
+// Diff returns what differs between two snapshots, targets first, sorted by
+// name.
+func Diff(before, after *Snapshot) []Difference {
+	targets := diffObjects("target", before.document.Targets, after.document.Targets, targetName, targetKeys)
+	stops := diffObjects("stop", before.document.Stops, after.document.Stops, stopID, stopKeys)
+	return append(targets, stops...)
+}
+
+func diffObjects[T any](object string, before, after []T, name func(T) string, keys func(T) []keyValue) []Difference {
+	changed, deleted := differences(before, after, name)
+	var list []Difference
+	for _, item := range changed {
+		old, found := find(before, name(item), name)
+		if !found {
+			list = append(list, Difference{Kind: DiffAdded, Object: object, Name: name(item)})
+			continue
+		}
+		list = append(list, diffKeys(object, name(item), keys(old), keys(item))...)
+	}
+	for _, gone := range deleted {
+		list = append(list, Difference{Kind: DiffDeleted, Object: object, Name: gone})
+	}
+	slices.SortStableFunc(list, func(a, b Difference) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+func diffKeys(object, name string, before, after []keyValue) []Difference {
+	var list []Difference
+	for i := range after {
+		if before[i].value != after[i].value {
+			list = append(list, Difference{Kind: DiffChanged, Object: object, Name: name, Key: after[i].key, Before: before[i].value, After: after[i].value})
+		}
+	}
+	return list
+}
+
+// stopKeys returns the keys of a stop as text, always in the same order.
+func stopKeys(s Stop) []keyValue {
+	scope, _ := json.Marshal(s.Scope)
+	return []keyValue{
+		{"scope", string(scope)},
+		{"at", s.At.Format(timeFormat)},
+		{"grace", s.Grace.String()},
+		{"reason", s.Reason},
+	}
+}
--- /dev/null
+++ b/internal/config/encoding.go
@@ -0,0 +1,98 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+	"rosemaryladder.dev/rosemaryladder/internal/store"
+)
+
+// canonical returns the JSON encoding that the hash covers.
+func (d Document) canonical() ([]byte, error) {
+	d.Targets = emptyIfNil(d.Targets)
+	d.Stops = emptyIfNil(d.Stops)
+	d.Changes = emptyIfNil(d.Changes)
+	data, err := json.Marshal(d)
+	return data, errors.Wrap(err, "encode the document")
+}
+
+func emptyIfNil[T any](items []T) []T {
+	if items == nil {
+		return []T{}
+	}
+	return items
+}
+
+// Encode returns the compressed canonical encoding of the document.
+func (d Document) Encode() ([]byte, error) {
+	plain, err := d.canonical()
+	if err != nil {
+		return nil, result.Wrap(err, result.DocumentInvalid, "version %d", d.Version)
+	}
+	data := compress(plain)
+	if len(data) > store.MaxValueBytes || len(plain) > maxEncodedBytes {
+		return nil, result.Errorf(result.DocumentTooLarge, "the document of version %d takes %d bytes compressed and %d uncompressed; the limits are %d and %d", d.Version, len(data), len(plain), store.MaxValueBytes, maxEncodedBytes)
+	}
+	return data, nil
+}
+
+// DecodeDocument parses a compressed document strictly: unknown fields and any
+// encoding but the canonical one are refused. The document is not validated.
+func DecodeDocument(data []byte) (Document, error) {
+	if len(data) > store.MaxValueBytes {
+		return Document{}, result.Errorf(result.DocumentTooLarge, "%d bytes exceed the limit of %d", len(data), store.MaxValueBytes)
+	}
+	plain, err := decompress(data)
+	if err != nil {
+		return Document{}, result.Wrap(err, result.DocumentInvalid, "the document is unreadable")
+	}
+	var document Document
+	if err := decodeStrictly(plain, &document); err != nil {
+		return Document{}, result.Wrap(err, result.DocumentInvalid, "the document of version %d is malformed", versionOf(plain))
+	}
+	again, err := document.canonical()
+	if err != nil || !bytes.Equal(again, plain) {
+		return Document{}, result.Errorf(result.DocumentInvalid, "the document of version %d is not in the canonical encoding", document.Version)
+	}
+	return document, nil
+}
+
+// VersionOf returns the version that a compressed document states, even when
+// the rest of the document is unacceptable; 0 when it cannot be read.
+func VersionOf(data []byte) uint64 {
+	plain, err := decompress(data)
+	if err != nil {
+		return 0
+	}
+	return versionOf(plain)
+}
+
+func versionOf(plain []byte) uint64 {
+	var header struct {
+		Version uint64 `json:"version"`
+	}
+	if err := json.Unmarshal(plain, &header); err != nil {
+		return 0
+	}
+	return header.Version
+}
+
+// decodeStrictly parses exactly one JSON value without unknown fields.
+func decodeStrictly(data []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return errors.New("data follows the JSON value")
+	}
+	return nil
+}
+
+func hashOf(plain []byte) uint64 { return xxhash.Sum64(plain) }
--- /dev/null
+++ b/internal/config/fake_store_test.go
@@ -0,0 +1,91 @@
+package config_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/store"
+)
+
+// fakeStore keeps one key in memory. Its failures are set by the test.
+type fakeStore struct {
+	mu       sync.Mutex
+	value    store.Value
+	previous store.Value
+	calls    int
+	// answer decides the outcome of the n-th call: fine, lost before or after
+	// the effect, or an outdated read.
+	answer func(call int) fault
+	// beforeSwap runs ahead of each write, for races.
+	beforeSwap func()
+}
+
+type fault int
+
+const (
+	fine fault = iota
+	notSent
+	lostBefore
+	lostAfter
+	outdated
+)
+
+func (f *fakeStore) next() fault {
+	f.calls++
+	if f.answer == nil {
+		return fine
+	}
+	return f.answer(f.calls)
+}
+
+func (f *fakeStore) Get(context.Context, string) (store.Value, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch f.next() {
+	case notSent:
+		return store.Value{}, store.ErrNotSent
+	case lostBefore, lostAfter:
+		return store.Value{}, store.ErrUnavailable
+	case outdated:
+		return f.previous, nil
+	}
+	return f.value, nil
+}
+
+func (f *fakeStore) CompareAndSwap(_ context.Context, _ string, expected store.Revision, data []byte, _ store.LeaseID) (store.Revision, error) {
+	if f.beforeSwap != nil {
+		f.beforeSwap()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fault := f.next()
+	switch {
+	case fault == notSent:
+		return 0, store.ErrNotSent
+	case fault == lostBefore:
+		return 0, store.ErrUnavailable
+	case f.value.Revision != expected:
+		return 0, store.ErrConflict
+	}
+	f.previous = f.value
+	f.value = store.Value{Data: data, Revision: expected + 1}
+	if fault == lostAfter {
+		return 0, store.ErrUnavailable
+	}
+	return f.value.Revision, nil
+}
+
+func (f *fakeStore) GetNewer(ctx context.Context, key string, _ store.Revision) (store.Value, error) {
+	return f.Get(ctx, key)
+}
+
+func (f *fakeStore) Watch(ctx context.Context, key string, _ store.Revision) (store.Value, error) {
+	return f.Get(ctx, key)
+}
+
+func (f *fakeStore) Grant(context.Context, time.Duration) (store.LeaseID, error) { return 1, nil }
+
+func (f *fakeStore) KeepAlive(context.Context, store.LeaseID) error { return nil }
+
+func (f *fakeStore) Revoke(context.Context, store.LeaseID) error { return nil }
--- /dev/null
+++ b/internal/config/holder.go
@@ -0,0 +1,92 @@
+package config
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+// Holder publishes the snapshot that a node has in force. Readers load it with
+// one atomic load; a snapshot is published only when its version is higher.
+type Holder struct {
+	current   atomic.Pointer[Snapshot]
+	rejection atomic.Pointer[Rejection]
+	history   History
+
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+// NewHolder returns a holder with the empty snapshot in force.
+func NewHolder() *Holder {
+	holder := &Holder{changed: make(chan struct{})}
+	holder.current.Store(Empty())
+	holder.history.Add(Empty())
+	return holder
+}
+
+// Current returns the snapshot in force.
+func (h *Holder) Current() *Snapshot { return h.current.Load() }
+
+// Publish puts the snapshot in force when its version is higher than the
+// current one, and reports whether it did.
+func (h *Holder) Publish(snapshot *Snapshot) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if snapshot.Version() <= h.Current().Version() {
+		return false
+	}
+	h.store(snapshot)
+	return true
+}
+
+// Replace puts the snapshot in force when it has the current version and
+// another hash. It repairs a node whose content differs from the reader's at
+// the same version; only a snapshot that came from the reader's side may be
+// passed.
+func (h *Holder) Replace(snapshot *Snapshot) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	current := h.Current().Digest()
+	if snapshot.Version() != current.Version || snapshot.Digest() == current {
+		return false
+	}
+	h.store(snapshot)
+	return true
+}
+
+func (h *Holder) store(snapshot *Snapshot) {
+	h.history.Add(snapshot)
+	h.current.Store(snapshot)
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed at the next publication. Take the
+// channel before Current, so that no publication is missed.
+func (h *Holder) Changed() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.changed
+}
+
+// DeltaFrom returns the delta from a digest to the snapshot in force; false when
+// the digest is not in the history or is not older.
+func (h *Holder) DeltaFrom(from Digest) (Delta, bool) {
+	current := h.Current()
+	base, found := h.history.Find(from)
+	if !found || base.Version() >= current.Version() {
+		return Delta{}, false
+	}
+	return DeltaBetween(base, current), true
+}
+
+// Reject records that a document was refused; the snapshot in force stays.
+func (h *Holder) Reject(version uint64, reason error, at time.Time) {
+	h.rejection.Store(&Rejection{Version: version, Reason: reason.Error(), Code: result.CodeOf(reason), At: at})
+}
+
+// LastRejection returns the last refused document; nil when there is none.
+func (h *Holder) LastRejection() *Rejection { return h.rejection.Load() }
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -1,5 +1,10 @@
 package config
 
+import (
+	"cmp"
+	"slices"
+)
+
 // Snapshot is an immutable configuration that passed validation as a whole.
 // NewSnapshot builds it.
 type Snapshot struct {
@@ -9,6 +14,63 @@
 	routes map[string][]*Target
 }
 
+// Empty returns the snapshot of version 0, which is in force before the first
+// document. It matches no call.
+func Empty() *Snapshot { return &Snapshot{} }
+
+// NewSnapshot validates the whole document and builds its route index. The
+// snapshot keeps its own copy of the document.
+func NewSnapshot(document Document) (*Snapshot, error) {
+	if err := document.Validate(); err != nil {
+		return nil, err
+	}
+	plain, err := document.canonical()
+	if err != nil {
+		return nil, err
+	}
+	document.Targets = slices.Clone(document.Targets)
+	document.Stops = slices.Clone(document.Stops)
+	document.Changes = slices.Clone(document.Changes)
+	return &Snapshot{
+		document: document,
+		digest:   Digest{Version: document.Version, Hash: hashOf(plain)},
+		routes:   routesOf(document.Targets),
+	}, nil
+}
+
+// DecodeSnapshot decodes and validates a compressed document.
+func DecodeSnapshot(data []byte) (*Snapshot, error) {
+	document, err := DecodeDocument(data)
+	if err != nil {
+		return nil, err
+	}
+	return NewSnapshot(document)
+}
+
+func routesOf(targets []Target) map[string][]*Target {
+	routes := make(map[string][]*Target)
+	for i := range targets {
+		service := targets[i].Service
+		routes[service] = append(routes[service], &targets[i])
+	}
+	for _, list := range routes {
+		slices.SortStableFunc(list, func(a, b *Target) int { return cmp.Compare(len(b.Path), len(a.Path)) })
+	}
+	return routes
+}
+
+// Encode returns the compressed document.
+func (s *Snapshot) Encode() ([]byte, error) { return s.document.Encode() }
+
+// Target returns the target with the name.
+func (s *Snapshot) Target(name string) (*Target, bool) {
+	index, found := slices.BinarySearchFunc(s.document.Targets, name, func(t Target, name string) int { return cmp.Compare(t.Name, name) })
+	if !found {
+		return nil, false
+	}
+	return &s.document.Targets[index], true
+}
+
 // Version returns the document version; 0 for the empty snapshot.
 func (s *Snapshot) Version() uint64 { return s.digest.Version }
 
--- /dev/null
+++ b/internal/config/validate_stop.go
@@ -0,0 +1,67 @@
+package config
+
+import (
+	"fmt"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+// Range of the start time of a stop. RFC 3339 has four-digit years only.
+var (
+	earliestStop = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+	latestStop   = time.Date(9999, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
+// Validate returns an error that names the first key with an invalid value.
+func (s *Stop) Validate() error {
+	if !validName(s.ID) {
+		return s.invalid("id", s.ID, wantName)
+	}
+	if err := s.validateScope(); err != nil {
+		return err
+	}
+	if s.At.Before(earliestStop) || s.At.After(latestStop) || s.At.Location() != time.UTC || !s.At.Equal(s.At.Truncate(time.Millisecond)) {
+		return s.invalid("at", s.At.Format(time.RFC3339Nano), "a time in UTC between the years 2000 and 9999 in whole milliseconds")
+	}
+	if s.Grace < 0 || s.Grace > MaxGrace {
+		return s.invalid("grace", s.Grace, "from 0s to 24h")
+	}
+	if !validReason(s.Reason) {
+		return s.invalid("reason", s.Reason, "1 to 256 bytes of printable text")
+	}
+	return nil
+}
+
+func (s *Stop) validateScope() error {
+	scope := s.Scope
+	switch {
+	case scope.Host == "" && scope.FailureDomain == "":
+		return s.invalid("scope", "", "a host or a failure domain")
+	case scope.Host != "" && scope.FailureDomain != "":
+		return s.invalid("scope", scope.Host+" and "+scope.FailureDomain, "either a host or a failure domain")
+	case scope.Service != "" && scope.Host == "":
+		return s.invalid("service", scope.Service, "empty for a failure domain")
+	case scope.Host != "" && !validHost(scope.Host):
+		return s.invalid("host", scope.Host, wantHost)
+	case scope.FailureDomain != "" && !validHost(scope.FailureDomain):
+		return s.invalid("failure_domain", scope.FailureDomain, wantHost)
+	case scope.Service != "" && !validName(scope.Service):
+		return s.invalid("service", scope.Service, wantName)
+	}
+	return nil
+}
+
+// Normalized returns the stop with its start time in UTC and whole
+// milliseconds, as a document stores it.
+func (s Stop) Normalized() Stop {
+	s.At = s.At.UTC().Truncate(time.Millisecond)
+	return s
+}
+
+func (s *Stop) invalid(key string, value any, want string) error {
+	return result.Errorf(result.StopInvalid, "stop %q: key %q: value %q must be %s", s.ID, key, fmtValue(value), want)
+}
+
+// fmtValue returns a value as text for an error message.
+func fmtValue(value any) string { return fmt.Sprint(value) }
