config: compress deltas with a shared dictionary

A delta of one target is about 300 bytes of JSON, mostly key names, and compresses badly on its own. The zstd checksum is dropped because the document hash covers it.

--- a/internal/config/compress.go
+++ b/internal/config/compress.go
@@ -5,31 +5,51 @@
 	"github.com/pkg/errors"
 )
 
-// encoder and decoder are safe for concurrent EncodeAll and DecodeAll calls.
+// The coders are safe for concurrent EncodeAll and DecodeAll calls. Documents
+// and deltas carry no checksum of zstd, because the hash covers them.
 var (
-	encoder = newEncoder()
-	decoder = newDecoder()
+	documentEncoder = newEncoder()
+	documentDecoder = newDecoder()
+	deltaEncoder    = newEncoder(zstd.WithEncoderDictRaw(deltaDictionaryID, []byte(deltaDictionary)))
+	deltaDecoder    = newDecoder(zstd.WithDecoderDictRaw(deltaDictionaryID, []byte(deltaDictionary)))
 )
 
-func newEncoder() *zstd.Encoder {
-	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(1<<20), zstd.WithLowerEncoderMem(true))
+func newEncoder(options ...zstd.EOption) *zstd.Encoder {
+	options = append(options,
+		zstd.WithEncoderConcurrency(1),
+		zstd.WithEncoderCRC(false),
+		zstd.WithLowerEncoderMem(true),
+		zstd.WithSingleSegment(true),
+	)
+	encoder, err := zstd.NewWriter(nil, options...)
 	if err != nil {
 		panic(err) // The options are constants.
 	}
 	return encoder
 }
 
-func newDecoder() *zstd.Decoder {
-	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxEncodedBytes))
+func newDecoder(options ...zstd.DOption) *zstd.Decoder {
+	options = append(options,
+		zstd.WithDecoderConcurrency(1),
+		zstd.WithDecoderLowmem(true),
+		zstd.WithDecoderMaxMemory(maxEncodedBytes),
+	)
+	decoder, err := zstd.NewReader(nil, options...)
 	if err != nil {
 		panic(err) // The options are constants.
 	}
 	return decoder
 }
 
-func compress(data []byte) []byte { return encoder.EncodeAll(data, nil) }
+func compress(data []byte) []byte { return documentEncoder.EncodeAll(data, nil) }
 
-func decompress(data []byte) ([]byte, error) {
+func compressDelta(data []byte) []byte { return deltaEncoder.EncodeAll(data, nil) }
+
+func decompress(data []byte) ([]byte, error) { return decompressWith(documentDecoder, data) }
+
+func decompressDelta(data []byte) ([]byte, error) { return decompressWith(deltaDecoder, data) }
+
+func decompressWith(decoder *zstd.Decoder, data []byte) ([]byte, error) {
 	plain, err := decoder.DecodeAll(data, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress")
@@ -39,7 +59,3 @@
 	}
 	return plain, nil
 }
-
-func compressDelta(data []byte) []byte { return compress(data) }
-
-func decompressDelta(data []byte) ([]byte, error) { return decompress(data) }
--- a/internal/config/editor_test.go
+++ b/internal/config/editor_test.go
@@ -13,7 +13,7 @@
 )
 
 func newEditor(fake *fakeStore) *config.Editor {
-	return &config.Editor{Store: fake, Random: rand.Float64}
+	return &config.Editor{Store: fake, Random: func() float64 { return 0 }}
 }
 
 func upsert(id string, base config.Base, targets ...config.Target) config.Change {
@@ -93,13 +93,15 @@
 	var group sync.WaitGroup
 	for i := range editors {
 		group.Go(func() {
+			racing := newEditor(fake)
+			racing.Random = rand.Float64
 			own := sample("own-" + string(rune('a'+i)))
 			shared := sample("shared")
 			shared.SuccessPercent = 90 + float64(i)
-			if _, err := newEditor(fake).Apply(context.Background(), upsert(config.NewChangeID(), nil, own)); err != nil {
+			if _, err := racing.Apply(context.Background(), upsert(config.NewChangeID(), nil, own)); err != nil {
 				t.Errorf("own target: %v", err)
 			}
-			_, errs[i] = newEditor(fake).Apply(context.Background(), upsert(config.NewChangeID(), config.BaseAt(0), shared))
+			_, errs[i] = racing.Apply(context.Background(), upsert(config.NewChangeID(), config.BaseAt(0), shared))
 		})
 	}
 	group.Wait()
