--- /dev/null
+++ b/internal/lease/config.go
@@ -0,0 +1,51 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Defaults of Config.
+const (
+	// DefaultTTL is how long the store keeps a lease that is not renewed.
+	DefaultTTL = time.Second
+	// DefaultRenew leaves two renewals to fail before the lease ends.
+	DefaultRenew = 300 * time.Millisecond
+)
+
+// Config describes one lease.
+type Config struct {
+	// Key is the store key that exists while the lease is held.
+	Key string
+	// Holder names this process; it must differ between processes.
+	Holder string
+	// TTL is how long the store keeps a lease that is not renewed.
+	TTL time.Duration
+	// Renew is the time between two renewals.
+	Renew time.Duration
+	// Wanted reports whether this node should try to take the lease now. It is
+	// asked before each try, so a standby that knows of a live holder makes no
+	// store call. Nil means always.
+	Wanted func() bool
+}
+
+// DefaultConfig returns the configuration of a lease with the default times.
+func DefaultConfig(key, holder string) Config {
+	return Config{Key: key, Holder: holder, TTL: DefaultTTL, Renew: DefaultRenew}
+}
+
+// Validate returns an error that names the invalid key and its value.
+func (c Config) Validate() error {
+	switch {
+	case c.Key == "":
+		return errors.New("lease: Key is empty")
+	case c.Holder == "":
+		return errors.New("lease: Holder is empty")
+	case c.TTL < time.Millisecond:
+		return errors.Errorf("lease: TTL %v is below 1ms", c.TTL)
+	case c.Renew <= 0 || c.Renew >= c.TTL:
+		return errors.Errorf("lease: Renew %v is not between 0 and the TTL %v", c.Renew, c.TTL)
+	}
+	return nil
+}
