Add the call path, the drain tracker and the backend stand-in

The client side uses its own connection pool, because http.Transport sends a request with an Idempotency-Key again on a fresh connection when a reused one breaks, which would run a call twice and hides whether anything was handed over.

--- /dev/null
+++ b/internal/call/accept.go
@@ -0,0 +1,108 @@
+package call
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+// Bounds of what a caller states in headers.
+const (
+	maxKeyBytes = 255
+	maxAttempt  = 1000
+	// maxDepth leaves room above the 26 levels of today's services and still ends
+	// a loop of services that call each other.
+	maxDepth = 64
+)
+
+// accept checks a caller's call and reads its body.
+func (f *front) accept(w http.ResponseWriter, r *http.Request, id string) (*fronted, *refusal) {
+	now := f.deps.Now()
+	call := &fronted{snapshot: f.deps.Snapshots.Load(), view: f.deps.View(), started: now}
+	if call.snapshot == nil || call.snapshot.Version() == 0 || call.view == nil {
+		return nil, refuse(result.NodeNotReady, "the node does not hold a configuration yet")
+	}
+	service := serviceOf(r.Host)
+	if hasDotSegment(r.URL.Path) {
+		return nil, refuse(result.BadRequest, fmt.Sprintf("path %q has dot segments, so that its class is ambiguous", r.URL.Path))
+	}
+	target, found := call.snapshot.Match(service, r.Method, r.URL.Path)
+	if !found {
+		return nil, refuse(result.NoTarget, fmt.Sprintf("no target of service %q matches %s %s", service, r.Method, r.URL.Path))
+	}
+	call.target = target
+	call.request = &request{
+		id: id, service: service, method: r.Method, uri: uriOf(r), header: r.Header,
+		key: r.Header.Get(HeaderKey), once: !target.Idempotent, priority: target.Priority,
+	}
+	if refused := f.checkHeaders(call, r, now); refused != nil {
+		return nil, refused
+	}
+	read, refused := readRequestBody(w, r, call.request.deadline, call.request.once, f.config, f.metrics)
+	call.request.body = read
+	return call, refused
+}
+
+// checkHeaders checks the key and reads deadline, attempt and depth.
+func (f *front) checkHeaders(call *fronted, r *http.Request, now time.Time) *refusal {
+	request := call.request
+	if request.once && request.key == "" {
+		return refuse(result.KeyRequired, fmt.Sprintf("target %s is not idempotent and the call has no %s header", call.target.Name, HeaderKey))
+	}
+	if len(request.key) > maxKeyBytes {
+		f.metrics.limitKey.Inc(1)
+		return refuse(result.BadRequest, fmt.Sprintf("header %s: %d bytes exceed the limit of %d", HeaderKey, len(request.key), maxKeyBytes))
+	}
+	deadline, refusedDeadline := intHeader(r, HeaderDeadline, int(call.target.Deadline.Milliseconds()), 1, int(24*time.Hour/time.Millisecond))
+	attempt, refusedAttempt := intHeader(r, HeaderAttempt, 1, 1, maxAttempt)
+	depth, refusedDepth := intHeader(r, HeaderDepth, 0, 0, maxDepth)
+	for _, refused := range []*refusal{refusedDeadline, refusedAttempt, refusedDepth} {
+		if refused != nil {
+			return refused
+		}
+	}
+	request.deadline = now.Add(min(call.target.Deadline, time.Duration(deadline)*time.Millisecond))
+	request.attempt, request.depth = attempt, depth
+	return nil
+}
+
+// intHeader returns the value of a numeric header, or fallback without one.
+func intHeader(r *http.Request, name string, fallback, least, most int) (int, *refusal) {
+	values := r.Header[name]
+	if len(values) == 0 {
+		return fallback, nil
+	}
+	value, err := strconv.Atoi(values[0])
+	if err != nil || value < least || value > most {
+		return 0, refuse(result.BadRequest, fmt.Sprintf("header %s: value %q must be a number from %d to %d", name, values[0], least, most))
+	}
+	return value, nil
+}
+
+// serviceOf returns the service that a Host header names.
+func serviceOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// uriOf returns path and query as they were sent.
+func uriOf(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// hasDotSegment reports whether a backend server may take the path for another
+// one than the target's match does.
+func hasDotSegment(path string) bool {
+	return strings.Contains(path, "/../") || strings.HasSuffix(path, "/..") ||
+		strings.Contains(path, "/./") || strings.HasSuffix(path, "/.")
+}
--- /dev/null
+++ b/internal/call/body.go
@@ -0,0 +1,84 @@
+package call
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// body is a request body. Its first part is kept, so that a failed attempt can
+// be repeated; the rest, if any, can be sent once.
+type body struct {
+	kept   []byte
+	buffer *bytes.Buffer
+	// rest is nil when the whole body is kept.
+	rest io.Reader
+	// length is -1 when it is unknown, and then the body is sent chunked.
+	length int64
+	// restTaken is set once rest was handed out.
+	restTaken bool
+}
+
+var bodyBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// readBody reads up to limit bytes of a request body into memory.
+func readBody(r *http.Request, limit int) (*body, error) {
+	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
+		return &body{}, nil
+	}
+	buffer := bodyBuffers.Get().(*bytes.Buffer)
+	read := &body{buffer: buffer, length: r.ContentLength}
+	if r.ContentLength > 0 {
+		// ReadFrom wants bytes.MinRead free bytes to see the end of the input.
+		buffer.Grow(int(min(r.ContentLength, int64(limit))) + bytes.MinRead)
+	}
+	n, err := buffer.ReadFrom(io.LimitReader(r.Body, int64(limit)))
+	if err != nil {
+		read.free()
+		return nil, err
+	}
+	read.kept = buffer.Bytes()
+	switch {
+	case r.ContentLength >= 0 && n == r.ContentLength:
+	case n < int64(limit) && r.ContentLength < 0:
+		read.length = n
+	default:
+		read.rest = r.Body
+	}
+	return read, nil
+}
+
+// isKept reports whether the whole body is kept.
+func (b *body) isKept() bool { return b.rest == nil }
+
+// canSend reports whether the body can be sent from its start.
+func (b *body) canSend() bool { return !b.restTaken }
+
+// free returns the buffer to its pool. The body must not be in use.
+func (b *body) free() {
+	if b.buffer == nil {
+		return
+	}
+	b.buffer.Reset()
+	bodyBuffers.Put(b.buffer)
+	b.buffer, b.kept = nil, nil
+}
+
+// fingerprint is the hash of method, request path, length and kept body, which
+// is the whole body of every call that is claimed.
+func (b *body) fingerprint(method, uri string) uint64 {
+	hash := xxhash.New()
+	// Writes to a hash never fail.
+	_, _ = hash.WriteString(method)
+	_, _ = hash.WriteString(" ")
+	_, _ = hash.WriteString(uri)
+	_, _ = hash.WriteString(" ")
+	_, _ = hash.WriteString(strconv.FormatInt(b.length, 10))
+	_, _ = hash.WriteString("\n")
+	_, _ = hash.Write(b.kept)
+	return hash.Sum64()
+}
--- /dev/null
+++ b/internal/call/bounded_buffer.go
@@ -0,0 +1,21 @@
+package call
+
+import "bytes"
+
+// boundedBuffer collects what is written to it up to a limit and drops
+// everything once the limit is exceeded. Writes never fail.
+type boundedBuffer struct {
+	bytes.Buffer
+	limit     int
+	overflown bool
+}
+
+// Write implements io.Writer.
+func (b *boundedBuffer) Write(p []byte) (int, error) {
+	if b.overflown || b.Len()+len(p) > b.limit {
+		b.overflown = true
+		b.Reset()
+		return len(p), nil
+	}
+	return b.Buffer.Write(p)
+}
--- /dev/null
+++ b/internal/call/buffers.go
@@ -0,0 +1,9 @@
+package call
+
+import "sync"
+
+// copyBufferBytes is the size of a buffer that streams a body. A call holds at
+// most two of them.
+const copyBufferBytes = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any { buffer := make([]byte, copyBufferBytes); return &buffer }}
--- /dev/null
+++ b/internal/call/gate.go
@@ -0,0 +1,248 @@
+package call
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"syscall"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/member"
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+	"rosemaryladder.dev/rosemaryladder/internal/route"
+)
+
+// crashProbeTimeout bounds the dial that tells whether a server whose connection
+// broke is gone. The server is on the same host.
+const crashProbeTimeout = 200 * time.Millisecond
+
+// gate runs calls on the backend server beside the node.
+type gate struct {
+	config  Config
+	deps    Deps
+	metrics *metrics
+	client  *client
+	// answered remembers calls that a server answered, so that a crash is not
+	// blamed on calls that merely ran at the same time.
+	answered answeredSet
+}
+
+// running is a call that holds a slot.
+type running struct {
+	request     *request
+	fingerprint uint64
+	release     func()
+	// claimed is set once the claim was won.
+	claimed *claimed
+}
+
+// do admits a call, hands it over and returns the head of the answer. The
+// context ends when the caller gives up.
+func (g *gate) do(ctx context.Context, r *request) (*answer, *refusal) {
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	found, refused := g.admit(ctx, r)
+	if refused != nil {
+		cancel()
+		return nil, refused
+	}
+	finish := found.finish
+	found.finish = func(whole bool) {
+		finish(whole)
+		cancel()
+	}
+	return found, nil
+}
+
+// admit takes a call through every check up to the hand-over.
+func (g *gate) admit(ctx context.Context, r *request) (*answer, *refusal) {
+	if refused := g.checkServer(r); refused != nil {
+		return nil, refused
+	}
+	call := &running{request: r, fingerprint: r.body.fingerprint(r.method, r.uri)}
+	if g.deps.Quarantine.Blocked(call.fingerprint) {
+		return nil, refuse(result.Quarantined, fmt.Sprintf("calls with fingerprint %x stopped several backend servers of service %s", call.fingerprint, r.service))
+	}
+	if r.once {
+		if kept := g.kept(r.service, r.key, call.fingerprint); kept != nil {
+			return kept, nil
+		}
+	}
+	release, err := g.deps.Admit.Acquire(ctx, r.priority)
+	if err != nil {
+		return nil, g.refuseAdmission(ctx, err)
+	}
+	call.release = release
+	return g.claimAndHandOver(ctx, call)
+}
+
+// claimAndHandOver owns the slot of the call until the answer is finished.
+func (g *gate) claimAndHandOver(ctx context.Context, call *running) (*answer, *refusal) {
+	refused := g.checkServer(call.request)
+	if refused == nil && call.request.once {
+		refused = g.claim(ctx, call)
+	}
+	if refused == nil {
+		found, failed := g.handOver(ctx, call)
+		if failed == nil {
+			return found, nil
+		}
+		refused = g.withdraw(call, failed)
+	}
+	call.release()
+	return nil, refused
+}
+
+// checkServer refuses a call that the server beside the node must not get.
+func (g *gate) checkServer(r *request) *refusal {
+	server := g.deps.Server.Effective()
+	switch {
+	case server.State == member.ServerLeaving:
+		return refuse(result.Draining, "the backend server beside node "+g.deps.View().Self.ID+" is leaving")
+	case server.State == member.ServerNone:
+		return refuse(result.ServerGone, "node "+g.deps.View().Self.ID+" has no backend server")
+	case server.Service != r.service:
+		return refuse(result.ServerGone, "the backend server beside node "+g.deps.View().Self.ID+" does not offer service "+r.service)
+	default:
+		return nil
+	}
+}
+
+// refuseAdmission turns the error of the admission into a refusal.
+func (g *gate) refuseAdmission(ctx context.Context, err error) *refusal {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return &refusal{code: result.DeadlineNotRun, run: result.NotRun, message: "the caller gave up", cancelled: true}
+	}
+	fallback := result.Overloaded
+	if ctx.Err() != nil {
+		fallback = result.DeadlineNotRun
+	}
+	return refuseError(err, fallback)
+}
+
+// handOver sends the call to the server and reads the head of the answer.
+func (g *gate) handOver(ctx context.Context, call *running) (*answer, *refusal) {
+	r := call.request
+	if ctx.Err() != nil {
+		return nil, g.refuseAdmission(ctx, ctx.Err())
+	}
+	address := g.deps.Server.Address()
+	out := &outgoing{method: r.method, uri: r.uri, host: r.service, header: r.header, body: r.body, added: g.serverFields(r)}
+	g.deps.Server.Begin()
+	e, failed := g.client.do(ctx, address, out)
+	if failed != nil {
+		g.deps.Server.Done()
+		return nil, g.refuseExchange(ctx, call, address, failed)
+	}
+	found, refused := g.acceptAnswer(ctx, call, e)
+	if refused != nil {
+		e.finish(false)
+		g.deps.Server.Done()
+	}
+	return found, refused
+}
+
+// serverFields returns the headers that tell the server about the call.
+func (g *gate) serverFields(r *request) []field {
+	remaining := max(r.deadline.Sub(g.deps.Now()).Milliseconds(), 1)
+	return []field{
+		{HeaderCallID, r.id},
+		{HeaderDeadline, strconv.FormatInt(remaining, 10)},
+		{HeaderAttempt, strconv.Itoa(r.attempt)},
+		{HeaderDepth, strconv.Itoa(r.depth + 1)},
+	}
+}
+
+// acceptAnswer turns the head of the server's answer into an answer or a refusal.
+func (g *gate) acceptAnswer(ctx context.Context, call *running, e *exchange) (*answer, *refusal) {
+	response := e.response
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderRun) == string(result.NotRun) {
+		return nil, refuse(result.ServerRefused, "the backend server beside node "+g.deps.View().Self.ID+" refused the call")
+	}
+	if !e.isDelimited() {
+		g.metrics.undelimited.Inc(1)
+		return nil, refuse(result.OutcomeUnknown, "the backend server marks the end of its answer by closing the connection, so that a whole answer cannot be told from a broken one")
+	}
+	found := answerOf(response)
+	found.load = g.load()
+	found.finish = func(whole bool) {
+		e.finish(whole)
+		g.deps.Server.Done()
+		call.release()
+		g.noteEnd(ctx, call, e.pool.address, whole)
+	}
+	if call.request.once {
+		g.keepWhole(call, found)
+	}
+	return found, nil
+}
+
+// noteEnd learns from the end of an answer which calls crash servers.
+func (g *gate) noteEnd(ctx context.Context, call *running, address string, whole bool) {
+	switch {
+	case whole:
+		g.answered.add(call.fingerprint)
+	case ctx.Err() == nil:
+		g.probe(call, address)
+	}
+}
+
+// refuseExchange states what is known of a call whose exchange with the server
+// failed before the head of the answer.
+func (g *gate) refuseExchange(ctx context.Context, call *running, address string, failed *exchangeError) *refusal {
+	if !failed.begun {
+		return g.refuseUnsent(ctx, address, failed.cause)
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return &refusal{code: result.OutcomeUnknown, run: result.RunUnknown, message: "the caller gave up", cancelled: true}
+	case ctx.Err() != nil:
+		return refuse(result.DeadlineUnknown, "the deadline passed while the backend server was running the call")
+	case errors.Is(failed.cause, errHeadTooLarge):
+		g.metrics.limitHead.Inc(1)
+		return refuse(result.OutcomeUnknown, "the answer of the backend server: "+failed.cause.Error())
+	default:
+		g.probe(call, address)
+		return refuse(result.OutcomeUnknown, "the connection to the backend server broke: "+failed.cause.Error())
+	}
+}
+
+// refuseUnsent refuses a call of which nothing reached the server.
+func (g *gate) refuseUnsent(ctx context.Context, address string, cause error) *refusal {
+	if ctx.Err() != nil {
+		return g.refuseAdmission(ctx, ctx.Err())
+	}
+	if errors.Is(cause, syscall.ECONNREFUSED) {
+		g.deps.Server.Gone(address)
+	}
+	return refuseError(cause, result.ServerGone)
+}
+
+// probe tells whether a server whose connection broke is gone, and then counts
+// the call as one that may have crashed it.
+func (g *gate) probe(call *running, address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+	defer cancel()
+	connections := g.client.pool(address)
+	c, err := connections.get(ctx)
+	if err == nil {
+		connections.put(c)
+		return
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	g.deps.Server.Gone(address)
+	if g.answered.has(call.fingerprint) {
+		return
+	}
+	g.metrics.crashed.Inc(1)
+	g.deps.Quarantine.Crashed(call.fingerprint)
+}
+
+// load returns the load of the gate for the answer.
+func (g *gate) load() *route.Load {
+	inFlight, slots, queued := g.deps.Admit.Load()
+	return &route.Load{InFlight: inFlight, Slots: slots, Queued: queued}
+}
--- /dev/null
+++ b/internal/call/gate_answer.go
@@ -0,0 +1,72 @@
+package call
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"rosemaryladder.dev/rosemaryladder/internal/member"
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+	"rosemaryladder.dev/rosemaryladder/internal/route"
+)
+
+// maxRefusalBytes bounds the body of a refusal of a gate.
+const maxRefusalBytes = 16 << 10
+
+// readRefusal decodes the refusal of a gate.
+func readRefusal(e *exchange, record member.Record, code string) *refusal {
+	header := e.response.Header
+	number, err := strconv.Atoi(code)
+	if err != nil {
+		return refuse(result.OutcomeUnknown, fmt.Sprintf("node %s answered with the malformed result %q", record.ID, code))
+	}
+	refused := refuse(result.Code(number), "node "+record.ID+" refused the call")
+	if run := result.RunState(header.Get(HeaderRun)); run == result.RunUnknown {
+		refused.run = run
+	}
+	var details refusalBody
+	if json.NewDecoder(io.LimitReader(e.response.Body, maxRefusalBytes)).Decode(&details) == nil && details.Message != "" {
+		refused.message = details.Message
+	}
+	refused.load = parseLoad(header.Get(HeaderLoad))
+	node, fingerprint, _ := strings.Cut(header.Get(headerClaimed), " ")
+	if parsed, err := strconv.ParseUint(fingerprint, 16, 64); err == nil {
+		refused.claimedBy, refused.fingerprint = node, parsed
+	}
+	return refused
+}
+
+// drainBody reads the little that is left of a body and reports whether it ended.
+func drainBody(body io.Reader) bool {
+	n, err := io.CopyN(io.Discard, body, maxRefusalBytes)
+	return err == io.EOF && n < maxRefusalBytes
+}
+
+// formatLoad encodes the load header.
+func formatLoad(load route.Load) string {
+	buffer := make([]byte, 0, 24)
+	buffer = strconv.AppendInt(buffer, int64(load.InFlight), 10)
+	buffer = append(buffer, '/')
+	buffer = strconv.AppendInt(buffer, int64(load.Slots), 10)
+	buffer = append(buffer, '/')
+	return string(strconv.AppendInt(buffer, int64(load.Queued), 10))
+}
+
+// parseLoad decodes the load header; nil when it is absent or malformed.
+func parseLoad(value string) *route.Load {
+	inFlight, rest, _ := strings.Cut(value, "/")
+	slots, queued, _ := strings.Cut(rest, "/")
+	var load route.Load
+	var errs [3]error
+	load.InFlight, errs[0] = strconv.Atoi(inFlight)
+	load.Slots, errs[1] = strconv.Atoi(slots)
+	load.Queued, errs[2] = strconv.Atoi(queued)
+	for _, err := range errs {
+		if err != nil {
+			return nil
+		}
+	}
+	return &load
+}
--- /dev/null
+++ b/internal/call/gate_claim.go
@@ -0,0 +1,119 @@
+package call
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"rosemaryladder.dev/rosemaryladder/internal/claim"
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+// claimed is a claim that was won.
+type claimed = claim.Claim
+
+// claim claims the key of a call. A refusal means that this attempt runs
+// nothing.
+func (g *gate) claim(ctx context.Context, call *running) *refusal {
+	r := call.request
+	self := g.deps.View().Self
+	wanted := claim.Claim{
+		Service:     r.service,
+		Key:         r.key,
+		Fingerprint: call.fingerprint,
+		Node:        self.ID,
+		Incarnation: self.Incarnation,
+		At:          g.deps.Now(),
+		ID:          r.id + "/" + strconv.Itoa(r.attempt),
+	}
+	inForce, err := g.deps.Claimer.Claim(ctx, wanted)
+	switch {
+	case err != nil:
+		return refuseError(err, result.ClaimUnavailable)
+	case inForce.ID == wanted.ID:
+		call.claimed = &inForce
+		return g.checkClaimAge(ctx, call)
+	case inForce.Fingerprint != call.fingerprint:
+		return refuse(result.KeyReused, "the key "+strconv.Quote(r.key)+" was used before for another request of service "+r.service)
+	default:
+		refused := refuse(result.RepeatUnknown, "the call with key "+strconv.Quote(r.key)+" was claimed before by node "+inForce.Node)
+		refused.claimedBy, refused.fingerprint = inForce.Node, inForce.Fingerprint
+		return refused
+	}
+}
+
+// checkClaimAge refuses a call whose deadline passed while it was claimed. A
+// gate that was frozen meanwhile must not run a call that its caller has
+// repeated elsewhere.
+func (g *gate) checkClaimAge(ctx context.Context, call *running) *refusal {
+	if ctx.Err() == nil && g.deps.Now().Before(call.request.deadline) {
+		return nil
+	}
+	return g.withdraw(call, refuse(result.DeadlineNotRun, "the deadline passed while the call was being claimed"))
+}
+
+// withdraw releases the claim of a call that did not run. When the release
+// cannot be recorded, a repeat would be refused as unknown, so this call is too.
+func (g *gate) withdraw(call *running, refused *refusal) *refusal {
+	if call.claimed == nil || refused.run != result.NotRun {
+		return refused
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), g.config.ReleaseTimeout)
+	defer cancel()
+	won := *call.claimed
+	call.claimed = nil
+	err := g.deps.Claimer.Release(ctx, won)
+	if err == nil {
+		return refused
+	}
+	g.metrics.releaseFailed.Inc(1)
+	unknown := refuse(result.OutcomeUnknown, "the claim of the call could not be withdrawn ("+err.Error()+"): "+refused.message)
+	unknown.cancelled = refused.cancelled
+	return unknown
+}
+
+// kept returns the kept answer of a call; nil when there is none.
+func (g *gate) kept(service, key string, fingerprint uint64) *answer {
+	status, header, body, ok := g.deps.Kept.Kept(service, key, fingerprint)
+	if !ok {
+		return nil
+	}
+	g.metrics.keptAnswers.Inc(1)
+	return &answer{
+		status: status,
+		header: header,
+		length: int64(len(body)),
+		body:   bytes.NewReader(body),
+		finish: func(bool) {},
+	}
+}
+
+// keepWhole keeps the answer of a non-idempotent call once it was read to its
+// end.
+func (g *gate) keepWhole(call *running, found *answer) {
+	if found.length > int64(g.config.KeptAnswerBytes) {
+		g.metrics.keptTooLarge.Inc(1)
+		return
+	}
+	copied := &boundedBuffer{limit: g.config.KeptAnswerBytes}
+	found.body = io.TeeReader(found.body, copied)
+	finish := found.finish
+	found.finish = func(whole bool) {
+		if whole {
+			g.keep(call, found, copied)
+		}
+		finish(whole)
+	}
+}
+
+func (g *gate) keep(call *running, found *answer, copied *boundedBuffer) {
+	if copied.overflown {
+		g.metrics.keptTooLarge.Inc(1)
+		return
+	}
+	header := make(http.Header)
+	found.copyHeader(header)
+	g.deps.Kept.Keep(call.request.service, call.request.key, call.fingerprint, found.status, header, copied.Bytes())
+}
--- /dev/null
+++ b/internal/call/hop.go
@@ -0,0 +1,66 @@
+package call
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/config"
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+// hopFields is the number of fields in a hop header.
+const hopFields = 6
+
+// hop is what a front tells a gate about a call besides the call itself. The
+// header holds the fields in this order, separated by spaces: call id, remaining
+// time in microseconds, priority, "once" or "many", attempt, depth. Depth is
+// that of the caller.
+type hop struct {
+	id        string
+	remaining time.Duration
+	priority  config.Priority
+	once      bool
+	attempt   int
+	depth     int
+}
+
+// appendTo appends the encoded header value.
+func (h hop) appendTo(buffer []byte) []byte {
+	buffer = append(buffer, h.id...)
+	buffer = append(buffer, ' ')
+	buffer = strconv.AppendInt(buffer, max(h.remaining.Microseconds(), 0), 10)
+	buffer = append(buffer, ' ')
+	buffer = append(buffer, h.priority...)
+	if h.once {
+		buffer = append(buffer, " once "...)
+	} else {
+		buffer = append(buffer, " many "...)
+	}
+	buffer = strconv.AppendInt(buffer, int64(h.attempt), 10)
+	buffer = append(buffer, ' ')
+	return strconv.AppendInt(buffer, int64(h.depth), 10)
+}
+
+// parseHop decodes a header value.
+func parseHop(value string) (hop, error) {
+	var fields [hopFields]string
+	rest := value
+	for i := range fields {
+		fields[i], rest, _ = strings.Cut(rest, " ")
+	}
+	micros, errMicros := strconv.ParseInt(fields[1], 10, 64)
+	attempt, errAttempt := strconv.Atoi(fields[4])
+	depth, errDepth := strconv.Atoi(fields[5])
+	if errMicros != nil || errAttempt != nil || errDepth != nil || fields[0] == "" || rest != "" {
+		return hop{}, result.Errorf(result.BadRequest, "header %s: value %q is malformed", headerHop, value)
+	}
+	return hop{
+		id:        fields[0],
+		remaining: time.Duration(micros) * time.Microsecond,
+		priority:  config.Priority(fields[2]),
+		once:      fields[3] != "many",
+		attempt:   attempt,
+		depth:     depth,
+	}, nil
+}
--- /dev/null
+++ b/internal/call/limit_reader.go
@@ -0,0 +1,36 @@
+package call
+
+import (
+	"errors"
+	"io"
+	"math"
+)
+
+// errHeadTooLarge marks an answer whose head exceeds the limit.
+var errHeadTooLarge = errors.New("the head of the answer exceeds the limit")
+
+// limitReader bounds the bytes read while a head is expected, because
+// http.ReadResponse reads a head of any size.
+type limitReader struct {
+	reader    io.Reader
+	remaining int64
+}
+
+// limitHead allows the given number of bytes until the limit is lifted.
+func (l *limitReader) limitHead(bytes int) { l.remaining = int64(bytes) }
+
+// lift removes the limit.
+func (l *limitReader) lift() { l.remaining = math.MaxInt64 }
+
+// Read implements io.Reader.
+func (l *limitReader) Read(p []byte) (int, error) {
+	if l.remaining <= 0 {
+		return 0, errHeadTooLarge
+	}
+	if int64(len(p)) > l.remaining {
+		p = p[:l.remaining]
+	}
+	n, err := l.reader.Read(p)
+	l.remaining -= int64(n)
+	return n, err
+}
--- /dev/null
+++ b/internal/call/node.go
@@ -0,0 +1,146 @@
+package call
+
+import (
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"rosemaryladder.dev/rosemaryladder/internal/dial"
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+// panicLines bounds the log lines about panics, which are faults of this program.
+var panicLines = rate.Sometimes{First: 3, Interval: time.Minute}
+
+// Node is the handler of the call port. It is a front for callers and the gate
+// of the backend server beside it.
+type Node struct {
+	config   Config
+	deps     Deps
+	metrics  *metrics
+	front    *front
+	gate     *gate
+	clients  []*client
+	peers    knownIPs
+	idPrefix string
+	sequence atomic.Uint64
+	inFlight atomic.Int64
+	draining atomic.Bool
+}
+
+// New returns a node that takes calls at once; Close frees its connections.
+func New(config Config, deps Deps) (*Node, error) {
+	if err := config.Validate(); err != nil {
+		return nil, err
+	}
+	node := &Node{config: config, deps: deps, metrics: newMetrics(deps.Scope)}
+	self := deps.View().Self
+	node.idPrefix = self.ID + "-" + strconv.FormatUint(self.Incarnation, 36) + "-"
+	toNodes := &client{dial: deps.Dialer.DialContext, maxIdle: config.IdlePerNode}
+	local := dial.Dialer{LocalIP: deps.Dialer.LocalIP, Timeout: deps.Dialer.Timeout}
+	toServer := &client{dial: local.DialContext, maxOpen: deps.Server.Connections, maxIdle: config.Calls}
+	node.clients = []*client{toNodes, toServer}
+	for _, c := range node.clients {
+		c.idleTimeout, c.headBytes, c.now = config.IdleTimeout, config.HeaderBytes, deps.Now
+		c.start()
+	}
+	node.gate = &gate{config: config, deps: deps, metrics: node.metrics, client: toServer}
+	node.front = &front{config: config, deps: deps, metrics: node.metrics, client: toNodes, gate: node.gate}
+	return node, nil
+}
+
+// ServeHTTP answers a call of a caller or of another node.
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer n.recover()
+	inFlight := n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	fromNode := r.Header[headerHop] != nil || r.Header[headerKept] != nil
+	if refused := n.check(r, inFlight, fromNode); refused != nil {
+		n.front.refuse(w, n.nextID(), refused)
+		return
+	}
+	switch {
+	case r.Header[headerKept] != nil:
+		n.gate.serveKept(w, r)
+	case fromNode:
+		n.gate.serve(w, r)
+	default:
+		n.metrics.calls.Inc(1)
+		n.front.serve(w, r, n.nextID())
+	}
+}
+
+// Drain makes the node refuse new calls. Calls in flight go on.
+func (n *Node) Drain() {
+	n.draining.Store(true)
+	n.deps.Server.StopAll()
+}
+
+// InFlight returns the number of calls that the node carries.
+func (n *Node) InFlight() int64 { return n.inFlight.Load() }
+
+// Close drops the idle connections.
+func (n *Node) Close() {
+	for _, c := range n.clients {
+		c.close()
+	}
+}
+
+// check refuses what the node takes from nobody at this moment.
+func (n *Node) check(r *http.Request, inFlight int64, fromNode bool) *refusal {
+	switch {
+	case inFlight > int64(n.config.Calls):
+		n.metrics.limitCalls.Inc(1)
+		return refuse(result.Overloaded, "the node carries "+strconv.Itoa(n.config.Calls)+" calls, which is its limit")
+	case fromNode && !n.peers.contains(n.deps.View(), r.RemoteAddr):
+		n.metrics.untrustedHop.Inc(1)
+		return refuse(result.NodeNotReady, "the header of a node came from "+r.RemoteAddr+", which is no known node")
+	case n.draining.Load() && r.Header[headerKept] == nil:
+		return refuse(result.Draining, "node "+n.deps.View().Self.ID+" is leaving")
+	case headBytes(r) > n.config.HeaderBytes:
+		n.metrics.limitHead.Inc(1)
+		return refuse(result.BodyTooLarge, "the head of the request exceeds the limit of "+strconv.Itoa(n.config.HeaderBytes)+" bytes")
+	default:
+		return nil
+	}
+}
+
+// headBytes returns the size of a request head without the headers of the nodes,
+// so that a call within the limit at its front is within it at its gate.
+func headBytes(r *http.Request) int {
+	size := len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		if isOwn(name) {
+			continue
+		}
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
+
+// nextID returns the id of a new call: host, incarnation and a number.
+func (n *Node) nextID() string {
+	return n.idPrefix + strconv.FormatUint(n.sequence.Add(1), 36)
+}
+
+// recover turns a fault of this program into an aborted connection, so that no
+// answer looks whole, and logs it.
+func (n *Node) recover() {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	if fault != http.ErrAbortHandler {
+		n.metrics.panics.Inc(1)
+		panicLines.Do(func() {
+			n.deps.Logger.WithField("stack", string(debug.Stack())).Errorf("a call ended with a panic: %v", fault)
+		})
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/call/refusal.go
@@ -0,0 +1,95 @@
+package call
+
+import (
+	"net/http"
+	"strconv"
+
+	"encoding/json"
+
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+	"rosemaryladder.dev/rosemaryladder/internal/route"
+)
+
+// refusal says why a call got no answer of a backend server and whether it ran.
+type refusal struct {
+	code    result.Code
+	run     result.RunState
+	message string
+	// claimedBy and fingerprint name the process that claimed the key and the
+	// call that it claimed, when the code is RepeatUnknown.
+	claimedBy   string
+	fingerprint uint64
+	// load is the load that a gate stated; nil without one.
+	load *route.Load
+	// cancelled is set when the caller gave up.
+	cancelled bool
+}
+
+// refusalBody is the JSON body of a refusal.
+type refusalBody struct {
+	Code    result.Code     `json:"code"`
+	Name    string          `json:"name"`
+	Run     result.RunState `json:"run"`
+	Message string          `json:"message"`
+	Next    string          `json:"next"`
+	CallID  string          `json:"call_id"`
+}
+
+// refuse returns a refusal whose run state follows from the code.
+func refuse(code result.Code, message string) *refusal {
+	return &refusal{code: code, run: result.RunStateOf(code), message: message}
+}
+
+// refuseError returns a refusal for an error of a part that ran nothing.
+func refuseError(err error, fallback result.Code) *refusal {
+	code := result.CodeOf(err)
+	if code == result.Internal || result.RunStateOf(code) != result.NotRun {
+		code = fallback
+	}
+	return refuse(code, err.Error())
+}
+
+var refusalStatus = map[result.Code]int{
+	result.NoTarget:        http.StatusNotFound,
+	result.DeadlineNotRun:  http.StatusGatewayTimeout,
+	result.KeyRequired:     http.StatusBadRequest,
+	result.Quarantined:     http.StatusForbidden,
+	result.BodyTooLarge:    http.StatusRequestEntityTooLarge,
+	result.BadRequest:      http.StatusBadRequest,
+	result.KeyReused:       http.StatusUnprocessableEntity,
+	result.ServerGone:      http.StatusBadGateway,
+	result.NodeUnreachable: http.StatusBadGateway,
+	result.OutcomeUnknown:  http.StatusBadGateway,
+	result.RepeatUnknown:   http.StatusConflict,
+	result.DeadlineUnknown: http.StatusGatewayTimeout,
+	result.Internal:        http.StatusInternalServerError,
+}
+
+// status returns the HTTP status of the refusal.
+func (r *refusal) status() int {
+	if status, found := refusalStatus[r.code]; found {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
+
+// write sends the refusal.
+func (r *refusal) write(w http.ResponseWriter, callID string) {
+	entry := result.Describe(r.code)
+	body, err := json.Marshal(refusalBody{Code: r.code, Name: entry.Name, Run: r.run, Message: r.message, Next: entry.Next, CallID: callID})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	header[HeaderCallID] = []string{callID}
+	header[HeaderResult] = []string{strconv.Itoa(int(r.code))}
+	header[HeaderRun] = []string{string(r.run)}
+	if r.claimedBy != "" {
+		header[headerClaimed] = []string{r.claimedBy + " " + strconv.FormatUint(r.fingerprint, 16)}
+	}
+	w.WriteHeader(r.status())
+	// A write fails only when the peer has gone away.
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/internal/call/send.go
@@ -0,0 +1,49 @@
+package call
+
+import (
+	"io"
+	"net/http"
+)
+
+// send streams an answer whose headers are set already and finishes it. whole is
+// set when the complete answer was sent; written is false when the peer stopped
+// reading.
+func send(w http.ResponseWriter, found *answer) (whole, written bool) {
+	w.WriteHeader(found.status)
+	whole, written = copyAnswer(w, found)
+	found.finish(whole)
+	if whole {
+		for name, values := range found.trailer {
+			w.Header()[name] = values
+		}
+	}
+	return whole, written
+}
+
+// copyAnswer copies the body. An answer of unknown length is flushed as it
+// arrives, so that its reader does not wait for a full buffer.
+func copyAnswer(w http.ResponseWriter, found *answer) (whole, written bool) {
+	if found.body == nil || found.body == http.NoBody {
+		return true, true
+	}
+	buffer := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(buffer)
+	controller := http.NewResponseController(w)
+	for {
+		n, err := found.body.Read(*buffer)
+		if n > 0 {
+			if _, err := w.Write((*buffer)[:n]); err != nil {
+				return false, false
+			}
+			if found.length < 0 && err == nil && controller.Flush() != nil {
+				return false, false
+			}
+		}
+		if err == io.EOF {
+			return true, true
+		}
+		if err != nil {
+			return false, true
+		}
+	}
+}
--- /dev/null
+++ b/internal/drain/status.go
@@ -0,0 +1,25 @@
+package drain
+
+import (
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/member"
+)
+
+// Status describes the backend server beside the node for operators.
+type Status struct {
+	Server  member.Server `json:"server"`
+	Address string        `json:"address"`
+	// InFlight is the number of calls that the server is running.
+	InFlight int64 `json:"in_flight"`
+	// Stops lists the planned stops that have begun for the server.
+	Stops []StopStatus `json:"stops"`
+}
+
+// StopStatus describes a planned stop that has begun.
+type StopStatus struct {
+	ID string    `json:"id"`
+	At time.Time `json:"at"`
+	// Overdue is set when calls are still running after the grace.
+	Overdue bool `json:"overdue"`
+}
--- /dev/null
+++ b/internal/standin/backend/backend.go
@@ -0,0 +1,244 @@
+// Package backend is a stand-in for a backend server: it announces itself to the
+// node beside it, runs calls and keeps a log of what it ran.
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// announceInterval is how often a server announces itself.
+const announceInterval = 2 * time.Second
+
+// HeaderID is echoed from a request to its answer, so that a caller can tell
+// that the answer is its own.
+const HeaderID = "X-Standin-Id"
+
+// Answer is the body of an answer that is no download.
+type Answer struct {
+	Key    string `json:"key"`
+	CallID string `json:"call_id"`
+	// Digest is the xxhash64 of the request body.
+	Digest string `json:"digest"`
+	Length int    `json:"length"`
+}
+
+// Backend is one server.
+type Backend struct {
+	options Options
+	// Crash ends the process; tests replace it.
+	Crash func()
+
+	behaviour atomic.Pointer[Behaviour]
+	inFlight  atomic.Int64
+	cancelled atomic.Int64
+	leaving   atomic.Bool
+	started   time.Time
+	address   string
+	client    http.Client
+
+	mu   sync.Mutex
+	runs bytes.Buffer
+}
+
+// New returns a server that is starting.
+func New(options Options) *Backend {
+	b := &Backend{options: options, Crash: func() { os.Exit(3) }, started: time.Now(), client: http.Client{Timeout: time.Second}}
+	b.behaviour.Store(&b.options.Behaviour)
+	return b
+}
+
+// Run serves until the context ends, then leaves gracefully.
+func (b *Backend) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", b.options.Address)
+	if err != nil {
+		return err
+	}
+	b.address = listener.Addr().String()
+	fmt.Println("address", b.address)
+	server := &http.Server{Handler: b}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	cold := time.After(b.options.ColdStart)
+	for {
+		b.announce()
+		select {
+		case <-ticker.C:
+		case <-cold:
+		case err := <-failed:
+			return err
+		case <-ctx.Done():
+			return b.leave(server)
+		}
+	}
+}
+
+// leave announces that the server is leaving, waits for its calls and stops.
+func (b *Backend) leave(server *http.Server) error {
+	b.leaving.Store(true)
+	until := time.Now().Add(b.options.LeaveTime)
+	for time.Now().Before(until) || b.inFlight.Load() > 0 {
+		b.announce()
+		time.Sleep(100 * time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return server.Shutdown(ctx)
+}
+
+func (b *Backend) announce() {
+	if b.options.Announce == "" {
+		return
+	}
+	body, _ := json.Marshal(map[string]any{
+		"service": b.options.Service, "address": b.address, "state": b.state(),
+		"slots": b.options.Slots, "connections": b.options.Connections,
+	})
+	request, err := http.NewRequest(http.MethodPut, "http://"+b.options.Announce+"/v1/server", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	// A node that is down hears the next announcement.
+	if response, err := b.client.Do(request); err == nil {
+		response.Body.Close()
+	}
+}
+
+func (b *Backend) state() string {
+	switch {
+	case b.leaving.Load():
+		return "leaving"
+	case time.Since(b.started) < b.options.ColdStart:
+		return "starting"
+	default:
+		return "ready"
+	}
+}
+
+// ServeHTTP runs a call, or answers on the paths that a scenario uses.
+func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/runs":
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		_, _ = w.Write(b.runs.Bytes())
+	case "/behaviour":
+		next := Behaviour{}
+		if err := json.NewDecoder(r.Body).Decode(&next); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		b.behaviour.Store(&next)
+	case "/cancelled":
+		fmt.Fprintln(w, b.cancelled.Load())
+	default:
+		b.call(w, r)
+	}
+}
+
+func (b *Backend) call(w http.ResponseWriter, r *http.Request) {
+	behaviour := b.behaviour.Load()
+	defer b.inFlight.Add(-1)
+	if b.inFlight.Add(1) > int64(b.options.Slots) || rand.IntN(100) < behaviour.ShedPercent {
+		w.Header().Set("Rosemaryladder-Run", "not-run")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if behaviour.FailFast {
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	answer := Answer{
+		Key: r.Header.Get("Idempotency-Key"), CallID: r.Header.Get("Rosemaryladder-Call-Id"),
+		Digest: Digest(body), Length: len(body),
+	}
+	b.logRun(answer)
+	if behaviour.CrashBody != "" && bytes.Contains(body, []byte(behaviour.CrashBody)) {
+		b.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	if !b.work(r, body, behaviour) {
+		return
+	}
+	w.Header().Set(HeaderID, r.Header.Get(HeaderID))
+	if size := r.URL.Query().Get("size"); size != "" {
+		b.download(w, r, size, behaviour)
+		return
+	}
+	encoded, _ := json.Marshal(answer)
+	b.write(w, bytes.NewReader(encoded), int64(len(encoded)), behaviour)
+}
+
+// work takes the service time; false when the call was cancelled.
+func (b *Backend) work(r *http.Request, body []byte, behaviour *Behaviour) bool {
+	duration := b.options.ServiceTime
+	if behaviour.SlowBody != "" && (bytes.Contains(body, []byte(behaviour.SlowBody)) || strings.Contains(r.URL.RawQuery, behaviour.SlowBody)) {
+		duration = behaviour.SlowTime
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		b.cancelled.Add(1)
+		return false
+	}
+}
+
+func (b *Backend) download(w http.ResponseWriter, r *http.Request, size string, behaviour *Behaviour) {
+	length, err := strconv.ParseInt(size, 10, 64)
+	if err != nil || length < 0 {
+		http.Error(w, "size must be a number", http.StatusBadRequest)
+		return
+	}
+	b.write(w, Content(r.Header.Get(HeaderID), length), length, behaviour)
+}
+
+// write sends an answer, or only its start when the behaviour says so.
+func (b *Backend) write(w http.ResponseWriter, from io.Reader, length int64, behaviour *Behaviour) {
+	w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	if behaviour.StopAfter == 0 || behaviour.StopAfter >= length {
+		_, _ = io.Copy(w, from)
+		return
+	}
+	_, _ = io.CopyN(w, from, behaviour.StopAfter)
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func (b *Backend) logRun(answer Answer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	fmt.Fprintf(&b.runs, "%s %s %s\n", answer.Key, answer.CallID, answer.Digest)
+}
+
+// Digest returns the xxhash64 of a body in hexadecimal.
+func Digest(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
+
+// Content returns the content of a download, which the id determines.
+func Content(id string, length int64) io.Reader {
+	var seed [32]byte
+	copy(seed[:], id)
+	return io.LimitReader(rand.NewChaCha8(seed), length)
+}
