Add membership table, exchange and quarantine list

The exchange keeps, for each peer, what both sides have applied of each other's change log. Sending 'everything since the last successful call' was ruled out: a reply whose delivery is unknown would lose records.

The messages get a cursor, the age of the last contact with the other region, the table hash, and the encoding of objective statistics. Nodes that are no bridges could not otherwise tell that a region is unreachable.

One neighbour is the next node on a ring by rank. With 3 independent choices out of 404, about 1 node in 20 would be chosen by nobody, so its death would not be noticed.

--- /dev/null
+++ b/internal/gossip/cluster_test.go
@@ -0,0 +1,180 @@
+package gossip_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"rosemaryladder.dev/rosemaryladder/internal/controlpb"
+	"rosemaryladder.dev/rosemaryladder/internal/dial"
+	"rosemaryladder.dev/rosemaryladder/internal/gossip"
+	"rosemaryladder.dev/rosemaryladder/internal/member"
+	"rosemaryladder.dev/rosemaryladder/internal/quarantine"
+	"rosemaryladder.dev/rosemaryladder/internal/store"
+)
+
+// domains are those of the dalhems deployment: two in each of two regions.
+var domains = []string{"svealand-a", "svealand-b", "gotaland-a", "gotaland-b"}
+
+// testNode is one node of an in-process fleet on a loopback address.
+type testNode struct {
+	table      *member.Table
+	quarantine *quarantine.List
+	exchanger  *gossip.Exchanger
+	server     *grpc.Server
+	listener   *countingListener
+	cancel     context.CancelFunc
+	done       chan struct{}
+	version    atomic.Uint64
+	// peerVersion is the highest version that a peer named.
+	peerVersion atomic.Uint64
+}
+
+// countingListener counts the bytes of all accepted connections, both ways.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countingConn{conn, &l.bytes}, err
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func startNode(t testing.TB, index int, seeds []string, client store.Client) *testNode {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	domain := domains[index%len(domains)]
+	table, err := member.NewTable(member.DefaultConfig(), member.Record{
+		ID:            fmt.Sprintf("host-%03d", index),
+		IP:            "127.0.0.1",
+		CallPort:      7001,
+		ControlPort:   listener.Addr().(*net.TCPAddr).Port,
+		OperatorPort:  7003,
+		Region:        domain[:len(domain)-2],
+		FailureDomain: domain,
+		Incarnation:   uint64(time.Now().UnixMilli()),
+	}, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	list, err := quarantine.New(quarantine.DefaultConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &testNode{
+		table:      table,
+		quarantine: list,
+		server:     grpc.NewServer(gossip.ServerOptions()...),
+		listener:   &countingListener{Listener: listener},
+		done:       make(chan struct{}),
+	}
+	n.exchanger, err = gossip.New(gossip.DefaultConfig(), gossip.Dependencies{
+		Table:        table,
+		Quarantine:   list,
+		Dialer:       dial.Dialer{LocalIP: "127.0.0.1"},
+		Seeds:        seeds,
+		Store:        client,
+		IsFirstRelay: func() bool { return member.Lowest(table.View(), domain, 1)[0].ID == table.ID() },
+		Digest: func() *controlpb.Digest {
+			return &controlpb.Digest{Version: n.version.Load(), Hash: 0x0123456789abcdef}
+		},
+		PeerDigest: func(_ string, d *controlpb.Digest) {
+			if d.GetVersion() > n.peerVersion.Load() {
+				n.peerVersion.Store(d.GetVersion())
+			}
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.exchanger.Register(n.server)
+	go func() { _ = n.server.Serve(n.listener) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() {
+		defer close(n.done)
+		_ = n.exchanger.Run(ctx)
+	}()
+	t.Cleanup(n.kill)
+	return n
+}
+
+// kill ends the node without a word, like SIGKILL.
+func (n *testNode) kill() {
+	n.cancel()
+	n.server.Stop()
+	<-n.done
+}
+
+func (n *testNode) address() string { return n.listener.Addr().String() }
+
+// startFleet starts nodes that know the first one and waits until all know all.
+func startFleet(t testing.TB, size int) []*testNode {
+	t.Helper()
+	nodes := []*testNode{startNode(t, 0, nil, nil)}
+	for i := 1; i < size; i++ {
+		nodes = append(nodes, startNode(t, i, []string{nodes[0].address()}, nil))
+	}
+	await(t, 20*time.Second, "all nodes know all others as alive", func() bool {
+		return all(nodes, func(n *testNode) bool { return alive(n) == size })
+	})
+	return nodes
+}
+
+func alive(n *testNode) int {
+	count := 0
+	for _, record := range n.table.View().Nodes() {
+		if record.State == member.Alive {
+			count++
+		}
+	}
+	return count
+}
+
+func all(nodes []*testNode, holds func(*testNode) bool) bool {
+	for _, n := range nodes {
+		if !holds(n) {
+			return false
+		}
+	}
+	return true
+}
+
+// await polls until the condition holds and returns how long that took.
+func await(t testing.TB, limit time.Duration, what string, holds func() bool) time.Duration {
+	t.Helper()
+	begin := time.Now()
+	for !holds() {
+		if time.Since(begin) > limit {
+			t.Fatalf("not within %s: %s", limit, what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	return time.Since(begin)
+}
--- /dev/null
+++ b/internal/gossip/loop.go
@@ -0,0 +1,94 @@
+package gossip
+
+import (
+	"context"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/member"
+)
+
+// loop exchanges records with one neighbour, or with one node of another region.
+type loop struct {
+	exchanger *Exchanger
+	// target returns the node to exchange with after a number of failures.
+	target func(failures int) (member.Record, bool)
+	// wake holds a token while there may be news.
+	wake     chan struct{}
+	cancel   context.CancelFunc
+	failures int
+}
+
+func (l *loop) notify() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run exchanges until the context ends: at the interval, and soon after a
+// change. The first exchange is spread over the interval.
+func (l *loop) run(ctx context.Context) {
+	config := l.exchanger.config
+	timer := time.NewTimer(l.exchanger.jitter(config.Interval))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			l.periodic(ctx)
+			timer.Reset(config.Interval)
+		case <-l.wake:
+			if !sleep(ctx, config.PropagationDelay) {
+				return
+			}
+			if l.triggered(ctx) {
+				timer.Reset(config.Interval)
+			}
+		}
+	}
+}
+
+// periodic exchanges unless the peer did so a moment ago and there is no news.
+func (l *loop) periodic(ctx context.Context) {
+	e := l.exchanger
+	node, found := l.target(l.failures)
+	if !found {
+		return
+	}
+	full := e.needsFull(node.ID)
+	recent := e.deps.Now().Sub(e.peers.get(node.ID).heardAt) < e.config.SkipWithin
+	if recent && !full && !e.hasNews(node.ID) {
+		e.counters.skipped.Inc(1)
+		return
+	}
+	l.exchange(ctx, node, full)
+}
+
+// triggered exchanges when there is news. It reports whether it did.
+func (l *loop) triggered(ctx context.Context) bool {
+	node, found := l.target(l.failures)
+	if !found || !l.exchanger.hasNews(node.ID) {
+		return false
+	}
+	l.exchange(ctx, node, false)
+	return true
+}
+
+func (l *loop) exchange(ctx context.Context, node member.Record, full bool) {
+	if err := l.exchanger.exchangeWith(ctx, node, full); err != nil {
+		l.failures++
+	}
+}
+
+// sleep waits; false means that the context ended.
+func sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/gossip/pool.go
@@ -0,0 +1,106 @@
+package gossip
+
+import (
+	"sync"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/dial"
+)
+
+// pool reuses connections. When it is full it closes the one that has been idle
+// the longest.
+type pool struct {
+	config   Config
+	dialer   dial.Dialer
+	now      func() time.Time
+	counters *counters
+
+	mu     sync.Mutex
+	open   map[string]*connection
+	closed bool
+}
+
+func newPool(config Config, deps Dependencies, counters *counters) *pool {
+	return &pool{
+		config:   config,
+		dialer:   deps.Dialer,
+		now:      deps.Now,
+		counters: counters,
+		open:     make(map[string]*connection),
+	}
+}
+
+// acquire returns the connection to an address. The caller releases it.
+func (p *pool) acquire(address string) (*connection, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conn := p.open[address]
+	if conn == nil {
+		p.makeRoom()
+		var err error
+		conn, err = newConnection(address, p.dialer, p.config.MaxMessageBytes)
+		if err != nil {
+			return nil, err
+		}
+		p.open[address] = conn
+		p.counters.connections.Update(float64(len(p.open)))
+	}
+	conn.users++
+	conn.usedAt = p.now()
+	return conn, nil
+}
+
+func (p *pool) release(conn *connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conn.users--
+	conn.usedAt = p.now()
+	if p.closed {
+		_ = conn.grpc.Close()
+	}
+}
+
+// closeIdle closes the connections that have not been used lately.
+func (p *pool) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, conn := range p.open {
+		if conn.users == 0 && p.now().Sub(conn.usedAt) >= p.config.ConnectionIdle {
+			p.close(address)
+		}
+	}
+}
+
+// closeAll closes every connection, those in use when they are released.
+func (p *pool) closeAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for address, conn := range p.open {
+		if conn.users == 0 {
+			p.close(address)
+		}
+	}
+}
+
+func (p *pool) makeRoom() {
+	if len(p.open) < p.config.MaxConnections {
+		return
+	}
+	oldest := ""
+	for address, conn := range p.open {
+		if conn.users == 0 && (oldest == "" || conn.usedAt.Before(p.open[oldest].usedAt)) {
+			oldest = address
+		}
+	}
+	if oldest != "" {
+		p.counters.evicted.Inc(1)
+		p.close(oldest)
+	}
+}
+
+func (p *pool) close(address string) {
+	_ = p.open[address].grpc.Close()
+	delete(p.open, address)
+	p.counters.connections.Update(float64(len(p.open)))
+}
--- /dev/null
+++ b/internal/gossip/seedstore.go
@@ -0,0 +1,207 @@
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rosemaryladder.dev/rosemaryladder/internal/store"
+)
+
+// Keys of the store. The store cannot list keys, so one key names the domains.
+const (
+	seedKeyPrefix  = "seeds/"
+	seedDomainsKey = "seed-domains"
+)
+
+// Bounds of what is read from and written to the store.
+const (
+	maxSeeds         = 4
+	maxSeedDomains   = 64
+	registerAttempts = 5
+)
+
+// storeTimeout bounds one call to the store.
+const storeTimeout = time.Second
+
+// seedStore reads and writes seeds in the store.
+type seedStore struct {
+	client   store.Client
+	counters *counters
+	domain   string
+	ttl      time.Duration
+
+	lease    store.LeaseID
+	written  []string
+	revision store.Revision
+	// registered holds the domains that the store named when the own one was
+	// registered; nil before that.
+	registered []string
+}
+
+// newSeedStore returns nil when there is no store.
+func newSeedStore(e *Exchanger) *seedStore {
+	if e.deps.Store == nil {
+		return nil
+	}
+	return &seedStore{
+		client:   e.deps.Store,
+		counters: e.counters,
+		domain:   e.deps.Table.View().Self.FailureDomain,
+		ttl:      e.config.SeedTTL,
+	}
+}
+
+// read returns the seeds of a domain; none when it has none.
+func (s *seedStore) read(ctx context.Context, domain string) ([]string, error) {
+	var addresses []string
+	_, err := s.get(ctx, seedKeyPrefix+domain, &addresses)
+	return addresses[:min(len(addresses), maxSeeds)], err
+}
+
+// domains returns the domains that ever wrote seeds.
+func (s *seedStore) domains(ctx context.Context) ([]string, error) {
+	var domains []string
+	_, err := s.get(ctx, seedDomainsKey, &domains)
+	return domains[:min(len(domains), maxSeedDomains)], err
+}
+
+// publish writes the seeds of the own domain under a lease, or renews the lease
+// when they are still the same. Without overwrite it only creates the key.
+func (s *seedStore) publish(ctx context.Context, addresses []string, overwrite bool) error {
+	if s.registered == nil {
+		if err := s.register(ctx); err != nil {
+			return err
+		}
+	}
+	if s.lease != 0 && slices.Equal(s.written, addresses) {
+		if s.keepAlive(ctx) == nil {
+			return nil
+		}
+	}
+	err := s.write(ctx, addresses)
+	if err == nil || !overwrite || !errors.Is(err, store.ErrConflict) {
+		return err
+	}
+	if err := s.readRevision(ctx); err != nil {
+		return err
+	}
+	return s.write(ctx, addresses)
+}
+
+func (s *seedStore) keepAlive(ctx context.Context) error {
+	ctx, cancel := s.begin(ctx)
+	defer cancel()
+	err := s.client.KeepAlive(ctx, s.lease)
+	if err != nil {
+		s.lease = 0
+	}
+	return err
+}
+
+func (s *seedStore) write(ctx context.Context, addresses []string) error {
+	data, err := json.Marshal(addresses)
+	if err != nil {
+		return errors.Wrap(err, "encode the seeds")
+	}
+	if err := s.grant(ctx); err != nil {
+		return err
+	}
+	ctx, cancel := s.begin(ctx)
+	defer cancel()
+	revision, err := s.client.CompareAndSwap(ctx, seedKeyPrefix+s.domain, s.revision, data, s.lease)
+	if err != nil {
+		// The answer may have been lost, or the lease may have expired.
+		s.written = nil
+		s.lease = 0
+		return errors.Wrapf(err, "write the key %s", seedKeyPrefix+s.domain)
+	}
+	s.revision = revision
+	s.written = addresses
+	return nil
+}
+
+// readRevision prepares a write over the value of another node or of an own
+// write whose answer was lost.
+func (s *seedStore) readRevision(ctx context.Context) error {
+	var ignored []string
+	revision, err := s.get(ctx, seedKeyPrefix+s.domain, &ignored)
+	if err != nil {
+		return err
+	}
+	s.revision = revision
+	return nil
+}
+
+func (s *seedStore) grant(ctx context.Context) error {
+	if s.lease != 0 {
+		return nil
+	}
+	ctx, cancel := s.begin(ctx)
+	defer cancel()
+	lease, err := s.client.Grant(ctx, s.ttl)
+	if err != nil {
+		return errors.Wrap(err, "grant the lease of the seeds")
+	}
+	s.lease = lease
+	return nil
+}
+
+// register adds the own domain to the list of domains.
+func (s *seedStore) register(ctx context.Context) error {
+	for range registerAttempts {
+		var domains []string
+		revision, err := s.get(ctx, seedDomainsKey, &domains)
+		if err != nil {
+			return err
+		}
+		if slices.Contains(domains, s.domain) {
+			s.registered = domains
+			return nil
+		}
+		domains = append(domains[:min(len(domains), maxSeedDomains-1)], s.domain)
+		err = s.writeDomains(ctx, revision, domains)
+		if err == nil {
+			s.registered = domains
+			return nil
+		}
+		if !errors.Is(err, store.ErrConflict) {
+			return err
+		}
+	}
+	return errors.Errorf("the key %s changed with each attempt to write it", seedDomainsKey)
+}
+
+func (s *seedStore) writeDomains(ctx context.Context, revision store.Revision, domains []string) error {
+	data, err := json.Marshal(domains)
+	if err != nil {
+		return errors.Wrap(err, "encode the failure domains")
+	}
+	ctx, cancel := s.begin(ctx)
+	defer cancel()
+	_, err = s.client.CompareAndSwap(ctx, seedDomainsKey, revision, data, 0)
+	return errors.Wrapf(err, "write the key %s", seedDomainsKey)
+}
+
+// get decodes the value of a key; a key that does not exist leaves it empty.
+func (s *seedStore) get(ctx context.Context, key string, value *[]string) (store.Revision, error) {
+	ctx, cancel := s.begin(ctx)
+	defer cancel()
+	read, err := s.client.Get(ctx, key)
+	if err != nil {
+		return 0, errors.Wrapf(err, "read the key %s", key)
+	}
+	if read.Revision == 0 || len(read.Data) == 0 {
+		return read.Revision, nil
+	}
+	return read.Revision, errors.Wrapf(json.Unmarshal(read.Data, value), "decode the key %s", key)
+}
+
+// begin counts one call and bounds its time.
+func (s *seedStore) begin(ctx context.Context) (context.Context, context.CancelFunc) {
+	s.counters.storeCalls.Inc(1)
+	return context.WithTimeout(ctx, storeTimeout)
+}
--- /dev/null
+++ b/internal/member/change.go
@@ -0,0 +1,27 @@
+package member
+
+// RecordChange is the change of one node's record.
+type RecordChange struct {
+	// Before is the zero Record when the node was unknown.
+	Before Record
+	// After is the zero Record when the node was forgotten.
+	After Record
+}
+
+// Change is what led from one published view to the next.
+type Change struct {
+	View    *View
+	Records []RecordChange
+}
+
+// Listener is told of every change, in order and outside the table's lock. It
+// must not block.
+type Listener interface {
+	MembershipChanged(Change)
+}
+
+// ListenerFunc adapts a function to Listener.
+type ListenerFunc func(Change)
+
+// MembershipChanged implements Listener.
+func (f ListenerFunc) MembershipChanged(change Change) { f(change) }
--- /dev/null
+++ b/internal/member/merge.go
@@ -0,0 +1,119 @@
+package member
+
+import "time"
+
+// Merge takes over the records of a message from a peer that are newer than
+// those held. acked is the position of the table's own log that the peer had
+// applied when it sent the message.
+func (t *Table) Merge(peer string, acked uint64, records []Record, now time.Time) {
+	if excess := len(records) - t.config.MaxMessageRecords; excess > 0 {
+		t.stats.truncated.Add(uint64(excess))
+		records = records[:t.config.MaxMessageRecords]
+	}
+	t.mu.Lock()
+	defer t.finish(now)
+	for _, record := range records {
+		if record.Validate() != nil {
+			t.stats.invalidInput.Add(1)
+			continue
+		}
+		t.merge(peer, acked, record, now)
+	}
+}
+
+func (t *Table) merge(peer string, acked uint64, record Record, now time.Time) {
+	if record.ID == t.id {
+		t.mergeSelf(peer, acked, record, now)
+		return
+	}
+	held := t.entries[record.ID]
+	if held == nil {
+		t.mergeUnknown(peer, record, now)
+		return
+	}
+	switch order := compareVersions(record, held.record); {
+	case order > 0:
+		t.set(record, peer, now)
+	case order < 0:
+		t.correct(held, peer, acked)
+	}
+}
+
+// mergeUnknown adds a record. Records of unknown nodes that are gone are
+// ignored: otherwise restarted nodes would pass them around for ever, each
+// counting ForgetAfter anew.
+func (t *Table) mergeUnknown(peer string, record Record, now time.Time) {
+	if record.Gone() {
+		return
+	}
+	if len(t.entries) >= t.config.MaxRecords && !t.evict() {
+		t.stats.refused.Add(1)
+		return
+	}
+	t.regions.add(record.Region, now)
+	t.set(record, peer, now)
+}
+
+// correct sends a record again when a peer showed an older one although it had
+// acknowledged the held one: the peer has forgotten it.
+func (t *Table) correct(held *entry, peer string, acked uint64) {
+	if held.position > acked && held.source != peer {
+		return
+	}
+	t.position++
+	held.position = t.position
+	held.source = ""
+	t.stats.corrections.Add(1)
+}
+
+// evict removes the record of the node that has been gone the longest.
+func (t *Table) evict() bool {
+	var oldest *entry
+	for _, e := range t.entries {
+		if !e.record.Gone() || e.record.ID == t.id {
+			continue
+		}
+		if oldest == nil || e.since.Before(oldest.since) {
+			oldest = e
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	t.stats.evicted.Add(1)
+	t.remove(oldest.record.ID)
+	return true
+}
+
+// mergeSelf refutes what others say about the own node. Only the own process
+// changes its record, so anything newer is a suspicion, or comes from an earlier
+// process whose clock was ahead, or from another process with the same id.
+func (t *Table) mergeSelf(peer string, acked uint64, record Record, now time.Time) {
+	own := t.entries[t.id].record
+	order := compareVersions(record, own)
+	if order < 0 {
+		t.correct(t.entries[t.id], peer, acked)
+	}
+	if order <= 0 {
+		return
+	}
+	if record.Incarnation > own.Incarnation {
+		t.outbid(own, record, now)
+		return
+	}
+	own.Sequence = record.Sequence + 1
+	t.stats.refutations.Add(1)
+	t.set(own, "", now)
+}
+
+// outbid raises the own incarnation. The interval keeps two hosts that were
+// given the same name by mistake from flooding the fleet.
+func (t *Table) outbid(own, record Record, now time.Time) {
+	if !t.outbidAt.IsZero() && now.Sub(t.outbidAt) < t.config.OutbidInterval {
+		return
+	}
+	t.outbidAt = now
+	t.stats.outbids.Add(1)
+	own.Incarnation = record.Incarnation + 1
+	t.set(own, "", now)
+}
--- /dev/null
+++ b/internal/member/plan.go
@@ -0,0 +1,88 @@
+package member
+
+import "slices"
+
+// bridgesPerRegion is the number of nodes that exchange records with the other
+// regions.
+const bridgesPerRegion = 2
+
+// Plan names the nodes that a node exchanges records with. It is immutable.
+type Plan struct {
+	// Neighbours are nodes of the own region.
+	Neighbours []Record
+	// Bridge is set when the own node is a bridge of its region.
+	Bridge bool
+	// Regions holds, for each other region, its nodes in the order in which this
+	// bridge tries them; empty for a node that is no bridge.
+	Regions map[string][]Record
+	// Gone holds the nodes of the own region that are dead. One of them is tried
+	// now and then, so that two halves of a region that declared each other dead
+	// find each other again.
+	Gone []Record
+}
+
+// newPlan computes the plan of a node. Suspected neighbours stay in it beside
+// their replacements until they refute or are declared dead: they learn of the
+// suspicion directly.
+func newPlan(self Record, records []Record, neighbours int) *Plan {
+	plan := &Plan{Regions: make(map[string][]Record)}
+	reachable := regionCandidates(records, self.Region, self.ID, Record.reachable)
+	withSuspects := regionCandidates(records, self.Region, self.ID, func(r Record) bool { return !r.Gone() })
+	plan.Neighbours = chooseNeighbours(self, reachable, neighbours)
+	for _, record := range chooseNeighbours(self, withSuspects, neighbours) {
+		if !slices.ContainsFunc(plan.Neighbours, record.sameNode) {
+			plan.Neighbours = append(plan.Neighbours, record)
+		}
+	}
+	plan.Gone = regionCandidates(records, self.Region, self.ID, func(r Record) bool { return r.State == Dead })
+	plan.addBridges(self, records)
+	return plan
+}
+
+// addBridges fills in the bridge part. The bridges of two regions pair up by
+// rank, so that a record crosses the link at most once for each pair.
+func (p *Plan) addBridges(self Record, records []Record) {
+	index := slices.IndexFunc(bridges(self.Region, records), self.sameNode)
+	if index < 0 {
+		return
+	}
+	p.Bridge = true
+	for _, region := range regions(records) {
+		if region == self.Region {
+			continue
+		}
+		ranked := rankedBridges(region, records)
+		if len(ranked) == 0 {
+			continue
+		}
+		first := index % min(bridgesPerRegion, len(ranked))
+		p.Regions[region] = slices.Concat(ranked[first:], ranked[:first])
+	}
+}
+
+// bridges returns the bridges of a region.
+func bridges(region string, records []Record) []Record {
+	ranked := Ranked(region, regionCandidates(records, region, "", func(r Record) bool { return r.State == Alive }))
+	return ranked[:min(bridgesPerRegion, len(ranked))]
+}
+
+// rankedBridges returns every node of a region that may answer, the bridges
+// first.
+func rankedBridges(region string, records []Record) []Record {
+	alive := Ranked(region, regionCandidates(records, region, "", func(r Record) bool { return r.State == Alive }))
+	rest := Ranked(region, regionCandidates(records, region, "", func(r Record) bool { return r.State != Alive && r.State != Left }))
+	return slices.Concat(alive, rest)
+}
+
+func regions(records []Record) []string {
+	var names []string
+	for _, record := range records {
+		if !slices.Contains(names, record.Region) {
+			names = append(names, record.Region)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (r Record) sameNode(other Record) bool { return r.ID == other.ID }
