Add admission to a backend server

Cause: a server needs bounded concurrency, a bounded queue and early refusals so that a call that cannot be answered in time is refused before it runs. Queue is the decision core with time passed in; Controller wraps it as a Gate. Ruled out: a strict split of the slots between the priorities, which idles slots of a service that serves downloads only; the split applies until no lookup or order came for 10 s.

--- /dev/null
+++ b/internal/admit/class.go
@@ -0,0 +1,20 @@
+package admit
+
+import "rosemaryladder.dev/rosemaryladder/internal/config"
+
+// class groups the priorities that share a queue.
+type class int
+
+const (
+	// interactive holds lookups and orders.
+	interactive class = iota
+	download
+	classCount
+)
+
+func classOf(priority config.Priority) class {
+	if priority == config.PriorityDownload {
+		return download
+	}
+	return interactive
+}
--- /dev/null
+++ b/internal/admit/controller_test.go
@@ -0,0 +1,181 @@
+package admit
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"rosemaryladder.dev/rosemaryladder/internal/config"
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+// TestControllerProperties guards against a slot that is lost when a call is
+// cancelled while it gets one, a call that never returns and a drain that ends
+// early or never. Time is virtual.
+func TestControllerProperties(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		plans := rapid.SliceOfN(rapid.Custom(drawPlan), 1, 60).Draw(rt, "plans")
+		drainAfter := time.Duration(rapid.IntRange(0, 30).Draw(rt, "drain")) * time.Millisecond
+		var fault string
+		synctest.Test(t, func(*testing.T) { fault = runPlans(plans, drainAfter) })
+		if fault != "" {
+			rt.Fatal(fault)
+		}
+	})
+}
+
+// plan is one call of TestControllerProperties.
+type plan struct {
+	priority                 config.Priority
+	start, patience, service time.Duration
+}
+
+func drawPlan(t *rapid.T) plan {
+	return plan{
+		priority: rapid.SampledFrom(priorities).Draw(t, "priority"),
+		start:    time.Duration(rapid.IntRange(0, 20).Draw(t, "start")) * time.Millisecond,
+		patience: time.Duration(rapid.IntRange(1, 20).Draw(t, "patience")) * time.Millisecond,
+		service:  time.Duration(rapid.IntRange(0, 10).Draw(t, "service")) * time.Millisecond,
+	}
+}
+
+func runPlans(plans []plan, drainAfter time.Duration) string {
+	const slots = 4
+	controller := NewController(time.Now)
+	controller.Open(Capacity{Slots: slots, Connections: slots, ReadySince: time.Now().Add(-time.Minute)})
+	var calls sync.WaitGroup
+	var running, over atomic.Int64
+	for _, plan := range plans {
+		calls.Go(func() {
+			time.Sleep(plan.start)
+			ctx, cancel := context.WithTimeout(context.Background(), plan.patience)
+			defer cancel()
+			release, err := controller.Acquire(ctx, plan.priority)
+			if err != nil {
+				return
+			}
+			if running.Add(1) > slots {
+				over.Add(1)
+			}
+			time.Sleep(plan.service)
+			running.Add(-1)
+			release()
+		})
+	}
+	time.Sleep(drainAfter)
+	controller.Drain()
+	err := controller.WaitDrained(context.Background())
+	left := running.Load()
+	calls.Wait()
+	inFlight, _, queued := controller.Load()
+	if err != nil || left != 0 || inFlight != 0 || queued != 0 || over.Load() != 0 {
+		return fmt.Sprintf("drained with %d calls running (%v); %d slots lost, %d calls left waiting, %d calls over the limit",
+			left, err, inFlight, queued, over.Load())
+	}
+	return ""
+}
+
+// TestOrdersAndDownloadsShareTheServer guards against a download that delays an
+// order, and against downloads that never run beside endless lookups.
+func TestOrdersAndDownloadsShareTheServer(t *testing.T) {
+	for name, lookupClients := range map[string]int{"some lookups": 2, "endless lookups": 8} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				lookups, downloads := runMixed(lookupClients)
+				if lookups.worst > 50*time.Millisecond {
+					t.Errorf("a lookup waited %s behind downloads", lookups.worst)
+				}
+				if downloads.done < 20 || lookups.done < 5000 {
+					t.Errorf("%d downloads and %d lookups ran in a minute", downloads.done, lookups.done)
+				}
+			})
+		})
+	}
+}
+
+// clients counts the calls of a group of callers.
+type clients struct {
+	mu    sync.Mutex
+	done  int
+	worst time.Duration
+}
+
+func runMixed(lookupClients int) (lookups, downloads *clients) {
+	lookups, downloads = &clients{}, &clients{}
+	controller := NewController(time.Now)
+	controller.Open(Capacity{Slots: 4, Connections: 4, ReadySince: time.Now().Add(-time.Minute)})
+	var group sync.WaitGroup
+	for range lookupClients {
+		group.Go(func() { lookups.run(controller, config.PriorityLookup, 10*time.Millisecond) })
+	}
+	for range 8 {
+		group.Go(func() { downloads.run(controller, config.PriorityDownload, 2*time.Second) })
+	}
+	group.Wait()
+	return lookups, downloads
+}
+
+func (c *clients) run(controller *Controller, priority config.Priority, service time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for ctx.Err() == nil {
+		asked := time.Now()
+		release, err := controller.Acquire(ctx, priority)
+		if err == nil {
+			c.mu.Lock()
+			c.worst = max(c.worst, time.Since(asked))
+			c.done++
+			c.mu.Unlock()
+			time.Sleep(service)
+			release()
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestColdAndRefusingServer guards against a cold server that gets all calls at
+// once, a server that refuses and is asked as often as before, a ramp that waits
+// for a call to finish and a working limit that never recovers.
+func TestColdAndRefusingServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		controller := NewController(time.Now)
+		controller.Open(Capacity{Slots: 6, Connections: 130, ReadySince: time.Now()})
+		acquire := func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), 11*time.Second)
+			defer cancel()
+			_, err := controller.Acquire(ctx, config.PriorityLookup)
+			return err
+		}
+		var calls sync.WaitGroup
+		for range 7 {
+			calls.Go(func() { _ = acquire() })
+		}
+		expect := func(after time.Duration, running, slots int) {
+			t.Helper()
+			time.Sleep(after)
+			synctest.Wait()
+			if inFlight, limit, _ := controller.Load(); inFlight != running || limit != slots {
+				t.Errorf("%d calls run on %d slots, want %d on %d", inFlight, limit, running, slots)
+			}
+		}
+		expect(0, 1, 1)
+		expect(5100*time.Millisecond, 3, 3)
+		expect(5*time.Second, 6, 6)
+		controller.ServerRefused()
+		expect(0, 6, 5)
+		expect(time.Second, 6, 6)
+		controller.Resize(3, 130)
+		expect(0, 6, 3)
+		controller.Drain()
+		calls.Wait()
+		if err := acquire(); result.CodeOf(err) != result.Draining {
+			t.Errorf("a leaving server answered %v", err)
+		}
+	})
+}
