--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,85 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+// TestRetryProperties guards against a second run of a non-idempotent call after
+// hand-over, retries that layers multiply, retries of settled refusals and
+// retries beyond the budget.
+func TestRetryProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := NewBudget()
+		calls, paid := 0, 0
+		for range rapid.IntRange(50, 300).Draw(t, "calls") {
+			budget.FirstAttempt()
+			calls++
+			failure := drawFailure(t)
+			for budget.Allow(failure) {
+				checkRetry(t, failure)
+				if failure.Code != result.Draining {
+					paid++
+				}
+				failure.Attempts++
+			}
+			if float64(paid) > burst+0.1*float64(calls) {
+				t.Fatalf("%d retries of %d calls exceed the budget", paid, calls)
+			}
+		}
+	})
+}
+
+func drawFailure(t *rapid.T) Failure {
+	code := rapid.SampledFrom(result.Table()).Draw(t, "code").Code
+	if rapid.Bool().Draw(t, "retryable") {
+		code = rapid.SampledFrom([]result.Code{result.Overloaded, result.OutcomeUnknown, result.Draining}).Draw(t, "code")
+	}
+	run := result.RunStateOf(code)
+	if code == result.OK {
+		run = result.Ran
+	}
+	return Failure{
+		Code:          code,
+		Run:           run,
+		Idempotent:    rapid.Bool().Draw(t, "idempotent"),
+		Attempts:      rapid.SampledFrom([]int{1, 1, 1, 2, 3}).Draw(t, "attempts"),
+		AttemptHeader: rapid.IntRange(0, 3).Draw(t, "header"),
+		Depth:         rapid.IntRange(0, 2).Draw(t, "depth"),
+		Remaining:     time.Duration(rapid.SampledFrom([]int{1, 1, 0, -1}).Draw(t, "remaining")) * time.Second,
+	}
+}
+
+func checkRetry(t *rapid.T, f Failure) {
+	handedOver := f.Run != result.NotRun
+	switch {
+	case f.Run == result.Ran:
+		t.Fatalf("retried an answer of the server: %+v", f)
+	case handedOver && !f.Idempotent:
+		t.Fatalf("a non-idempotent call may run twice: %+v", f)
+	case handedOver && (f.AttemptHeader > 1 || f.Depth > 0):
+		t.Fatalf("a nested call is retried after hand-over: %+v", f)
+	case f.Attempts >= 3 || f.Remaining <= 0:
+		t.Fatalf("retried too often or too late: %+v", f)
+	case f.Code == result.Quarantined || f.Code == result.KeyReused || f.Code == result.RepeatUnknown:
+		t.Fatalf("retried a settled refusal: %+v", f)
+	}
+}
+
+// TestAllowedRetries guards against a decision that never allows a retry, which
+// the properties above would accept.
+func TestAllowedRetries(t *testing.T) {
+	for code, want := range map[result.Code]Decision{
+		result.Overloaded: Paid, result.ServerRefused: Paid, result.ServerGone: Paid,
+		result.Draining: Free, result.OutcomeUnknown: Paid, result.ClaimUnavailable: GiveUp,
+	} {
+		failure := Failure{Code: code, Run: result.RunStateOf(code), Idempotent: true, Attempts: 2, Remaining: time.Second}
+		if got := Decide(failure); got != want {
+			t.Errorf("%s: decision %d, want %d", result.Describe(code).Name, got, want)
+		}
+	}
+}
