Add the choice of backend servers

Cause: fronts choose a server for each call from load reports, calls in flight, measured times and failures, without a lock on the path of a call. Ruled out: a lock around the table of servers; it is an immutable map that is replaced when a server joins or leaves.

--- /dev/null
+++ b/internal/route/balancer.go
@@ -0,0 +1,119 @@
+package route
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/config"
+	"rosemaryladder.dev/rosemaryladder/internal/member"
+)
+
+// forgetInterval is how often servers that left are forgotten.
+const forgetInterval = 10 * time.Second
+
+// Balancer implements Chooser. The path of a call takes no lock.
+type Balancer struct {
+	config     Config
+	servers    *table
+	forgotAt   atomic.Int64
+	candidates sync.Pool
+}
+
+// NewBalancer returns a balancer, or the reason why the config is invalid.
+func NewBalancer(config Config) (*Balancer, error) {
+	if err := config.Validate(); err != nil {
+		return nil, err
+	}
+	balancer := &Balancer{config: config, servers: newTable(config.MaxServers)}
+	balancer.candidates.New = func() any { return new([]candidate) }
+	return balancer, nil
+}
+
+// Choose implements Chooser.
+func (b *Balancer) Choose(view *member.View, stops []config.Stop, request Request) (member.Record, bool) {
+	b.forgetLeft(view, request.Now)
+	buffer := b.candidates.Get().(*[]candidate)
+	defer b.putCandidates(buffer)
+	*buffer = b.collect((*buffer)[:0], view, stops, &request)
+	if len(*buffer) == 0 {
+		return member.Record{}, false
+	}
+	chosen := b.choose(*buffer, view, &request)
+	chosen.server.inFlight.Add(1)
+	return *chosen.record, true
+}
+
+// Observe implements Chooser.
+func (b *Balancer) Observe(node string, now time.Time, outcome Outcome) {
+	if server := b.servers.get(node); server != nil {
+		server.observe(now, outcome)
+	}
+}
+
+// Untracked returns how often a server was not tracked because the table was at
+// its limit.
+func (b *Balancer) Untracked() uint64 { return b.servers.untracked.Load() }
+
+// collect appends the servers that may get the call, those of this node's
+// region first.
+func (b *Balancer) collect(into []candidate, view *member.View, stops []config.Stop, request *Request) []candidate {
+	records := view.Servers(request.Target.Service)
+	for _, local := range []bool{true, false} {
+		for i := range records {
+			record := &records[i]
+			if (record.Region == view.Self.Region) == local && eligible(view, stops, request, record) {
+				into = append(into, b.candidate(view, request, record))
+			}
+		}
+	}
+	common := commonService(into)
+	for i := range into {
+		into[i].setEstimate(request.Now, common, request.Target.Latency)
+	}
+	return into
+}
+
+func (b *Balancer) candidate(view *member.View, request *Request, record *member.Record) candidate {
+	server := b.servers.track(record.ID)
+	server.renew(record)
+	server.roundTrip.Store(int64(2 * b.latency(&view.Self, record)))
+	service, age, set := server.service[classIndex(request.Target.Priority)].get(request.Now)
+	trust := 0.0
+	if set {
+		trust = fade(age, serviceConstant)
+	}
+	return candidate{
+		record:       record,
+		server:       server,
+		load:         server.load(request.Now),
+		slots:        usableSlots(record, server.slots.Load(), request.Now),
+		service:      service,
+		serviceTrust: trust,
+	}
+}
+
+// latency returns the one-way latency between two nodes.
+func (b *Balancer) latency(from, to *member.Record) time.Duration {
+	switch {
+	case from.Region != to.Region:
+		return b.config.RegionLatency
+	case from.FailureDomain != to.FailureDomain:
+		return b.config.DomainLatency
+	default:
+		return 0
+	}
+}
+
+func (b *Balancer) putCandidates(buffer *[]candidate) {
+	clear(*buffer)
+	b.candidates.Put(buffer)
+}
+
+func (b *Balancer) forgetLeft(view *member.View, now time.Time) {
+	last := b.forgotAt.Load()
+	if now.UnixNano()-last < int64(forgetInterval) || !b.forgotAt.CompareAndSwap(last, now.UnixNano()) {
+		return
+	}
+	b.servers.forget(view)
+}
--- /dev/null
+++ b/internal/route/candidate.go
@@ -0,0 +1,73 @@
+package route
+
+import (
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/member"
+)
+
+const (
+	// rampDuration is the time in which a new server gets its full share.
+	rampDuration = 10 * time.Second
+	// failureCost is the time in latency objectives that a certain failure adds
+	// to a server's estimate.
+	failureCost = 5
+)
+
+// candidate is a server that may get a call, with what is known of it now.
+type candidate struct {
+	record *member.Record
+	server *server
+	// load is the number of calls that the server holds.
+	load float64
+	// slots is the number of slots that it can use.
+	slots float64
+	// service is the measured service time in seconds; 0 when unknown.
+	service float64
+	// serviceTrust is the weight of the measured service time, 0 to 1.
+	serviceTrust float64
+	// estimate is the expected time to the answer in seconds.
+	estimate float64
+}
+
+// relativeLoad is the load after one more call, in shares of the slots.
+func (c *candidate) relativeLoad() float64 { return (c.load + 1) / c.slots }
+
+// setEstimate computes (waiting jobs + 1) x service time + network delay, after
+// Kang and Choo, for a server with several slots, and adds the cost of failures.
+func (c *candidate) setEstimate(now time.Time, common float64, objective time.Duration) {
+	service := common + (c.service-common)*c.serviceTrust
+	waiting := max(0, c.load+1-c.slots) / c.slots
+	network := time.Duration(c.server.roundTrip.Load()).Seconds()
+	failures := c.server.failures.faded(now, failureConstant)
+	c.estimate = (waiting+1)*service + network + failureCost*failures*objective.Seconds()
+}
+
+// usableSlots returns the slots of a server, fewer while it is new.
+func usableSlots(record *member.Record, reported int64, now time.Time) float64 {
+	slots := float64(max(1, record.Server.Slots))
+	if reported > 0 {
+		slots = min(slots, float64(reported))
+	}
+	if record.Server.State == member.ServerStarting {
+		return 1
+	}
+	age := max(0, now.Sub(record.Server.Since))
+	if age >= rampDuration {
+		return slots
+	}
+	return min(slots, 1+(float64(record.Server.Slots)-1)*age.Seconds()/rampDuration.Seconds())
+}
+
+// commonService returns the mean measured service time of the candidates.
+func commonService(candidates []candidate) float64 {
+	sum, weight := 0.0, 0.0
+	for i := range candidates {
+		sum += candidates[i].service * candidates[i].serviceTrust
+		weight += candidates[i].serviceTrust
+	}
+	if weight == 0 {
+		return 0
+	}
+	return sum / weight
+}
--- a/internal/route/chooser.go
+++ b/internal/route/chooser.go
@@ -20,7 +20,12 @@
 
 // Outcome is what a call to a backend server showed.
 type Outcome struct {
-	// Elapsed is the time from sending the call to the head of the answer.
+	// Priority is the class of the call. Service times are kept for each class;
+	// an empty one shares a class of its own.
+	Priority config.Priority
+	// Elapsed is the time from sending the call to the head of the answer, or to
+	// the failure. Zero means that it was not measured, as for a call that its
+	// caller cancelled.
 	Elapsed time.Duration
 	// Failed is set when the server failed; shedding is no failure.
 	Failed bool
--- /dev/null
+++ b/internal/route/config.go
@@ -0,0 +1,46 @@
+package route
+
+import (
+	"fmt"
+	"time"
+)
+
+// Config configures a Balancer.
+type Config struct {
+	// DomainLatency is the one-way latency between failure domains of a region.
+	DomainLatency time.Duration
+	// RegionLatency is the one-way latency between regions.
+	RegionLatency time.Duration
+	// MaxServers bounds the servers whose load is tracked. Further servers are
+	// chosen as if they were idle.
+	MaxServers int
+	// Algorithm picks among the servers of a region.
+	Algorithm Algorithm
+}
+
+// DefaultConfig returns the latencies of today's deployments and the algorithm
+// that measured best.
+func DefaultConfig() Config {
+	return Config{
+		DomainLatency: 1400 * time.Microsecond,
+		RegionLatency: 12 * time.Millisecond,
+		MaxServers:    4096,
+		Algorithm:     TwoChoicesByEstimate{},
+	}
+}
+
+// Validate names the first invalid key and its value.
+func (c Config) Validate() error {
+	switch {
+	case c.DomainLatency < 0:
+		return fmt.Errorf("DomainLatency %s is negative", c.DomainLatency)
+	case c.RegionLatency < 0:
+		return fmt.Errorf("RegionLatency %s is negative", c.RegionLatency)
+	case c.MaxServers < 1:
+		return fmt.Errorf("MaxServers %d is below 1", c.MaxServers)
+	case c.Algorithm == nil:
+		return fmt.Errorf("Algorithm is missing")
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/route/decaying.go
@@ -0,0 +1,64 @@
+package route
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+// decaying is a value with the time at which it was set, in one atomic word: the
+// upper half holds the value as a float32, the lower half the time in
+// milliseconds. The time wraps after 49 days, which only makes a value that old
+// count as new.
+type decaying struct {
+	bits atomic.Uint64
+}
+
+// get returns the value and its age; false when it was never set.
+func (d *decaying) get(now time.Time) (value float64, age time.Duration, set bool) {
+	return unpack(d.bits.Load(), now)
+}
+
+// faded returns the value after exponential decay with a time constant.
+func (d *decaying) faded(now time.Time, constant time.Duration) float64 {
+	value, age, _ := d.get(now)
+	return value * fade(age, constant)
+}
+
+// set replaces the value.
+func (d *decaying) set(now time.Time, value float64) {
+	d.bits.Store(pack(value, now))
+}
+
+// update replaces the value by a function of the old one.
+func (d *decaying) update(now time.Time, next func(value float64, age time.Duration, set bool) float64) {
+	for {
+		old := d.bits.Load()
+		if d.bits.CompareAndSwap(old, pack(next(unpack(old, now)), now)) {
+			return
+		}
+	}
+}
+
+// clear makes the value unset.
+func (d *decaying) clear() { d.bits.Store(0) }
+
+// fade returns the weight that a value of the given age keeps.
+func fade(age, constant time.Duration) float64 {
+	return math.Exp(-float64(age) / float64(constant))
+}
+
+func pack(value float64, now time.Time) uint64 {
+	// Millisecond 0 is avoided because the zero word means "not set".
+	millis := max(1, uint32(now.UnixMilli()))
+	return uint64(math.Float32bits(float32(value)))<<32 | uint64(millis)
+}
+
+func unpack(bits uint64, now time.Time) (float64, time.Duration, bool) {
+	if bits == 0 {
+		return 0, 0, false
+	}
+	millis := int32(uint32(now.UnixMilli()) - uint32(bits))
+	age := time.Duration(max(0, millis)) * time.Millisecond
+	return float64(math.Float32frombits(uint32(bits >> 32))), age, true
+}
--- /dev/null
+++ b/internal/route/eligible.go
@@ -0,0 +1,27 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/config"
+	"rosemaryladder.dev/rosemaryladder/internal/member"
+)
+
+// eligible reports whether a server may get the call: it was not tried, no
+// planned stop of it has begun and its region can be reached.
+func eligible(view *member.View, stops []config.Stop, request *Request, record *member.Record) bool {
+	if slices.Contains(request.Excluded, record.ID) || !view.RegionReachable(record.Region) {
+		return false
+	}
+	return !stopped(stops, request.Now, record)
+}
+
+func stopped(stops []config.Stop, now time.Time, record *member.Record) bool {
+	for i := range stops {
+		if stops[i].Begun(now) && stops[i].Covers(record.ID, record.FailureDomain, record.Server.Service) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/route/least_estimate.go
@@ -0,0 +1,13 @@
+package route
+
+// LeastEstimate picks the server with the lowest estimated time to the answer.
+type LeastEstimate struct{}
+
+// Name implements Algorithm.
+func (LeastEstimate) Name() string { return "least estimate" }
+
+func (LeastEstimate) pick(candidates []candidate, random uint64) int {
+	return least(candidates, random, estimateOf)
+}
+
+func estimateOf(c *candidate) float64 { return c.estimate }
--- /dev/null
+++ b/internal/route/least_in_flight.go
@@ -0,0 +1,11 @@
+package route
+
+// LeastInFlight picks the server with the lowest load in shares of its slots.
+type LeastInFlight struct{}
+
+// Name implements Algorithm.
+func (LeastInFlight) Name() string { return "least in flight" }
+
+func (LeastInFlight) pick(candidates []candidate, random uint64) int {
+	return least(candidates, random, (*candidate).relativeLoad)
+}
--- /dev/null
+++ b/internal/route/region.go
@@ -0,0 +1,42 @@
+package route
+
+import "rosemaryladder.dev/rosemaryladder/internal/member"
+
+// choose picks a server. The other region is used only when no server of the own
+// region is expected to meet the latency objective and one of the other is. When
+// none is, the call stays in its region, because crossing the link would cost
+// volume and gain nothing.
+func (b *Balancer) choose(candidates []candidate, view *member.View, request *Request) *candidate {
+	objective := request.Target.Latency.Seconds()
+	local, remote := split(candidates, view.Self.Region)
+	if len(local) == 0 {
+		return b.pick(remote, request)
+	}
+	if anyMeets(local, objective) || !anyMeets(remote, objective) {
+		return b.pick(local, request)
+	}
+	return b.pick(remote, request)
+}
+
+func (b *Balancer) pick(candidates []candidate, request *Request) *candidate {
+	return &candidates[b.config.Algorithm.pick(candidates, request.Random)]
+}
+
+// split divides candidates, which hold those of the own region first.
+func split(candidates []candidate, region string) (local, remote []candidate) {
+	for i := range candidates {
+		if candidates[i].record.Region != region {
+			return candidates[:i], candidates[i:]
+		}
+	}
+	return candidates, nil
+}
+
+func anyMeets(candidates []candidate, objective float64) bool {
+	for i := range candidates {
+		if candidates[i].estimate <= objective {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/route/server.go
@@ -0,0 +1,162 @@
+package route
+
+import (
+	"sync/atomic"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/config"
+	"rosemaryladder.dev/rosemaryladder/internal/member"
+)
+
+const (
+	// reportConstant is the time constant with which a load report loses weight.
+	reportConstant = time.Second
+	// serviceConstant is the time constant with which a measured service time
+	// falls back to that of the other servers, so that a server that was slow is
+	// tried again.
+	serviceConstant = 10 * time.Second
+	// failureConstant is the time constant with which failures are forgotten.
+	failureConstant = 10 * time.Second
+	// serviceWeight is the weight of a new service time.
+	serviceWeight = 0.1
+	// failureWeight is the weight of one call in the share of failed calls.
+	failureWeight = 0.2
+	// refusedRounds is how many times its slots a server that refused is assumed
+	// to hold in running and waiting calls.
+	refusedRounds = 2
+	// priorityCount is the number of classes with a service time of their own.
+	priorityCount = 4
+)
+
+// server holds what this node learned about one backend server. All fields are
+// atomic; values that belong together may be seen at slightly different times,
+// which only blurs the estimate.
+type server struct {
+	// inFlight counts the calls of this node that are not observed yet.
+	inFlight atomic.Int64
+	// others is the number of calls of other nodes, running and waiting, by the
+	// last report.
+	others decaying
+	// slots is the last reported number of slots; 0 when there was no report.
+	slots atomic.Int64
+	// failures is the share of failed calls.
+	failures decaying
+	// service holds service times in seconds by class.
+	service [priorityCount]decaying
+	// roundTrip is the network delay of a call in nanoseconds.
+	roundTrip atomic.Int64
+	// generation tells the server's process from its predecessors.
+	generation atomic.Uint64
+}
+
+// renew forgets what was learned when a new process took the server's place.
+func (s *server) renew(record *member.Record) {
+	generation := record.Incarnation ^ uint64(record.Server.Since.UnixNano())
+	old := s.generation.Load()
+	if old == generation || !s.generation.CompareAndSwap(old, generation) || old == 0 {
+		return
+	}
+	s.others.clear()
+	s.slots.Store(0)
+	s.failures.clear()
+	for i := range s.service {
+		s.service[i].clear()
+	}
+}
+
+// load estimates the calls that the server holds, running and waiting.
+func (s *server) load(now time.Time) float64 {
+	return s.others.faded(now, reportConstant) + float64(s.inFlight.Load())
+}
+
+// observe learns from a call that this node sent.
+func (s *server) observe(now time.Time, outcome Outcome) {
+	own := s.finish()
+	s.learnLoad(now, outcome.Load, own)
+	if outcome.Refused {
+		s.learnRefusal(now)
+		return
+	}
+	s.learnFailure(now, outcome.Failed)
+	s.learnService(now, outcome)
+}
+
+// finish counts a call as done and returns the calls still in flight. The
+// counter stays at 0 when the call was counted before the server was forgotten.
+func (s *server) finish() int64 {
+	for {
+		inFlight := s.inFlight.Load()
+		if inFlight == 0 {
+			return 0
+		}
+		if s.inFlight.CompareAndSwap(inFlight, inFlight-1) {
+			return inFlight - 1
+		}
+	}
+}
+
+// learnLoad keeps the part of a report that does not come from this node.
+func (s *server) learnLoad(now time.Time, load *Load, own int64) {
+	if load == nil {
+		return
+	}
+	s.slots.Store(int64(load.Slots))
+	s.others.set(now, float64(max(0, int64(load.InFlight+load.Queued)-1-own)))
+}
+
+// learnRefusal counts a refusal as a full queue, whatever the report said.
+func (s *server) learnRefusal(now time.Time) {
+	full := float64(refusedRounds * max(1, s.slots.Load()))
+	s.others.update(now, func(value float64, _ time.Duration, _ bool) float64 { return max(value, full) })
+}
+
+func (s *server) learnFailure(now time.Time, failed bool) {
+	sample := 0.0
+	if failed {
+		sample = 1
+	}
+	s.failures.update(now, func(share float64, age time.Duration, _ bool) float64 {
+		return (1-failureWeight)*share*fade(age, failureConstant) + failureWeight*sample
+	})
+}
+
+// learnService counts the time of an answer. A failure counts only when it took
+// longer than expected, so that a server that fails fast does not look fast.
+func (s *server) learnService(now time.Time, outcome Outcome) {
+	elapsed := outcome.Elapsed - time.Duration(s.roundTrip.Load())
+	if outcome.Elapsed <= 0 {
+		return
+	}
+	sample := max(0, elapsed.Seconds()) / waitingRounds(outcome.Load)
+	s.service[classIndex(outcome.Priority)].update(now, func(value float64, _ time.Duration, set bool) float64 {
+		if outcome.Failed && sample < value {
+			return value
+		}
+		if !set {
+			return sample
+		}
+		return value + serviceWeight*(sample-value)
+	})
+}
+
+// waitingRounds is how many service times a call takes when the queue is as the
+// report says.
+func waitingRounds(load *Load) float64 {
+	if load == nil || load.Slots <= 0 {
+		return 1
+	}
+	return 1 + float64(load.Queued)/float64(load.Slots)
+}
+
+func classIndex(priority config.Priority) int {
+	switch priority {
+	case config.PriorityLookup:
+		return 1
+	case config.PriorityOrder:
+		return 2
+	case config.PriorityDownload:
+		return 3
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/internal/route/table.go
@@ -0,0 +1,65 @@
+package route
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"rosemaryladder.dev/rosemaryladder/internal/member"
+)
+
+// table holds the tracked servers by node id. Readers load an immutable map;
+// writers replace it.
+type table struct {
+	current   atomic.Pointer[map[string]*server]
+	untracked atomic.Uint64
+	limit     int
+	// writing serialises writers, which are rare: a server joins or leaves.
+	writing sync.Mutex
+}
+
+func newTable(limit int) *table {
+	t := &table{limit: limit}
+	t.current.Store(&map[string]*server{})
+	return t
+}
+
+// get returns a tracked server or nil.
+func (t *table) get(id string) *server {
+	return (*t.current.Load())[id]
+}
+
+// track returns the server of a node and begins to track it. At the limit it
+// returns one that is not kept.
+func (t *table) track(id string) *server {
+	if found := t.get(id); found != nil {
+		return found
+	}
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	servers := *t.current.Load()
+	if found := servers[id]; found != nil {
+		return found
+	}
+	added := &server{}
+	if len(servers) >= t.limit {
+		t.untracked.Add(1)
+		return added
+	}
+	next := maps.Clone(servers)
+	next[id] = added
+	t.current.Store(&next)
+	return added
+}
+
+// forget drops the servers that left the view and have no calls in flight.
+func (t *table) forget(view *member.View) {
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	next := maps.Clone(*t.current.Load())
+	maps.DeleteFunc(next, func(id string, s *server) bool {
+		_, known := view.Node(id)
+		return !known && s.inFlight.Load() == 0
+	})
+	t.current.Store(&next)
+}
--- /dev/null
+++ b/internal/route/two_choices.go
@@ -0,0 +1,11 @@
+package route
+
+// TwoChoices picks the less loaded one of two random servers.
+type TwoChoices struct{}
+
+// Name implements Algorithm.
+func (TwoChoices) Name() string { return "two choices" }
+
+func (TwoChoices) pick(candidates []candidate, random uint64) int {
+	return betterOfTwo(candidates, random, (*candidate).relativeLoad)
+}
