Add the operator port, the tool, the node wiring, the demo and the scenarios

Cause: the parts exist and nothing runs them together. Ruled out: letting the tool write to the store, which would need the store's address and access on every operator's machine; a node writes for it.

--- /dev/null
+++ b/internal/cli/examples.go
@@ -0,0 +1,19 @@
+package cli
+
+// examples holds one example for each verb, printed below its help.
+var examples = map[string]string{
+	"target apply":    "rosemaryladder target apply -f targets.ini --dry-run",
+	"target list":     "rosemaryladder target list --output json",
+	"target show":     "rosemaryladder target show orders",
+	"target delete":   "rosemaryladder target delete orders --if-version 12",
+	"stop plan":       "rosemaryladder stop plan --host orderdesk-1 --at 10m --grace 2m --reason 'new kernel'",
+	"stop list":       "rosemaryladder stop list",
+	"stop cancel":     "rosemaryladder stop cancel night-shift --wait 5s",
+	"status":          "rosemaryladder status --wait 5s",
+	"explain host":    "rosemaryladder explain host orderdesk-1",
+	"explain target":  "rosemaryladder explain target orders",
+	"explain call":    "rosemaryladder explain call orderdesk-1/1k3/7",
+	"explain change":  "rosemaryladder explain change 7a0a9c5e-3f0e-4f6c-9d0f-0d7f0f3c0a11",
+	"explain repairs": "rosemaryladder explain repairs --limit 20",
+	"report burn":     "rosemaryladder report burn --html report.html",
+}
--- /dev/null
+++ b/internal/cli/output.go
@@ -0,0 +1,39 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+// print writes the value as JSON, or calls the function that writes a table.
+func (c *command) print(value any, table func()) error {
+	if c.args.Output == OutputTable {
+		table()
+		return nil
+	}
+	encoder := json.NewEncoder(c.streams.Out)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(value); err != nil {
+		return result.Wrap(err, result.Internal, "write the output")
+	}
+	return nil
+}
+
+// line writes one line of text.
+func (c *command) line(format string, values ...any) {
+	fmt.Fprintf(c.streams.Out, format+"\n", values...)
+}
+
+// table writes rows in aligned columns.
+func (c *command) table(header []string, rows [][]string) {
+	writer := tabwriter.NewWriter(c.streams.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(writer, strings.Join(header, "\t"))
+	for _, row := range rows {
+		fmt.Fprintln(writer, strings.Join(row, "\t"))
+	}
+	writer.Flush()
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -31,7 +31,9 @@
 	Node string    `json:"node"`
 	Kind Kind      `json:"kind"`
 	// Subject is the call id, host, target, stop or version concerned.
-	Subject string      `json:"subject"`
+	Subject string `json:"subject"`
+	// Target is the target of a refused call, when one matched.
+	Target  string      `json:"target,omitempty"`
 	Message string      `json:"message"`
 	Code    result.Code `json:"code,omitempty"`
 }
--- /dev/null
+++ b/internal/node/control.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/stats"
+)
+
+const (
+	// keepaliveInterval is how often an idle control connection is probed.
+	keepaliveInterval = 20 * time.Second
+	// keepaliveTimeout closes a control connection that does not answer a probe.
+	keepaliveTimeout = 5 * time.Second
+	// maxControlMessageBytes bounds a received control message; a whole document
+	// has at most 1 MB.
+	maxControlMessageBytes = 2 << 20
+)
+
+// registrant is a part that serves gRPC on the control port.
+type registrant interface {
+	Register(registrar grpc.ServiceRegistrar)
+}
+
+// controlServer serves the control port.
+type controlServer struct {
+	grpc     *grpc.Server
+	listener net.Listener
+}
+
+func newControlServer(address string, traffic stats.Handler, parts ...registrant) (*controlServer, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen on the control port")
+	}
+	server := grpc.NewServer(
+		grpc.StatsHandler(traffic),
+		grpc.MaxRecvMsgSize(maxControlMessageBytes),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
+	)
+	for _, part := range parts {
+		part.Register(server)
+	}
+	return &controlServer{grpc: server, listener: listener}, nil
+}
+
+// run serves until the context ends.
+func (s *controlServer) run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, s.grpc.Stop)
+	defer stop()
+	return errors.Wrap(s.grpc.Serve(s.listener), "serve the control port")
+}
--- /dev/null
+++ b/internal/node/kept.go
@@ -0,0 +1,23 @@
+package node
+
+import (
+	"net/http"
+
+	"rosemaryladder.dev/rosemaryladder/internal/claim"
+)
+
+// kept connects the call path to the answers kept for repeats.
+type kept struct{ answers *claim.Answers }
+
+// Keep stores a whole answer.
+func (k kept) Keep(service, key string, fingerprint uint64, status int, header http.Header, body []byte) {
+	won := claim.Claim{Service: service, Key: key, Fingerprint: fingerprint}
+	k.answers.Keep(won, claim.Answer{Status: status, Header: header, Body: body})
+}
+
+// Kept returns the answer of the call with the key. The claim that led here has
+// compared the fingerprints.
+func (k kept) Kept(service, key string, _ uint64) (status int, header http.Header, body []byte, ok bool) {
+	answer := k.answers.Lookup(service, key)
+	return answer.Status, answer.Header, answer.Body, answer.State == claim.AnswerKept
+}
--- /dev/null
+++ b/internal/node/policy.go
@@ -0,0 +1,27 @@
+package node
+
+import (
+	"rosemaryladder.dev/rosemaryladder/internal/call"
+	"rosemaryladder.dev/rosemaryladder/internal/retry"
+)
+
+// policy limits retries by the budget of the node.
+type policy struct{ budget *retry.Budget }
+
+// First counts a first attempt.
+func (p policy) First() { p.budget.FirstAttempt() }
+
+// Again reports whether another attempt may follow, and pays for it.
+func (p policy) Again(failure call.Failure) bool {
+	converted := retry.Failure{
+		Code:       failure.Code,
+		Run:        failure.Run,
+		Idempotent: failure.Idempotent,
+		Attempts:   failure.Attempt,
+		Remaining:  failure.Remaining,
+	}
+	if failure.Nested {
+		converted.Depth = 1
+	}
+	return p.budget.Allow(converted)
+}
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,157 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"rosemaryladder.dev/rosemaryladder/internal/burn"
+	"rosemaryladder.dev/rosemaryladder/internal/dial"
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+const (
+	// serviceName names the operator calls in go-zero.
+	serviceName = "rosemaryladder-operator"
+	// idleTimeout closes connections to operator ports that are no longer used.
+	idleTimeout = 10 * time.Second
+	// maxReplyBytes bounds the answer of an operator port.
+	maxReplyBytes = 16 << 20
+)
+
+// pool holds the connections of operator clients.
+type pool struct {
+	service httpc.Service
+}
+
+func newPool(dialer dial.Dialer) *pool {
+	logx.Disable()
+	breaker.NoBreakerFor(serviceName)
+	transport := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 1}
+	return &pool{service: httpc.NewServiceWithClient(serviceName, &http.Client{Transport: transport})}
+}
+
+func (p *pool) client(address string) *Client {
+	return &Client{address: address, service: p.service}
+}
+
+// Client asks the operator port of one node.
+type Client struct {
+	address string
+	service httpc.Service
+}
+
+// NewClient returns a client of the operator port at address.
+func NewClient(address string) *Client {
+	return newPool(dial.Dialer{}).client(address)
+}
+
+// Document returns the configuration that the node has in force.
+func (c *Client) Document(ctx context.Context) (Document, error) {
+	return get[Document](ctx, c, pathDocument, nil)
+}
+
+// Change applies or previews a change.
+func (c *Client) Change(ctx context.Context, request ChangeRequest) (ChangeReply, error) {
+	return exchange[ChangeReply](ctx, c, http.MethodPost, pathChanges, nil, request)
+}
+
+// ChangeState returns whether the stored configuration holds a change.
+func (c *Client) ChangeState(ctx context.Context, id string) (ChangeState, error) {
+	return get[ChangeState](ctx, c, pathChanges+"/"+url.PathEscape(id), nil)
+}
+
+// Status returns what the fleet has in force.
+func (c *Client) Status(ctx context.Context) (FleetStatus, error) {
+	return get[FleetStatus](ctx, c, pathStatus, nil)
+}
+
+// Host describes a host; an empty name means the node that is asked.
+func (c *Client) Host(ctx context.Context, name string) (HostReport, error) {
+	path := pathHost
+	if name != "" {
+		path += "/" + url.PathEscape(name)
+	}
+	return get[HostReport](ctx, c, path, nil)
+}
+
+// Events returns events, newest first.
+func (c *Client) Events(ctx context.Context, query EventQuery) (EventReply, error) {
+	return get[EventReply](ctx, c, pathEvents, query.values())
+}
+
+// Stops returns the planned stops and how far each has come.
+func (c *Client) Stops(ctx context.Context) ([]StopReport, error) {
+	return get[[]StopReport](ctx, c, pathStops, nil)
+}
+
+// Members returns the membership view of the node.
+func (c *Client) Members(ctx context.Context) ([]Member, error) {
+	return get[[]Member](ctx, c, pathMembers, nil)
+}
+
+// Burn returns the service-level report.
+func (c *Client) Burn(ctx context.Context) (burn.Report, error) {
+	return get[burn.Report](ctx, c, pathBurn, nil)
+}
+
+func get[T any](ctx context.Context, c *Client, path string, query url.Values) (T, error) {
+	return exchange[T](ctx, c, http.MethodGet, path, query, nil)
+}
+
+// exchange sends a request and decodes the answer. A failure to get any answer
+// has the code NodeUnreachable.
+func exchange[T any](ctx context.Context, c *Client, method, path string, query url.Values, body any) (T, error) {
+	var value T
+	request, err := c.newRequest(ctx, method, path, query, body)
+	if err != nil {
+		return value, err
+	}
+	response, err := c.service.DoRequest(request)
+	if err != nil {
+		return value, result.Wrap(err, result.NodeUnreachable, "node %s", c.address)
+	}
+	defer response.Body.Close()
+	decoder := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes))
+	if response.StatusCode != http.StatusOK {
+		return value, c.problem(response.StatusCode, decoder)
+	}
+	if err := decoder.Decode(&value); err != nil {
+		return value, result.Wrap(err, result.NodeUnreachable, "node %s sent an incomplete answer", c.address)
+	}
+	return value, nil
+}
+
+func (c *Client) newRequest(ctx context.Context, method, path string, query url.Values, body any) (*http.Request, error) {
+	var reader io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return nil, result.Wrap(err, result.Internal, "encode the request")
+		}
+		reader = bytes.NewReader(data)
+	}
+	target := url.URL{Scheme: "http", Host: c.address, Path: path, RawQuery: query.Encode()}
+	request, err := http.NewRequestWithContext(ctx, method, target.String(), reader)
+	if err != nil {
+		return nil, result.Wrap(err, result.Usage, "node address %q", c.address)
+	}
+	return request, nil
+}
+
+// problem returns the error that a failed request carries.
+func (c *Client) problem(status int, decoder *json.Decoder) error {
+	var problem Problem
+	if err := decoder.Decode(&problem); err != nil || problem.Code == result.OK {
+		return result.Errorf(result.NodeUnreachable, "node %s answered with HTTP status %d", c.address, status)
+	}
+	return result.Errorf(problem.Code, "%s", problem.Message)
+}
--- /dev/null
+++ b/internal/operator/members.go
@@ -0,0 +1,57 @@
+package operator
+
+import (
+	"net/http"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/member"
+)
+
+// Member is one node as the asked node knows it.
+type Member struct {
+	Host          string    `json:"host"`
+	Region        string    `json:"region"`
+	FailureDomain string    `json:"failure_domain"`
+	State         string    `json:"state"`
+	Service       string    `json:"service"`
+	Server        string    `json:"server"`
+	Slots         int       `json:"slots"`
+	Since         time.Time `json:"since"`
+	Reader        bool      `json:"reader"`
+}
+
+// stateNames name the states of nodes.
+var stateNames = map[member.State]string{
+	member.Alive: "alive", member.Suspect: "suspect", member.Leaving: "leaving", member.Left: "left", member.Dead: "dead",
+}
+
+// serverNames name the states of backend servers.
+var serverNames = map[member.ServerState]string{
+	member.ServerNone: "none", member.ServerStarting: "starting", member.ServerReady: "ready", member.ServerLeaving: "leaving",
+}
+
+// StateName returns the name of a node's state.
+func StateName(state member.State) string { return stateNames[state] }
+
+// ServerName returns the name of a backend server's state.
+func ServerName(state member.ServerState) string { return serverNames[state] }
+
+// members answers the membership view of the node.
+func (a *api) members(w http.ResponseWriter, _ *http.Request) {
+	nodes := a.View().Nodes()
+	members := make([]Member, 0, len(nodes))
+	for _, record := range nodes {
+		members = append(members, Member{
+			Host:          record.ID,
+			Region:        record.Region,
+			FailureDomain: record.FailureDomain,
+			State:         stateNames[record.State],
+			Service:       record.Server.Service,
+			Server:        serverNames[record.Server.State],
+			Slots:         record.Server.Slots,
+			Since:         record.Server.Since,
+			Reader:        record.Reader,
+		})
+	}
+	writeJSON(w, http.StatusOK, members)
+}
--- /dev/null
+++ b/internal/operator/peers.go
@@ -0,0 +1,56 @@
+package operator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"rosemaryladder.dev/rosemaryladder/internal/dial"
+	"rosemaryladder.dev/rosemaryladder/internal/member"
+)
+
+// maxAsked bounds the hosts that are asked at once.
+const maxAsked = 16
+
+// peers makes clients of other nodes. They share one pool of connections.
+type peers struct {
+	pool *pool
+}
+
+func newPeers(dialer dial.Dialer) *peers {
+	return &peers{pool: newPool(dialer)}
+}
+
+func (p *peers) client(record member.Record) *Client {
+	return p.pool.client(record.OperatorAddress())
+}
+
+// peerAnswer is what one host answered.
+type peerAnswer[T any] struct {
+	host  string
+	value T
+	err   error
+}
+
+// askAll asks all hosts, some at a time, and returns their answers in order.
+func askAll[T any](ctx context.Context, peers *peers, hosts []member.Record, timeout time.Duration, ask func(context.Context, *Client) (T, error)) []peerAnswer[T] {
+	answers := make([]peerAnswer[T], len(hosts))
+	var group errgroup.Group
+	group.SetLimit(maxAsked)
+	var mu sync.Mutex
+	for i, host := range hosts {
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			value, err := ask(ctx, peers.client(host))
+			mu.Lock()
+			defer mu.Unlock()
+			answers[i] = peerAnswer[T]{host: host.ID, value: value, err: err}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return answers
+}
--- /dev/null
+++ b/internal/operator/stops.go
@@ -0,0 +1,76 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/config"
+	"rosemaryladder.dev/rosemaryladder/internal/member"
+)
+
+// States of a planned stop.
+const (
+	stopPlanned  = "planned"
+	stopDraining = "draining"
+	stopOverdue  = "overdue"
+	stopDrained  = "drained"
+)
+
+// hostTimeout bounds the question to one covered host.
+const hostTimeout = 2 * time.Second
+
+// stops answers the planned stops and how far each has come.
+func (a *api) stops(w http.ResponseWriter, r *http.Request) {
+	reports := []StopReport{}
+	for _, stop := range a.Snapshot().Stops() {
+		reports = append(reports, a.reportStop(r.Context(), stop, time.Now()))
+	}
+	writeJSON(w, http.StatusOK, reports)
+}
+
+func (a *api) reportStop(ctx context.Context, stop config.Stop, now time.Time) StopReport {
+	covered := a.covered(stop)
+	report := StopReport{Stop: stop, State: stopPlanned, Hosts: len(covered)}
+	if !stop.Begun(now) {
+		return report
+	}
+	for _, answer := range askAll(ctx, a.peers, covered, hostTimeout, a.askHost) {
+		if answer.err != nil {
+			report.Unreachable = append(report.Unreachable, answer.host)
+			continue
+		}
+		report.InFlight += answer.value.InFlight
+	}
+	report.State = begunState(stop, report.InFlight, now)
+	return report
+}
+
+func (a *api) askHost(ctx context.Context, client *Client) (HostReport, error) {
+	return client.Host(ctx, "")
+}
+
+func begunState(stop config.Stop, inFlight int, now time.Time) string {
+	switch {
+	case inFlight == 0:
+		return stopDrained
+	case now.After(stop.At.Add(stop.Grace)):
+		return stopOverdue
+	default:
+		return stopDraining
+	}
+}
+
+// covered returns the nodes that the stop covers and that have not left.
+func (a *api) covered(stop config.Stop) []member.Record {
+	var covered []member.Record
+	for _, record := range a.View().Nodes() {
+		if record.State == member.Left || record.State == member.Dead {
+			continue
+		}
+		if stop.Covers(record.ID, record.FailureDomain, record.Server.Service) {
+			covered = append(covered, record)
+		}
+	}
+	return covered
+}
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -230,7 +230,17 @@
 func (b *Backend) logRun(answer Answer) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	fmt.Fprintf(&b.runs, "%s %s %s\n", answer.Key, answer.CallID, answer.Digest)
+	line := fmt.Sprintf("%s %s %s\n", answer.Key, answer.CallID, answer.Digest)
+	b.runs.WriteString(line)
+	if b.options.RunLog == "" {
+		return
+	}
+	file, err := os.OpenFile(b.options.RunLog, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		panic(err)
+	}
+	defer file.Close()
+	_, _ = file.WriteString(line)
 }
 
 // Digest returns the xxhash64 of a body in hexadecimal.
--- a/internal/standin/backend/options.go
+++ b/internal/standin/backend/options.go
@@ -12,6 +12,7 @@
 	ServiceTime time.Duration `arg:"--service-time" default:"5ms" help:"time that a call takes"`
 	ColdStart   time.Duration `arg:"--cold-start" default:"0s" help:"time in state starting"`
 	LeaveTime   time.Duration `arg:"--leave-time" default:"3s" help:"least time in state leaving after SIGTERM"`
+	RunLog      string        `arg:"--run-log" help:"file to which each run is appended, so that the log survives a crash"`
 	Behaviour
 }
 
--- /dev/null
+++ b/internal/standin/demo/callers.go
@@ -0,0 +1,141 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/standin/caller"
+	"rosemaryladder.dev/rosemaryladder/internal/standin/fleet"
+)
+
+// callerGrace is how long a caller may take to finish its last calls.
+const callerGrace = 60 * time.Second
+
+// revisedTargets doubles the first deadline of a target file.
+func revisedTargets(data []byte) []byte {
+	return bytes.Replace(data, []byte("deadline = 400ms"), []byte("deadline = 800ms"), 1)
+}
+
+// startCallers starts a caller in each region.
+func (d *demo) startCallers() ([]*fleet.Process, error) {
+	var callers []*fleet.Process
+	for i, region := range d.fleet.Options.Deployment.Regions {
+		process := d.fleet.NewCaller(region.Name, d.callerArgs(i, region.Name)...)
+		if err := process.Start(); err != nil {
+			return nil, err
+		}
+		callers = append(callers, process)
+	}
+	return callers, nil
+}
+
+func (d *demo) callerArgs(number int, region string) []string {
+	args := []string{"--duration", d.options.Duration.String(), "--seed", fmt.Sprint(number + 1)}
+	for _, host := range d.fleet.In(region) {
+		args = append(args, "--node", host.CallAddress())
+	}
+	deployment := d.fleet.Options.Deployment
+	for _, class := range []string{
+		classArgument(deployment, fleet.Lookup, "method=GET,rate=60"),
+		classArgument(deployment, fleet.Order, "method=POST,rate=20,body=200,once=true"),
+		classArgument(deployment, fleet.Download, "method=GET,rate=4,size=400000"),
+	} {
+		args = append(args, "--class", class)
+	}
+	return args
+}
+
+// paths are the paths that the example targets match.
+var paths = map[string]string{
+	"pattern-reg": "/patterns", "orderdesk": "/orders", "templatevault": "/templates",
+	"katalog": "/availability", "bokning": "/bookings", "ritning": "/drawings",
+}
+
+func classArgument(deployment fleet.Deployment, class fleet.Class, rest string) string {
+	service := deployment.Service(class).Name
+	return fmt.Sprintf("name=%s,service=%s,path=%s,%s", class, service, paths[service], rest)
+}
+
+// totals are the calls of all callers.
+type totals struct {
+	sent, whole, cut, doubled int64
+	refused                   map[string]int64
+}
+
+// collect waits for the callers and adds up their reports.
+func (d *demo) collect(callers []*fleet.Process) (*totals, error) {
+	sum := &totals{refused: make(map[string]int64)}
+	for _, process := range callers {
+		if !process.Wait(d.options.Duration + callerGrace) {
+			return nil, fmt.Errorf("%s did not end", process.Name)
+		}
+		var reports map[string]*caller.Report
+		if err := json.Unmarshal([]byte(process.Output()), &reports); err != nil {
+			return nil, fmt.Errorf("%s: %w\n%s", process.Name, err, process.Output())
+		}
+		for class, report := range reports {
+			sum.add(process.Name, class, report)
+		}
+	}
+	doubled, err := d.doubledOrders()
+	sum.doubled = doubled
+	return sum, err
+}
+
+func (t *totals) add(caller, class string, report *caller.Report) {
+	fmt.Printf("%-18s %-9s sent %5d, whole %5d, refused %v, unknown %d, broken %d, failed %d, mismatched %d, p99 %.1f ms\n",
+		caller, class, report.Sent, report.Whole, report.Refused, report.Unknown, report.Broken, report.Failed, report.Mismatched, report.P99)
+	t.sent += report.Sent
+	t.whole += report.Whole
+	t.cut += report.Broken + report.Mismatched
+	for code, count := range report.Refused {
+		t.refused[code] += count
+	}
+}
+
+// doubledOrders counts the keys that the backend servers ran more than once.
+func (d *demo) doubledOrders() (int64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	runs := make(map[string]int64)
+	service := d.fleet.Options.Deployment.Service(fleet.Order).Name
+	for _, host := range d.fleet.Hosts {
+		if host.Service.Name != service {
+			continue
+		}
+		list, err := host.Runs(ctx)
+		if err != nil {
+			return 0, err
+		}
+		for _, run := range list {
+			runs[run.Key]++
+		}
+	}
+	var doubled int64
+	for _, count := range runs {
+		doubled += count - 1
+	}
+	return doubled, nil
+}
+
+// judge prints the last line and returns an error when a call went wrong.
+func (t *totals) judge() error {
+	lost := t.sent - t.whole - t.cut
+	fmt.Printf("calls: %d sent, %d whole, %d lost, %d doubled, %d cut\n", t.sent, t.whole, lost, t.doubled, t.cut)
+	if lost != 0 || t.doubled != 0 || t.cut != 0 {
+		return fmt.Errorf("calls went wrong; refused by code: %s", formatCounts(t.refused))
+	}
+	return nil
+}
+
+func formatCounts(counts map[string]int64) string {
+	var parts []string
+	for code, count := range counts {
+		parts = append(parts, fmt.Sprintf("%s: %d", code, count))
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/internal/standin/fleet/admin.go
@@ -0,0 +1,125 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"rosemaryladder.dev/rosemaryladder/internal/standin/link"
+	"rosemaryladder.dev/rosemaryladder/internal/standin/store"
+)
+
+// SetStoreFaults switches faults of the store on and off.
+func (f *Fleet) SetStoreFaults(ctx context.Context, faults store.Faults) error {
+	return send(ctx, http.MethodPut, f.storeAdmin, "/faults", faults, nil)
+}
+
+// StoreCounts returns what the store was asked since the last reset.
+func (f *Fleet) StoreCounts(ctx context.Context) (store.Counts, error) {
+	var counts store.Counts
+	err := send(ctx, http.MethodGet, f.storeAdmin, "/counts", nil, &counts)
+	return counts, err
+}
+
+// ResetStoreCounts starts the counts of the store anew.
+func (f *Fleet) ResetStoreCounts(ctx context.Context) error {
+	return send(ctx, http.MethodDelete, f.storeAdmin, "/counts", nil, nil)
+}
+
+// SetLink sets the state of a pair of hosts, failure domains or regions: open,
+// cut or frozen.
+func (f *Fleet) SetLink(ctx context.Context, a, b, state string) error {
+	return send(ctx, http.MethodPut, f.linkAdmin, "/links", link.Change{A: a, B: b, State: state}, nil)
+}
+
+// LinkCounts returns the bytes by "region/KIND" and "all/KIND".
+func (f *Fleet) LinkCounts(ctx context.Context) (map[string]link.Count, error) {
+	counts := make(map[string]link.Count)
+	err := send(ctx, http.MethodGet, f.linkAdmin, "/counts", nil, &counts)
+	return counts, err
+}
+
+// Run is one line of a backend server's log.
+type Run struct{ Key, CallID, Digest string }
+
+// Runs returns the log of a backend server.
+func (h *Host) Runs(ctx context.Context) ([]Run, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.ServerAddress()+"/runs", nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, err
+	}
+	var runs []Run
+	for line := range strings.Lines(string(text)) {
+		fields := strings.Split(strings.TrimSuffix(line, "\n"), " ")
+		runs = append(runs, Run{fields[0], fields[1], fields[2]})
+	}
+	return runs, nil
+}
+
+// SetBehaviour changes what a backend server does wrong.
+func (h *Host) SetBehaviour(ctx context.Context, behaviour any) error {
+	return send(ctx, http.MethodPut, h.ServerAddress(), "/behaviour", behaviour, nil)
+}
+
+func send(ctx context.Context, method, address, path string, body, reply any) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(encoded))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusBadRequest {
+		text, _ := io.ReadAll(response.Body)
+		return fmt.Errorf("%s %s%s: %s %s", method, address, path, response.Status, text)
+	}
+	if reply == nil {
+		return nil
+	}
+	return json.NewDecoder(response.Body).Decode(reply)
+}
+
+// Metrics returns the values of the node's metrics by name and labels.
+func (h *Host) Metrics(ctx context.Context) (map[string]float64, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.OperatorAddress()+"/metrics", nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, err
+	}
+	values := make(map[string]float64)
+	for line := range strings.Lines(string(text)) {
+		name, number, found := strings.Cut(strings.TrimSpace(line), " ")
+		if value, err := strconv.ParseFloat(number, 64); found && err == nil {
+			values[name] = value
+		}
+	}
+	return values, nil
+}
--- /dev/null
+++ b/internal/standin/fleet/fleet.go
@@ -0,0 +1,328 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/operator"
+)
+
+// Options say how a fleet runs.
+type Options struct {
+	Deployment Deployment
+	// Bin is the directory of the programs.
+	Bin string
+	// Dir receives the settings files.
+	Dir string
+	// Batch is the batch setting of the nodes.
+	Batch time.Duration
+	// ServiceTime is how long a backend server runs a call.
+	ServiceTime time.Duration
+	// Direct leaves the link stand-in out: no latency, no limit of bandwidth.
+	Direct bool
+	// ColdStart is how long a backend server stays in state starting.
+	ColdStart time.Duration
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Options Options
+	Store   *Process
+	Link    *Process
+	Hosts   []*Host
+
+	network    int
+	ports      ports
+	storeAddr  string
+	storeAdmin string
+	linkAddr   string
+	linkAdmin  string
+}
+
+// ports are the ports that every node uses on its own IP.
+type ports struct{ call, control, operator, announce, server int }
+
+// Host is one host with its node and its backend server.
+type Host struct {
+	Name          string
+	IP            string
+	Region        string
+	FailureDomain string
+	Service       Service
+	// RunLog is the file in which the backend server notes each run.
+	RunLog string
+	Node   *Process
+	Server *Process
+
+	ports ports
+}
+
+// CallAddress returns the address of the node's call port.
+func (h *Host) CallAddress() string { return net.JoinHostPort(h.IP, strconv.Itoa(h.ports.call)) }
+
+// OperatorAddress returns the address of the node's operator port.
+func (h *Host) OperatorAddress() string {
+	return net.JoinHostPort(h.IP, strconv.Itoa(h.ports.operator))
+}
+
+// ServerAddress returns the address of the backend server.
+func (h *Host) ServerAddress() string { return net.JoinHostPort(h.IP, strconv.Itoa(h.ports.server)) }
+
+// Operator returns a client of the node's operator port.
+func (h *Host) Operator() *operator.Client { return operator.NewClient(h.OperatorAddress()) }
+
+// fleets counts the fleets of this process.
+var fleets atomic.Int64
+
+// New prepares a fleet; Start runs it. Each fleet of one machine uses its own
+// part of the loopback addresses, chosen by the process id and a count.
+func New(options Options) (*Fleet, error) {
+	number := os.Getpid() + int(fleets.Add(1))
+	f := &Fleet{Options: options, network: 20 + number%200}
+	places := options.Deployment.hosts(f.network)
+	picked, err := pickPorts(places[0].ip)
+	if err != nil {
+		return nil, err
+	}
+	f.ports = picked
+	f.storeAddr = f.infrastructure(1, picked.call)
+	f.storeAdmin = f.infrastructure(2, picked.call)
+	f.linkAddr = f.infrastructure(3, picked.call)
+	f.linkAdmin = f.infrastructure(4, picked.call)
+	for _, place := range places {
+		host, err := f.prepareHost(place)
+		if err != nil {
+			return nil, err
+		}
+		f.Hosts = append(f.Hosts, host)
+	}
+	f.Store = newProcess("store", f.program("standin"), "store", "--listen", f.storeAddr, "--admin", f.storeAdmin)
+	f.Link = newProcess("link", f.linkArgs()...)
+	return f, nil
+}
+
+// infrastructure returns the address of a stand-in that is not a host.
+func (f *Fleet) infrastructure(number, port int) string {
+	return fmt.Sprintf("127.%d.100.%d:%d", f.network, number, port)
+}
+
+func (f *Fleet) program(name string) string { return filepath.Join(f.Options.Bin, name) }
+
+func (f *Fleet) linkArgs() []string {
+	args := []string{f.program("standin"), "link", "--address", f.linkAddr, "--admin", f.linkAdmin}
+	seen := make(map[string]bool)
+	for _, place := range f.Options.Deployment.hosts(f.network) {
+		prefix := place.ip[:lastDot(place.ip)] + ".0/24"
+		if !seen[prefix] {
+			args = append(args, "--place", prefix+"="+place.region+"/"+place.domain)
+		}
+		seen[prefix] = true
+	}
+	region := f.Options.Deployment.Regions[0]
+	args = append(args, "--place", fmt.Sprintf("127.%d.100.1/32=%s/%s", f.network, region.Name, region.Domains[0]))
+	return append(args,
+		"--kind", fmt.Sprintf("%d=control", f.ports.control),
+		"--kind", fmt.Sprintf("%d=call", f.ports.call),
+		"--kind", fmt.Sprintf("%d=operator", f.ports.operator))
+}
+
+func lastDot(ip string) int {
+	for i := len(ip) - 1; i >= 0; i-- {
+		if ip[i] == '.' {
+			return i
+		}
+	}
+	return 0
+}
+
+// prepareHost writes the settings of a host and prepares its programs.
+func (f *Fleet) prepareHost(place host) (*Host, error) {
+	h := &Host{Name: place.name, IP: place.ip, Region: place.region, FailureDomain: place.domain, Service: place.service, ports: f.ports}
+	h.RunLog = filepath.Join(f.Options.Dir, place.name+".runs")
+	path := filepath.Join(f.Options.Dir, place.name+".ini")
+	if err := os.WriteFile(path, []byte(f.settings(h)), 0o600); err != nil {
+		return nil, err
+	}
+	h.Node = newProcess(place.name, f.program("rosemaryladderd"), path)
+	h.Server = newProcess(place.name+"-server", f.program("standin"), "backend",
+		"--service", place.service.Name,
+		"--address", h.ServerAddress(),
+		"--announce", net.JoinHostPort(h.IP, strconv.Itoa(f.ports.announce)),
+		"--slots", strconv.Itoa(f.Options.Deployment.Slots),
+		"--connections", strconv.Itoa(f.Options.Deployment.Connections),
+		"--service-time", f.Options.ServiceTime.String(),
+		"--cold-start", f.Options.ColdStart.String(),
+		"--run-log", h.RunLog)
+	return h, nil
+}
+
+// settings returns the settings file of a host. The seeds are the first host of
+// each failure domain.
+func (f *Fleet) settings(h *Host) string {
+	proxy := f.linkAddr
+	if f.Options.Direct {
+		proxy = ""
+	}
+	seeds := ""
+	for domain := 1; domain <= 4; domain++ {
+		if domain > 1 {
+			seeds += ","
+		}
+		seeds += fmt.Sprintf("127.%d.%d.1:%d", f.network, domain, f.ports.control)
+	}
+	return fmt.Sprintf(`[node]
+host = %s
+ip = %s
+region = %s
+failure_domain = %s
+call_port = %d
+control_port = %d
+operator_port = %d
+announce_port = %d
+[store]
+address = %s
+region = %s
+[seeds]
+nodes = %s
+[network]
+egress_proxy = %s
+[distribution]
+batch = %s
+`, h.Name, h.IP, h.Region, h.FailureDomain, f.ports.call, f.ports.control, f.ports.operator, f.ports.announce,
+		f.storeAddr, f.Options.Deployment.StoreRegion, seeds, proxy, f.Options.Batch)
+}
+
+// Start starts every program and waits until every node serves and knows every
+// ready backend server.
+func (f *Fleet) Start(ctx context.Context) error {
+	infrastructure := []*Process{f.Store, f.Link}
+	if f.Options.Direct {
+		infrastructure = infrastructure[:1]
+	}
+	for _, process := range infrastructure {
+		if err := process.Start(); err != nil {
+			return err
+		}
+	}
+	if err := waitListening(ctx, f.storeAddr); err != nil {
+		return err
+	}
+	for _, host := range f.Hosts {
+		if err := host.Node.Start(); err != nil {
+			return err
+		}
+		if err := host.Server.Start(); err != nil {
+			return err
+		}
+	}
+	return f.WaitReady(ctx)
+}
+
+// WaitReady waits until every node serves and knows all hosts.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for _, host := range f.Hosts {
+		if err := f.waitHost(ctx, host); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) waitHost(ctx context.Context, host *Host) error {
+	client := host.Operator()
+	for {
+		report, err := client.Host(ctx, "")
+		if err == nil && report.Ready && report.Server == "ready" {
+			members, err := client.Members(ctx)
+			if err == nil && f.allReady(members) {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("host %s is not ready: %+v %v\n%s", host.Name, report, err, host.Node.Output())
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func (f *Fleet) allReady(members []operator.Member) bool {
+	ready := 0
+	for _, member := range members {
+		if member.State == "alive" && member.Server == "ready" {
+			ready++
+		}
+	}
+	return ready == len(f.Hosts)
+}
+
+// Host returns a host by name.
+func (f *Fleet) Host(name string) *Host {
+	for _, host := range f.Hosts {
+		if host.Name == name {
+			return host
+		}
+	}
+	return nil
+}
+
+// In returns the hosts of a region.
+func (f *Fleet) In(region string) []*Host {
+	var hosts []*Host
+	for _, host := range f.Hosts {
+		if host.Region == region {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+// Stop kills every program.
+func (f *Fleet) Stop() {
+	for _, host := range f.Hosts {
+		host.Node.Signal(syscall.SIGKILL)
+		host.Server.Signal(syscall.SIGKILL)
+	}
+	f.Store.Signal(syscall.SIGKILL)
+	f.Link.Signal(syscall.SIGKILL)
+	for _, host := range f.Hosts {
+		host.Node.Wait(5 * time.Second)
+		host.Server.Wait(5 * time.Second)
+	}
+}
+
+// pickPorts lets the kernel choose the ports on one IP; the other IPs of the
+// fleet belong to it alone.
+func pickPorts(ip string) (ports, error) {
+	var picked [5]int
+	for i := range picked {
+		listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return ports{}, err
+		}
+		defer listener.Close()
+		picked[i] = listener.Addr().(*net.TCPAddr).Port
+	}
+	return ports{picked[0], picked[1], picked[2], picked[3], picked[4]}, nil
+}
+
+func waitListening(ctx context.Context, address string) error {
+	for {
+		conn, err := net.DialTimeout("tcp", address, time.Second)
+		if err == nil {
+			return conn.Close()
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("nothing listens on %s: %w", address, err)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/scenario/calls_test.go
@@ -0,0 +1,156 @@
+package scenario
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"rosemaryladder.dev/rosemaryladder/internal/standin/caller"
+	"rosemaryladder.dev/rosemaryladder/internal/standin/fleet"
+)
+
+// callers: callers start NAME REGION DURATION CLASS... sends calls in the
+// background; callers finish NAME [whole] waits, fails on an answer that is
+// broken or not the caller's own, and with whole on any call without a whole
+// answer. Classes are written as for the caller stand-in.
+func (r *run) callers(ts *testscript.TestScript, _ bool, args []string) {
+	if args[0] == "start" {
+		r.startCallers(ts, args[1], args[2], args[3], args[4:])
+		return
+	}
+	process := r.callersRunning[args[1]]
+	if !process.Wait(scriptLimit) {
+		ts.Fatalf("caller %s did not end", args[1])
+	}
+	var reports map[string]*caller.Report
+	ts.Check(json.Unmarshal([]byte(process.Output()), &reports))
+	for class, report := range reports {
+		r.keepOutcomes(report)
+		report.Orders = nil
+		line, _ := json.Marshal(report)
+		ts.Logf("%s: %s", class, line)
+		checkReport(ts, class, report, args[2:])
+	}
+}
+
+func checkReport(ts *testscript.TestScript, class string, report *caller.Report, conditions []string) {
+	if report.Mismatched > 0 {
+		ts.Fatalf("%s: %d answers did not belong to their request", class, report.Mismatched)
+	}
+	if report.Whole == 0 {
+		ts.Fatalf("%s: no call was answered", class)
+	}
+	for _, condition := range conditions {
+		switch condition {
+		case "whole":
+			if report.Whole != report.Sent {
+				ts.Fatalf("%s: %d of %d calls have no whole answer", class, report.Sent-report.Whole, report.Sent)
+			}
+		case "uncut":
+			if report.Broken > 0 || report.Unknown > 0 || report.Failed > 0 {
+				ts.Fatalf("%s: %d answers were broken, %d outcomes are unknown, %d failed", class, report.Broken, report.Unknown, report.Failed)
+			}
+		}
+	}
+}
+
+func (r *run) startCallers(ts *testscript.TestScript, name, region, duration string, classes []string) {
+	args := []string{"--duration", duration, "--list-orders", "--seed", fmt.Sprint(len(r.callersRunning) + 1), "--timeout", "8s"}
+	for _, host := range r.hosts(ts, region) {
+		args = append(args, "--node", host.CallAddress())
+	}
+	for _, class := range classes {
+		args = append(args, "--class", class)
+	}
+	process := r.fleet.NewCaller(name, args...)
+	ts.Check(process.Start())
+	r.callersRunning[name] = process
+}
+
+// keepOutcomes remembers what the caller was told of each order.
+func (r *run) keepOutcomes(report *caller.Report) {
+	if r.outcomes == nil {
+		r.outcomes = make(map[string]string)
+	}
+	for key, outcome := range report.Orders {
+		r.outcomes[key] = outcome
+	}
+}
+
+// orders compares what callers were told of each order with the logs of the
+// backend servers, which survive a kill: answered orders ran once, refused ones
+// never, and no order ran twice.
+func (r *run) orders(ts *testscript.TestScript, _ bool, _ []string) {
+	runs := r.runsByKey(ts)
+	counts := make(map[string]int)
+	for key, outcome := range r.outcomes {
+		counts[outcome]++
+		switch {
+		case runs[key] > 1:
+			ts.Fatalf("order %s (%s) ran %d times", key, outcome, runs[key])
+		case outcome == "whole" && runs[key] != 1:
+			ts.Fatalf("order %s was answered but never ran", key)
+		case outcome == "refused" && runs[key] != 0:
+			ts.Fatalf("order %s was refused as not run but ran", key)
+		}
+	}
+	for key, count := range runs {
+		if count > 1 {
+			ts.Fatalf("order %s ran %d times", key, count)
+		}
+	}
+	ts.Logf("orders by outcome: %v; %d keys ran", counts, len(runs))
+	if counts["whole"] == 0 {
+		ts.Fatalf("no order was answered")
+	}
+}
+
+// runsByKey counts the runs of each key in the logs of all backend servers.
+func (r *run) runsByKey(ts *testscript.TestScript) map[string]int {
+	runs := make(map[string]int)
+	for _, host := range r.fleet.Hosts {
+		file, err := os.Open(host.RunLog)
+		if os.IsNotExist(err) {
+			continue
+		}
+		ts.Check(err)
+		scanner := bufio.NewScanner(file)
+		for scanner.Scan() {
+			if key, _, _ := strings.Cut(scanner.Text(), " "); key != "" {
+				runs[key]++
+			}
+		}
+		file.Close()
+	}
+	return runs
+}
+
+// metric: metric HOSTS SUBSTRING waits until a metric line of each host contains
+// the substring and has a value above 0.
+func (r *run) metric(ts *testscript.TestScript, _ bool, args []string) {
+	for _, host := range r.hosts(ts, args[0]) {
+		if !r.waitMetric(host, args[1]) {
+			ts.Fatalf("%s has no metric %s above 0", host.Name, args[1])
+		}
+	}
+}
+
+func (r *run) waitMetric(host *fleet.Host, name string) bool {
+	for begin := time.Now(); time.Since(begin) < 5*time.Second; time.Sleep(100 * time.Millisecond) {
+		values, err := host.Metrics(r.ctx)
+		if err != nil {
+			continue
+		}
+		for line, value := range values {
+			if strings.Contains(line, name) && value > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/standin/scenario/run_test.go
@@ -0,0 +1,188 @@
+package scenario
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"rosemaryladder.dev/rosemaryladder/internal/standin/fleet"
+)
+
+// scriptLimit bounds one script.
+const scriptLimit = 3 * time.Minute
+
+// runKey is the key of the run in a script's environment.
+type runKey struct{}
+
+// run is the state of one script.
+type run struct {
+	ctx            context.Context
+	fleet          *fleet.Fleet
+	dir            string
+	callersRunning map[string]*fleet.Process
+
+	// outcomes is what callers were told of each order, by key.
+	outcomes map[string]string
+
+	// stopped holds the hosts whose node was killed, frozen or terminated.
+	stopped map[string]bool
+
+	mu sync.Mutex
+	// regressions holds nodes that were seen to go back to an older version.
+	regressions []string
+	stopWatch   context.CancelFunc
+	watching    sync.WaitGroup
+}
+
+func setup(env *testscript.Env) error {
+	ctx, cancel := context.WithTimeout(context.Background(), scriptLimit)
+	r := &run{ctx: ctx, dir: env.WorkDir, callersRunning: make(map[string]*fleet.Process)}
+	env.Values[runKey{}] = r
+	env.Defer(func() {
+		cancel()
+		r.watching.Wait()
+		if r.fleet != nil {
+			r.fleet.Stop()
+		}
+		for _, process := range r.callersRunning {
+			process.Kill()
+		}
+	})
+	return nil
+}
+
+// withRun gives a command the state of its script.
+func withRun(command func(*run, *testscript.TestScript, bool, []string)) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		command(ts.Value(runKey{}).(*run), ts, neg, args)
+	}
+}
+
+// fleetCommand: fleet DEPLOYMENT [direct] starts a deployment.
+func (r *run) fleetCommand(ts *testscript.TestScript, _ bool, args []string) {
+	deployment, err := fleet.ByName(args[0])
+	ts.Check(err)
+	options := fleet.Options{Deployment: deployment, Bin: binDir, Dir: r.dir, ServiceTime: 5 * time.Millisecond}
+	for _, option := range args[1:] {
+		options.Direct = options.Direct || option == "direct"
+	}
+	r.fleet, err = fleet.New(options)
+	ts.Check(err)
+	ts.Check(r.fleet.Start(r.ctx))
+	examples, err := filepath.Abs(filepath.Join("..", "..", "..", "examples"))
+	ts.Check(err)
+	ts.Setenv("TARGETS", filepath.Join(examples, deployment.Name+"-targets.ini"))
+}
+
+// hosts returns the hosts named by the argument: a host, a failure domain, a
+// region, "readers", "alive" (the first
+// whose node runs), "every-third" or "all".
+func (r *run) hosts(ts *testscript.TestScript, name string) []*fleet.Host {
+	var selected []*fleet.Host
+	for i, host := range r.fleet.Hosts {
+		if name == "alive" && host == r.alive() || name == "readers" && r.isReader(host) || name == "all" || name == "every-third" && i%3 == 0 ||
+			name == host.Name || name == host.FailureDomain || name == host.Region {
+			selected = append(selected, host)
+		}
+	}
+	if len(selected) == 0 {
+		ts.Fatalf("%q selects no host", name)
+	}
+	return selected
+}
+
+func (r *run) isReader(host *fleet.Host) bool {
+	report, err := host.Operator().Host(r.ctx, "")
+	return err == nil && report.Role == "reader"
+}
+
+var signals = map[string]syscall.Signal{
+	"kill": syscall.SIGKILL, "freeze": syscall.SIGSTOP, "wake": syscall.SIGCONT, "terminate": syscall.SIGTERM,
+}
+
+// signal: signal kill|freeze|wake|terminate node|server HOSTS sends a signal.
+func (r *run) signal(ts *testscript.TestScript, _ bool, args []string) {
+	selected := r.hostList(ts, args[2])
+	var names []string
+	for _, host := range selected {
+		r.process(host, args[1]).Signal(signals[args[0]])
+		r.noteSignal(host, args[0], args[1])
+		names = append(names, host.Name)
+	}
+	ts.Setenv("SIGNALLED", strings.Join(names, ","))
+}
+
+func (r *run) process(host *fleet.Host, kind string) *fleet.Process {
+	if kind == "server" {
+		return host.Server
+	}
+	return host.Node
+}
+
+// start: start node|server HOSTS starts programs that ended; hosts may be a
+// list separated by commas.
+func (r *run) start(ts *testscript.TestScript, _ bool, args []string) {
+	for _, host := range r.hostList(ts, args[1]) {
+		process := r.process(host, args[0])
+		if !process.Wait(5 * time.Second) {
+			ts.Fatalf("%s is still running", process.Name)
+		}
+		ts.Check(process.Start())
+		r.noteSignal(host, "start", args[0])
+	}
+}
+
+// noteSignal remembers which nodes run.
+func (r *run) noteSignal(host *fleet.Host, signal, kind string) {
+	if kind != "node" {
+		return
+	}
+	if r.stopped == nil {
+		r.stopped = make(map[string]bool)
+	}
+	r.stopped[host.Name] = signal != "wake" && signal != "start"
+}
+
+// alive returns the first host whose node was not stopped.
+func (r *run) alive() *fleet.Host {
+	for _, host := range r.fleet.Hosts {
+		if !r.stopped[host.Name] {
+			return host
+		}
+	}
+	return r.fleet.Hosts[0]
+}
+
+// hostList returns the hosts of a list separated by commas.
+func (r *run) hostList(ts *testscript.TestScript, list string) []*fleet.Host {
+	var selected []*fleet.Host
+	for name := range strings.SplitSeq(list, ",") {
+		selected = append(selected, r.hosts(ts, name)...)
+	}
+	return selected
+}
+
+// tool: [!] tool [via=HOST] ARGUMENTS runs the operators' tool. $CODE holds its
+// exit status.
+func (r *run) tool(ts *testscript.TestScript, neg bool, args []string) {
+	address := r.fleet.Hosts[1].OperatorAddress()
+	if via, found := strings.CutPrefix(args[0], "via="); found {
+		address = r.hosts(ts, via)[0].OperatorAddress()
+		args = args[1:]
+	}
+	command := exec.CommandContext(r.ctx, filepath.Join(binDir, "rosemaryladder"), append(args, "--node", address)...)
+	command.Dir = r.dir
+	output, err := command.CombinedOutput()
+	ts.Logf("%s", output)
+	ts.Setenv("OUTPUT", string(output))
+	ts.Check(writeFile(r.dir, "output", output))
+	if (err != nil) != neg {
+		ts.Fatalf("rosemaryladder %v: %v", args, err)
+	}
+}
--- /dev/null
+++ b/internal/standin/scenario/versions_test.go
@@ -0,0 +1,99 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"rosemaryladder.dev/rosemaryladder/internal/standin/fleet"
+)
+
+// watchInterval is how often a watched node is asked for its version.
+const watchInterval = 50 * time.Millisecond
+
+// watchVersions: watch start asks every node for its version all the time;
+// watch stop fails when a node went back, also across a restart once it serves.
+func (r *run) watchVersions(ts *testscript.TestScript, _ bool, args []string) {
+	if args[0] == "start" {
+		ctx, cancel := context.WithCancel(r.ctx)
+		r.stopWatch = cancel
+		for _, host := range r.fleet.Hosts {
+			r.watching.Go(func() { r.watchHost(ctx, host) })
+		}
+		return
+	}
+	r.stopWatch()
+	r.watching.Wait()
+	if len(r.regressions) > 0 {
+		ts.Fatalf("nodes went back:\n%s", strings.Join(r.regressions, "\n"))
+	}
+}
+
+func (r *run) watchHost(ctx context.Context, host *fleet.Host) {
+	client := host.Operator()
+	var highest uint64
+	for ctx.Err() == nil {
+		report, err := client.Host(ctx, "")
+		if err == nil && report.Ready && report.Version < highest {
+			r.mu.Lock()
+			r.regressions = append(r.regressions, fmt.Sprintf("%s served version %d after %d", host.Name, report.Version, highest))
+			r.mu.Unlock()
+		}
+		if err == nil && report.Ready {
+			highest = max(highest, report.Version)
+		}
+		time.Sleep(watchInterval)
+	}
+}
+
+// converged: [!] converged VERSION WITHIN [except HOSTS] waits until every node
+// has at least the version in force and serves.
+func (r *run) converged(ts *testscript.TestScript, neg bool, args []string) {
+	version, err := strconv.ParseUint(args[0], 10, 64)
+	ts.Check(err)
+	limit, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	skipped := make(map[string]bool)
+	if len(args) > 3 {
+		for _, host := range r.hostList(ts, args[3]) {
+			skipped[host.Name] = true
+		}
+	}
+	begin := time.Now()
+	behind := r.behind(version, skipped)
+	for len(behind) > 0 && time.Since(begin) < limit {
+		time.Sleep(10 * time.Millisecond)
+		behind = r.behind(version, skipped)
+	}
+	if (len(behind) > 0) != neg {
+		ts.Fatalf("after %s these nodes do not have version %d in force: %s", time.Since(begin), version, strings.Join(behind, ", "))
+	}
+	ts.Logf("version %d: %d nodes behind after %s", version, len(behind), time.Since(begin).Round(time.Millisecond))
+}
+
+// behind names the nodes that do not serve the version or a newer one.
+func (r *run) behind(version uint64, skipped map[string]bool) []string {
+	var behind []string
+	for _, host := range r.fleet.Hosts {
+		if skipped[host.Name] {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(r.ctx, time.Second)
+		report, err := host.Operator().Host(ctx, "")
+		cancel()
+		if err != nil || !report.Ready || report.Version < version {
+			behind = append(behind, fmt.Sprintf("%s at %d", host.Name, report.Version))
+		}
+	}
+	return behind
+}
+
+func writeFile(dir, name string, data []byte) error {
+	return os.WriteFile(filepath.Join(dir, name), data, 0o600)
+}
