Add at-most-once claims

A shard is a head value that only grows, plus sealed segments. A write appends to the head with compare and swap, so an owner's copy is valid exactly when its write succeeds; any number of owners may write at once. After a lost answer the owner reads back and looks for the ids of the attempts themselves, which is finer than a batch id and also holds when two owners carry the same attempt. A release is recorded even for an unknown claim, so that an owner that still carries the claim can never grant it later.

--- /dev/null
+++ b/internal/claim/claim.go
@@ -0,0 +1,91 @@
+package claim
+
+import (
+	"encoding/base64"
+	"time"
+	"unicode/utf8"
+
+	"github.com/google/uuid"
+
+	"rosemaryladder.dev/rosemaryladder/internal/controlpb"
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+const (
+	// MaxKeyBytes bounds the key of a call, because every claim stays in the
+	// store for a day.
+	MaxKeyBytes = 256
+	// maxNameBytes bounds the names of services and nodes and the claim ids.
+	maxNameBytes = 128
+)
+
+// Claim records that one node may run the call with a key.
+type Claim struct {
+	Service string
+	Key     string
+	// Fingerprint is the hash of method, path and body.
+	Fingerprint uint64
+	// Node and Incarnation name the process that may run the call.
+	Node        string
+	Incarnation uint64
+	At          time.Time
+	// ID tells this attempt from every other one for the same key.
+	ID string
+}
+
+// NewID returns an id that no other attempt has.
+func NewID() string {
+	id := uuid.New()
+	return base64.RawURLEncoding.EncodeToString(id[:])
+}
+
+// Validate returns an error that names the invalid field.
+func (c Claim) Validate() error {
+	fields := []struct {
+		name, value string
+		limit       int
+	}{
+		{"Idempotency-Key", c.Key, MaxKeyBytes},
+		{"service", c.Service, maxNameBytes},
+		{"node", c.Node, maxNameBytes},
+		{"claim id", c.ID, maxNameBytes},
+	}
+	for _, field := range fields {
+		if field.value == "" || len(field.value) > field.limit || !utf8.ValidString(field.value) {
+			return result.Errorf(result.BadRequest, "the %s is not 1 to %d bytes of UTF-8", field.name, field.limit)
+		}
+	}
+	return nil
+}
+
+// WonBy reports whether the claim belongs to the attempt with the id.
+func (c Claim) WonBy(id string) bool { return c.ID == id }
+
+// name identifies the call that the claim is for.
+func (c Claim) name() string { return c.Service + "\x00" + c.Key }
+
+// toProto returns the message of the claim.
+func (c Claim) toProto() *controlpb.Claim {
+	return &controlpb.Claim{
+		Service:     c.Service,
+		Key:         c.Key,
+		Fingerprint: c.Fingerprint,
+		Node:        c.Node,
+		Incarnation: c.Incarnation,
+		AtUnixMs:    c.At.UnixMilli(),
+		Id:          c.ID,
+	}
+}
+
+// fromProto returns the claim of a message.
+func fromProto(message *controlpb.Claim) Claim {
+	return Claim{
+		Service:     message.GetService(),
+		Key:         message.GetKey(),
+		Fingerprint: message.GetFingerprint(),
+		Node:        message.GetNode(),
+		Incarnation: message.GetIncarnation(),
+		At:          time.UnixMilli(message.GetAtUnixMs()),
+		ID:          message.GetId(),
+	}
+}
--- a/internal/claim/claimer.go
+++ b/internal/claim/claimer.go
@@ -13,20 +13,6 @@
 // Retention is how long a claim is kept, counted from the first attempt.
 const Retention = 24 * time.Hour
 
-// Claim records that one node may run the call with a key.
-type Claim struct {
-	Service string
-	Key     string
-	// Fingerprint is the hash of method, path and body.
-	Fingerprint uint64
-	// Node and Incarnation name the process that may run the call.
-	Node        string
-	Incarnation uint64
-	At          time.Time
-	// ID tells this attempt from every other one for the same key.
-	ID string
-}
-
 // Claimer records claims in the store.
 type Claimer interface {
 	// Claim returns the claim in force for the key. The claim is won when the
--- /dev/null
+++ b/internal/claim/conn_pool.go
@@ -0,0 +1,107 @@
+package claim
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"rosemaryladder.dev/rosemaryladder/internal/dial"
+)
+
+const (
+	// maxConns bounds the connections to other nodes: two owners of each shard,
+	// and some nodes that are asked for kept answers.
+	maxConns = 2*Shards + 16
+	// connIdle closes connections that are not used.
+	connIdle = 5 * time.Minute
+)
+
+// connPool keeps gRPC connections by address. It is safe for concurrent use.
+type connPool struct {
+	dialer dial.Dialer
+	now    func() time.Time
+
+	mu    sync.Mutex
+	conns map[string]*pooledConn
+}
+
+// pooledConn is a connection with the time of its last use.
+type pooledConn struct {
+	conn *grpc.ClientConn
+	used time.Time
+	// silentUntil is set after the owner did not acknowledge a request.
+	silentUntil time.Time
+}
+
+func newConnPool(dialer dial.Dialer, now func() time.Time) *connPool {
+	return &connPool{dialer: dialer, now: now, conns: make(map[string]*pooledConn)}
+}
+
+// get returns a connection to an address.
+func (p *connPool) get(address string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pooled := p.conns[address]
+	if pooled == nil {
+		conn, err := p.connect(address)
+		if err != nil {
+			return nil, err
+		}
+		p.evict()
+		pooled = &pooledConn{conn: conn}
+		p.conns[address] = pooled
+	}
+	if p.now().Before(pooled.silentUntil) {
+		return nil, errNoOwner
+	}
+	pooled.used = p.now()
+	return pooled.conn, nil
+}
+
+func (p *connPool) connect(address string) (*grpc.ClientConn, error) {
+	reconnect := backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(p.dialer.Dial),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: dial.DefaultTimeout}),
+		grpc.WithIdleTimeout(connIdle),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(),
+	)
+}
+
+// silence keeps requests away from an address for a moment.
+func (p *connPool) silence(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pooled := p.conns[address]; pooled != nil {
+		pooled.silentUntil = p.now().Add(silence)
+	}
+}
+
+// evict closes the least recently used connection when the pool is full.
+func (p *connPool) evict() {
+	if len(p.conns) < maxConns {
+		return
+	}
+	oldest := ""
+	for address, pooled := range p.conns {
+		if oldest == "" || pooled.used.Before(p.conns[oldest].used) {
+			oldest = address
+		}
+	}
+	p.conns[oldest].conn.Close()
+	delete(p.conns, oldest)
+}
+
+func (p *connPool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, pooled := range p.conns {
+		pooled.conn.Close()
+		delete(p.conns, address)
+	}
+}
--- /dev/null
+++ b/internal/claim/record.go
@@ -0,0 +1,28 @@
+package claim
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"rosemaryladder.dev/rosemaryladder/internal/controlpb"
+)
+
+// record is one entry of a shard: a claim, or the release of the claim with the
+// same id.
+type record struct {
+	claim   Claim
+	release bool
+}
+
+// hash is the hash under which the indexes keep the record.
+func (r record) hash() uint64 { return hashName(r.claim.name()) }
+
+// hashName hashes what Claim.name returns.
+func hashName(name string) uint64 { return xxhash.Sum64String(name) }
+
+func (r record) toProto() *controlpb.ClaimRecord {
+	if !r.release {
+		return &controlpb.ClaimRecord{Claim: r.claim.toProto()}
+	}
+	released := &controlpb.Claim{Service: r.claim.Service, Key: r.claim.Key, Id: r.claim.ID}
+	return &controlpb.ClaimRecord{Claim: released, Release: true}
+}
--- /dev/null
+++ b/internal/claim/request.go
@@ -0,0 +1,14 @@
+package claim
+
+// request asks to record a claim or its release.
+type request struct {
+	claim   Claim
+	release bool
+}
+
+// outcome answers a request.
+type outcome struct {
+	// holder is the claim in force for the key; unused for a release.
+	holder Claim
+	err    error
+}
--- /dev/null
+++ b/internal/claim/segment_index.go
@@ -0,0 +1,25 @@
+package claim
+
+import "slices"
+
+// segmentIndex holds the sorted key hashes of a sealed segment. It tells which
+// segments may hold a key; the records themselves stay in the store. It takes 8
+// bytes for each record.
+type segmentIndex struct {
+	name   segmentName
+	hashes []uint64
+}
+
+func newSegmentIndex(name segmentName, records []record) segmentIndex {
+	hashes := make([]uint64, len(records))
+	for i, r := range records {
+		hashes[i] = r.hash()
+	}
+	slices.Sort(hashes)
+	return segmentIndex{name: name, hashes: slices.Clip(slices.Compact(hashes))}
+}
+
+func (s segmentIndex) mayHold(hash uint64) bool {
+	_, found := slices.BinarySearch(s.hashes, hash)
+	return found
+}
--- a/internal/controlpb/generate.sh
+++ b/internal/controlpb/generate.sh
@@ -8,4 +8,4 @@
 PATH="$bin:$PATH" protoc -I proto \
   --go_out=. --go_opt=module=rosemaryladder.dev/rosemaryladder \
   --go-grpc_out=. --go-grpc_opt=module=rosemaryladder.dev/rosemaryladder \
-  proto/control.proto
+  proto/*.proto
