relay: add the distribution tree, repair, readiness and fleet status

Decisions (rank, relay count, parents, repair, readiness, merging of reports) are pure functions or states in their own files; the transport is the gRPC service Distribution. Publication is guarded by version and validity in one place, the inbox, whatever way a version came.

The scenario found a fault: a relay whose last child had left sent no further report, so its parent kept the old counts and a node was counted twice (6 of 5 reported). An empty report now withdraws them. It also found that the first unreadable document was not recorded as refused, because its digest equals the empty one.

No latency between regions was simulated.

--- a/internal/config/encoding.go
+++ b/internal/config/encoding.go
@@ -96,3 +96,11 @@
 }
 
 func hashOf(plain []byte) uint64 { return xxhash.Sum64(plain) }
+
+// HashMatches reports whether the compressed document is the one that the
+// digest names, whatever it holds. A match tells a document that was refused
+// for its content from one that was damaged on the way.
+func HashMatches(data []byte, digest Digest) bool {
+	plain, err := decompress(data)
+	return err == nil && hashOf(plain) == digest.Hash
+}
--- /dev/null
+++ b/internal/relay/connections.go
@@ -0,0 +1,106 @@
+package relay
+
+import (
+	"sync"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/stats"
+
+	"rosemaryladder.dev/rosemaryladder/internal/dial"
+	"rosemaryladder.dev/rosemaryladder/internal/member"
+	"rosemaryladder.dev/rosemaryladder/internal/store"
+)
+
+const (
+	// maxConnections bounds the open connections for single requests.
+	maxConnections = 8
+	// maxMessageBytes admits a complete document with its frame.
+	maxMessageBytes = store.MaxValueBytes + 64<<10
+)
+
+// connections opens gRPC connections to other nodes and keeps some of them for
+// single requests.
+type connections struct {
+	dialer  dial.Dialer
+	view    func() *member.View
+	traffic stats.Handler
+
+	mu     sync.Mutex
+	open   map[string]*grpc.ClientConn
+	oldest []string
+}
+
+func newConnections(dialer dial.Dialer, view func() *member.View, traffic stats.Handler) *connections {
+	return &connections{dialer: dialer, view: view, traffic: traffic, open: make(map[string]*grpc.ClientConn)}
+}
+
+// dial returns a new connection to the node, which the caller closes.
+func (c *connections) dial(node string) (*grpc.ClientConn, error) {
+	address, err := c.address(node)
+	if err != nil {
+		return nil, err
+	}
+	return c.dialAddress(address)
+}
+
+// shared returns a kept connection to the node.
+func (c *connections) shared(node string) (*grpc.ClientConn, error) {
+	address, err := c.address(node)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, found := c.open[address]; found {
+		return conn, nil
+	}
+	conn, err := c.dialAddress(address)
+	if err != nil {
+		return nil, err
+	}
+	c.makeRoom()
+	c.open[address] = conn
+	c.oldest = append(c.oldest, address)
+	return conn, nil
+}
+
+// close closes the kept connections.
+func (c *connections) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.open {
+		conn.Close()
+	}
+	clear(c.open)
+	c.oldest = nil
+}
+
+func (c *connections) makeRoom() {
+	if len(c.oldest) < maxConnections {
+		return
+	}
+	c.open[c.oldest[0]].Close()
+	delete(c.open, c.oldest[0])
+	c.oldest = c.oldest[1:]
+}
+
+func (c *connections) address(node string) (string, error) {
+	record, found := c.view().Node(node)
+	if !found {
+		return "", errors.Errorf("node %q is not a member", node)
+	}
+	return record.ControlAddress(), nil
+}
+
+func (c *connections) dialAddress(address string) (*grpc.ClientConn, error) {
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithContextDialer(c.dialer.Dial),
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithStatsHandler(c.traffic),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithDisableServiceConfig(),
+	)
+	return conn, errors.Wrapf(err, "connect to %s", address)
+}
--- /dev/null
+++ b/internal/relay/fake_store_test.go
@@ -0,0 +1,78 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/store"
+)
+
+// fakeStore keeps one key in memory and wakes its watches.
+type fakeStore struct {
+	mu      sync.Mutex
+	value   store.Value
+	changed chan struct{}
+	down    bool
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{changed: make(chan struct{})} }
+
+func (f *fakeStore) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+func (f *fakeStore) read() (store.Value, chan struct{}, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return store.Value{}, nil, store.ErrNotSent
+	}
+	return f.value, f.changed, nil
+}
+
+func (f *fakeStore) Get(context.Context, string) (store.Value, error) {
+	value, _, err := f.read()
+	return value, err
+}
+
+func (f *fakeStore) GetNewer(ctx context.Context, key string, _ store.Revision) (store.Value, error) {
+	return f.Get(ctx, key)
+}
+
+func (f *fakeStore) CompareAndSwap(_ context.Context, _ string, expected store.Revision, data []byte, _ store.LeaseID) (store.Revision, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return 0, store.ErrNotSent
+	}
+	if f.value.Revision != expected {
+		return 0, store.ErrConflict
+	}
+	f.value = store.Value{Data: data, Revision: expected + 1}
+	close(f.changed)
+	f.changed = make(chan struct{})
+	return f.value.Revision, nil
+}
+
+func (f *fakeStore) Watch(ctx context.Context, _ string, known store.Revision) (store.Value, error) {
+	for {
+		value, changed, err := f.read()
+		if err != nil || value.Revision > known {
+			return value, err
+		}
+		select {
+		case <-ctx.Done():
+			return store.Value{}, ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+func (f *fakeStore) Grant(context.Context, time.Duration) (store.LeaseID, error) { return 1, nil }
+
+func (f *fakeStore) KeepAlive(context.Context, store.LeaseID) error { return nil }
+
+func (f *fakeStore) Revoke(context.Context, store.LeaseID) error { return nil }
--- /dev/null
+++ b/internal/relay/follower.go
@@ -0,0 +1,217 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+
+	"rosemaryladder.dev/rosemaryladder/internal/config"
+	"rosemaryladder.dev/rosemaryladder/internal/controlpb"
+	"rosemaryladder.dev/rosemaryladder/internal/event"
+)
+
+const (
+	// reportInterval is the shortest time between two reports to a parent.
+	reportInterval = 20 * time.Millisecond
+	// upkeepInterval is how often a follower checks its parent and repeats a
+	// report that names laggards, whose age grows.
+	upkeepInterval = 250 * time.Millisecond
+	// statisticsInterval is how often the objective statistics are sent up.
+	statisticsInterval = 10 * time.Second
+)
+
+// follower is the child's end of one subscription.
+type follower struct {
+	relay  *Relay
+	parent string
+	client controlpb.DistributionClient
+	stream grpc.BidiStreamingClient[controlpb.ChildMessage, controlpb.ParentMessage]
+	// served is set when the parent accepted the subscription.
+	served bool
+	// reported is the last report sent, at first the empty one, and reportedAt
+	// its time. An empty report after another withdraws the earlier counts.
+	reported   *controlpb.Report
+	reportedAt time.Time
+}
+
+// run subscribes and applies what the parent sends until either side leaves.
+func (f *follower) run(ctx context.Context) error {
+	conn, err := f.relay.connections.dial(f.parent)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	f.client = controlpb.NewDistributionClient(conn)
+	if f.stream, err = f.client.Subscribe(ctx); err != nil {
+		return err
+	}
+	changed := f.relay.options.Holder.Changed()
+	if err := f.sendHeld(); err != nil {
+		return err
+	}
+	return f.loop(ctx, changed)
+}
+
+func (f *follower) loop(ctx context.Context, changed <-chan struct{}) error {
+	messages := make(chan *controlpb.ParentMessage)
+	failed := make(chan error, 1)
+	go func() { failed <- f.receive(ctx, messages) }()
+	silence := time.NewTimer(silenceTimeout)
+	defer silence.Stop()
+	upkeep := time.NewTicker(upkeepInterval)
+	defer upkeep.Stop()
+	report := time.NewTimer(reportInterval)
+	defer report.Stop()
+	statistics := time.NewTicker(statisticsInterval)
+	defer statistics.Stop()
+	for {
+		var err error
+		select {
+		case err = <-failed:
+		case message := <-messages:
+			silence.Reset(silenceTimeout)
+			err = f.handle(ctx, message)
+		case <-silence.C:
+			f.relay.counters.silences.Inc(1)
+			err = errors.Errorf("parent %q was silent for %s", f.parent, silenceTimeout)
+		case <-changed:
+			changed = f.relay.options.Holder.Changed()
+			err = f.sendHeld()
+		case <-f.relay.children.changed:
+			report.Reset(max(0, reportInterval-time.Since(f.reportedAt)))
+		case <-report.C:
+			err = f.sendReport()
+		case <-upkeep.C:
+			err = f.upkeep()
+		case <-statistics.C:
+			err = f.sendStatistics()
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// receive passes the parent's messages on until the stream ends.
+func (f *follower) receive(ctx context.Context, messages chan<- *controlpb.ParentMessage) error {
+	for {
+		message, err := f.stream.Recv()
+		if err != nil {
+			return err
+		}
+		select {
+		case messages <- message:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (f *follower) handle(ctx context.Context, message *controlpb.ParentMessage) error {
+	switch body := message.Body.(type) {
+	case *controlpb.ParentMessage_Update:
+		f.heard(body.Update.GetTo())
+		return f.accept(ctx, body.Update)
+	case *controlpb.ParentMessage_Heartbeat:
+		f.heard(body.Heartbeat)
+		return f.compare(body.Heartbeat)
+	case *controlpb.ParentMessage_Redirect:
+		return errors.Errorf("parent %q has no room", f.parent)
+	}
+	return nil
+}
+
+func (f *follower) heard(digest *controlpb.Digest) {
+	f.served = true
+	f.relay.subscription.heardFrom(f.parent, digest)
+	f.relay.inbox.heardOf(digest.GetVersion())
+}
+
+// accept applies an update. When the update does not lead from what the node
+// holds, because another one came first, it fetches one that does.
+func (f *follower) accept(ctx context.Context, update *controlpb.Update) error {
+	err := f.relay.inbox.accept(update, f.parent, true)
+	if errors.Is(err, errNeedDocument) {
+		err = f.relay.fetch(ctx, f.client, f.parent, true)
+	}
+	return err
+}
+
+// compare acts on the parent's digest. Other content at the same version is an
+// error; the parent sends the complete document when the node names its digest.
+func (f *follower) compare(heartbeat *controlpb.Digest) error {
+	digest := fromProto(heartbeat)
+	held := f.relay.options.Holder.Current().Digest()
+	if digest.Version != held.Version || digest == held {
+		f.relay.repairer.observe(f.parent, digest)
+		return nil
+	}
+	f.relay.reportMismatch(f.parent, held)
+	return f.sendHeld()
+}
+
+// sendHeld names the digest in force to the parent.
+func (f *follower) sendHeld() error {
+	view := f.relay.options.View()
+	return f.stream.Send(&controlpb.ChildMessage{
+		Node:  view.Self.ID,
+		Held:  toProto(f.relay.options.Holder.Current().Digest()),
+		Level: uint32(RoleOf(view, f.relay.options.Lease.Held())),
+	})
+}
+
+// sendReport sends the sum of the reports when it changed. A parent in another
+// region asks for it when it is wanted, which saves bytes on the link.
+func (f *follower) sendReport() error {
+	if f.crossesRegions() {
+		return nil
+	}
+	report := f.relay.reporter.outgoing()
+	if proto.Equal(report, f.reported) {
+		return nil
+	}
+	f.reported = report
+	f.reportedAt = time.Now()
+	return f.stream.Send(&controlpb.ChildMessage{Report: report})
+}
+
+// sendStatistics sends the report with the statistics of the node and those
+// below it.
+func (f *follower) sendStatistics() error {
+	statistics := f.relay.reporter.statistics()
+	if len(statistics) == 0 || f.crossesRegions() {
+		return nil
+	}
+	report := &controlpb.Report{Burn: statistics}
+	outgoing := f.relay.reporter.outgoing()
+	report.Domains, report.Laggards, report.Accepted = outgoing.Domains, outgoing.Laggards, outgoing.Accepted
+	return f.stream.Send(&controlpb.ChildMessage{Report: report})
+}
+
+// crossesRegions reports whether the parent is in another region.
+func (f *follower) crossesRegions() bool {
+	view := f.relay.options.View()
+	parent, found := view.Node(f.parent)
+	return found && parent.Region != view.Self.Region
+}
+
+// upkeep leaves a parent that is none any more and refreshes the report.
+func (f *follower) upkeep() error {
+	if !f.relay.subscription.eligible(f.parent) {
+		return errors.Errorf("node %q is no parent of this node any more", f.parent)
+	}
+	return f.sendReport()
+}
+
+// reportMismatch records that another node holds other content at the same
+// version.
+func (r *Relay) reportMismatch(node string, held config.Digest) {
+	r.counters.mismatches.Inc(1)
+	r.options.Events.Record(event.Event{
+		Kind: event.KindConfig, Subject: versionText(held.Version),
+		Message: "the content of version " + versionText(held.Version) + " differs from that of node " + node,
+	})
+}
--- /dev/null
+++ b/internal/relay/parents.go
@@ -0,0 +1,53 @@
+package relay
+
+import (
+	"slices"
+
+	"rosemaryladder.dev/rosemaryladder/internal/member"
+)
+
+// Parents returns the ids of the nodes that the view's own node may subscribe
+// to, best first. It is empty for the root of the tree.
+func Parents(view *member.View, role Role, storeRegion string) []string {
+	self := view.Self
+	switch {
+	case role == RoleReader && self.Region == storeRegion:
+		return nil
+	case role == RoleReader:
+		return regionParents(view, storeRegion)
+	case role == RoleRelay:
+		return regionParents(view, self.Region)
+	}
+	return without(rank("child "+self.ID, Relays(view, self.FailureDomain)), self.ID)
+}
+
+// regionParents returns the readers of a region. While no node says that it is
+// the reader, the candidates stand in, and each follows only those of better
+// rank, so that no cycle forms.
+func regionParents(view *member.View, region string) []string {
+	self := view.Self.ID
+	if readers := without(Readers(view, region), self); len(readers) > 0 {
+		return readers
+	}
+	candidates := ReaderCandidates(view, region)
+	if own := slices.Index(candidates, self); own >= 0 {
+		return candidates[:own]
+	}
+	return candidates
+}
+
+// ChooseParent returns the first parent that is not avoided. When all are, it
+// returns the first, because a failed parent may be back.
+func ChooseParent(parents []string, avoided func(id string) bool) (string, bool) {
+	if len(parents) == 0 {
+		return "", false
+	}
+	if index := slices.IndexFunc(parents, func(id string) bool { return !avoided(id) }); index >= 0 {
+		return parents[index], true
+	}
+	return parents[0], true
+}
+
+func without(ids []string, unwanted string) []string {
+	return slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return id == unwanted })
+}
--- /dev/null
+++ b/internal/relay/scenario_test.go
@@ -0,0 +1,140 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/config"
+	"rosemaryladder.dev/rosemaryladder/internal/controlpb"
+	"rosemaryladder.dev/rosemaryladder/internal/member"
+)
+
+// inForceLimit is the stated limit of I9.
+const inForceLimit = 3 * time.Second
+
+// TestDistribution guards I9 while relays and readers die, the store is down, a
+// bad version is stored and nodes start anew.
+func TestDistribution(t *testing.T) {
+	c := newCluster(t)
+	c.fill(5)
+	c.within(2*inForceLimit, "all serve without a document", c.allServe)
+	version := c.change("south-1-02")
+	c.within(inForceLimit, "quiet change", func() bool { return c.allAt(version) })
+	c.within(inForceLimit, "status of the fleet", func() bool {
+		fleet := c.nodes["south-0-01"].relay.Fleet(context.Background())
+		return fleet.InForce(version) && len(fleet.Domains) == 4 && fleet.Domains[0].Expected == 5 && fleet.Partial == ""
+	})
+
+	view := c.nodes["north-0-00"].view()
+	for _, domain := range []string{"north-0", "south-1"} {
+		for _, id := range Relays(view, domain) {
+			c.kill(id)
+		}
+	}
+	for _, region := range []string{"north", "south"} {
+		for _, id := range Readers(view, region) {
+			c.kill(id)
+		}
+	}
+	version = c.change(c.ids()[0])
+	c.within(inForceLimit, "change with readers and relays killed", func() bool { return c.allAt(version) })
+
+	c.setReader(ReaderCandidates(c.nodes[c.ids()[0]].view(), "north")[0], true)
+	c.store.setDown(true)
+	restarted := c.ids()[1]
+	c.kill(restarted)
+	time.Sleep(400 * time.Millisecond)
+	record, _ := c.nodes[restarted].view().Node(restarted)
+	c.start(restarted, record.Region, record.FailureDomain)
+	c.within(2*inForceLimit, "restart while the store is down", func() bool {
+		return c.nodes[restarted].relay.MayServe() && c.nodes[restarted].holder.Current().Version() == version
+	})
+	c.store.setDown(false)
+
+	value, _, _ := c.store.read()
+	revision := value.Revision
+	if _, err := c.store.CompareAndSwap(context.Background(), config.StoreKey, revision, []byte("bad"), 0); err != nil {
+		t.Fatal(err)
+	}
+	reader := c.nodes[Readers(c.nodes[c.ids()[0]].view(), "north")[0]]
+	c.within(inForceLimit, "refusal of a bad version", func() bool { return reader.holder.LastRejection() != nil })
+	good, err := config.Apply(reader.holder.Current(), config.Change{ID: "good", Targets: []config.TargetUpsert{{Target: testTarget(50)}}}, config.Rules{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, _ := good.Encode()
+	if _, err := c.store.CompareAndSwap(context.Background(), config.StoreKey, revision+1, data, 0); err != nil {
+		t.Fatal(err)
+	}
+	c.within(inForceLimit, "good version after a bad one", func() bool { return c.allAt(version + 1) })
+}
+
+// TestRestartKnowsNewestVersion guards I1 across a restart: a node that starts
+// anew does not serve before it holds what its peers hold.
+func TestRestartKnowsNewestVersion(t *testing.T) {
+	c := newCluster(t)
+	c.fill(2)
+	version := c.change("north-0-00")
+	c.within(2*inForceLimit, "all serve", func() bool { return c.allServe() && c.allAt(version) })
+	for range 5 {
+		c.kill("south-0-00")
+		time.Sleep(400 * time.Millisecond)
+		node := c.start("south-0-00", "south", "south-0")
+		<-node.relay.Serving()
+		if held := node.holder.Current().Version(); held != version {
+			t.Fatalf("serves version %d instead of %d", held, version)
+		}
+	}
+}
+
+// TestFrozenNodeIsNamed guards the status: a node that neither confirms nor
+// answers is named with its reason, and the version is not said to be in force.
+func TestFrozenNodeIsNamed(t *testing.T) {
+	c := newCluster(t)
+	c.fill(3)
+	version := c.change("north-0-00")
+	c.within(2*inForceLimit, "all at the version", func() bool { return c.allAt(version) && c.allServe() })
+	c.nodes["south-0-01"].stop()
+	c.edit("south-0-01", func(record *member.Record) { record.State = member.Suspect })
+	version = c.change("north-0-00")
+	c.within(inForceLimit, "the frozen node is named", func() bool {
+		fleet := c.nodes["north-1-00"].relay.Fleet(context.Background())
+		return len(fleet.Laggards) == 1 && fleet.Laggards[0].Node == "south-0-01" && !fleet.InForce(version)
+	})
+	c.edit("south-0-01", func(record *member.Record) { record.State = member.Dead })
+	c.within(inForceLimit, "in force on the rest", func() bool {
+		return c.nodes["north-1-00"].relay.Fleet(context.Background()).InForce(version)
+	})
+}
+
+// TestReportWithoutChildrenWithdrawsCounts guards against nodes that are
+// counted twice: a relay whose last child left must withdraw the counts that it
+// reported before. Without the empty report the sum kept the child.
+func TestReportWithoutChildrenWithdrawsCounts(t *testing.T) {
+	c := newCluster(t)
+	c.fill(2)
+	c.within(2*inForceLimit, "all serve", c.allServe)
+	reader := c.nodes[Readers(c.nodes["north-0-00"].view(), "north")[0]]
+	parent := c.nodes[Relays(reader.view(), "north-1")[0]]
+	reported := func() int {
+		return NewFleet(reader.relay.reporter.sum(), reader.view()).domain("north", "north-1").Reported
+	}
+	conn, err := parent.relay.connections.dial(parent.id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	stream, err := controlpb.NewDistributionClient(conn).Subscribe(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := stream.Send(&controlpb.ChildMessage{Node: "stranger", Held: &controlpb.Digest{}}); err != nil {
+		t.Fatal(err)
+	}
+	c.within(inForceLimit, "the child is counted", func() bool { return reported() == 3 })
+	leave()
+	c.within(inForceLimit, "the child is not counted any more", func() bool { return reported() == 2 })
+}
--- /dev/null
+++ b/internal/relay/store_reader.go
@@ -0,0 +1,127 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/config"
+	"rosemaryladder.dev/rosemaryladder/internal/store"
+)
+
+const (
+	// readerSilence is how long the reader of the other region hears nothing
+	// before it reads the store itself.
+	readerSilence = time.Second
+	// storePollInterval is how often it then does so.
+	storePollInterval = time.Second
+	// firstStoreBackoff and maxStoreBackoff bound the jittered wait after a
+	// failed store call.
+	firstStoreBackoff = 50 * time.Millisecond
+	maxStoreBackoff   = time.Second
+	// storeReadTimeout bounds one read.
+	storeReadTimeout = 2 * time.Second
+)
+
+// storeReader reads the document from the store while the node holds the reader
+// lease.
+type storeReader struct {
+	relay *Relay
+	// revision is the newest revision read.
+	revision store.Revision
+}
+
+// run watches or polls the store while the lease is held.
+func (s *storeReader) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := s.relay.options.Lease.Changed()
+		if s.relay.options.Lease.Held() {
+			s.whileHeld(ctx, changed)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
+func (s *storeReader) whileHeld(ctx context.Context, lost <-chan struct{}) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-lost:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	if s.relay.readsStore() {
+		s.watch(ctx)
+	} else {
+		s.poll(ctx)
+	}
+}
+
+// watch keeps one waiting watch on the document.
+func (s *storeReader) watch(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		s.relay.counters.storeWatches.Inc(1)
+		value, err := s.relay.options.Store.Watch(ctx, config.StoreKey, s.revision)
+		if err == nil && s.apply(value) {
+			failures = 0
+			continue
+		}
+		// An answer that brings nothing new is treated as a failure, so that a
+		// store that answers with old values is not asked in a busy loop.
+		s.failed(ctx, err)
+		sleep(ctx, fullJitter(firstStoreBackoff, maxStoreBackoff, failures, s.relay.options.Random()))
+		failures++
+	}
+}
+
+// poll reads the store while nothing comes from the reader of its region.
+func (s *storeReader) poll(ctx context.Context) {
+	since := s.relay.options.Now()
+	for sleep(ctx, around(storePollInterval, s.relay.options.Random())) {
+		heard := s.relay.subscription.lastHeard()
+		if heard.Before(since) {
+			heard = since
+		}
+		if s.relay.options.Now().Sub(heard) >= readerSilence {
+			s.read(ctx)
+		}
+	}
+}
+
+func (s *storeReader) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeReadTimeout)
+	defer cancel()
+	s.relay.counters.storeReads.Inc(1)
+	value, err := s.relay.options.Store.GetNewer(ctx, config.StoreKey, s.revision)
+	if err != nil {
+		s.failed(ctx, err)
+		return
+	}
+	if !s.apply(value) {
+		s.relay.readiness.storeNamed(s.relay.options.Holder.Current().Version())
+	}
+}
+
+func (s *storeReader) failed(ctx context.Context, err error) {
+	if err != nil && ctx.Err() == nil {
+		s.relay.counters.storeFailures.Inc(1)
+	}
+}
+
+// apply puts a value in force; false when it is not newer than what was read
+// before.
+func (s *storeReader) apply(value store.Value) bool {
+	if value.Revision <= s.revision || len(value.Data) == 0 {
+		return false
+	}
+	s.revision = value.Revision
+	s.relay.inbox.acceptStored(value.Data)
+	s.relay.readiness.storeNamed(s.relay.options.Holder.Current().Version())
+	return true
+}
--- /dev/null
+++ b/internal/relay/subscribers.go
@@ -0,0 +1,159 @@
+package relay
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/config"
+	"rosemaryladder.dev/rosemaryladder/internal/controlpb"
+	"rosemaryladder.dev/rosemaryladder/internal/member"
+)
+
+const (
+	// maxSubscribers is the number of children that a parent accepts.
+	maxSubscribers = 64
+	// lagTolerance is how long a child may be behind before its parent names it.
+	lagTolerance = 200 * time.Millisecond
+)
+
+// subscribers is the table of the children of a parent.
+type subscribers struct {
+	// changed receives a token when a report or a held version changed.
+	changed chan struct{}
+
+	mu       sync.Mutex
+	children map[string]*subscriber
+}
+
+func newSubscribers() *subscribers {
+	return &subscribers{changed: make(chan struct{}, 1), children: make(map[string]*subscriber)}
+}
+
+// add enters a child and replaces its earlier subscription; false when the
+// table is full.
+func (s *subscribers) add(node string) (*subscriber, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, found := s.children[node]
+	if found {
+		close(old.replaced)
+	} else if len(s.children) >= maxSubscribers {
+		return nil, false
+	}
+	child := &subscriber{node: node, replaced: make(chan struct{})}
+	s.children[node] = child
+	return child, true
+}
+
+// remove takes a child out unless it subscribed anew.
+func (s *subscribers) remove(child *subscriber) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.children[child.node] == child {
+		delete(s.children, child.node)
+	}
+	s.notify()
+}
+
+// received applies a message of a child.
+func (s *subscribers) received(child *subscriber, message *controlpb.ChildMessage, version uint64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	child.received(message)
+	child.compare(version, now)
+	s.notify()
+}
+
+func (s *subscribers) notify() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (s *subscribers) held(child *subscriber) config.Digest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return child.held
+}
+
+func (s *subscribers) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.children)
+}
+
+// ids returns the ids of the children, sorted.
+func (s *subscribers) ids() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := make([]string, 0, len(s.children))
+	for id := range s.children {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// reports returns the reports of the children of the view's own region. The
+// sums of another region are asked from its reader.
+func (s *subscribers) reports(view *member.View, version uint64, now time.Time) []*controlpb.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var reports []*controlpb.Report
+	for _, child := range s.children {
+		record, found := view.Node(child.node)
+		if !found {
+			record = member.Record{ID: child.node, Region: view.Self.Region, FailureDomain: view.Self.FailureDomain}
+		}
+		if record.Region != view.Self.Region {
+			continue
+		}
+		child.compare(version, now)
+		reports = append(reports, child.summary(record, version, now)...)
+	}
+	return reports
+}
+
+// statistics returns the statistics of the children.
+func (s *subscribers) statistics() [][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var encoded [][]byte
+	for _, child := range s.children {
+		if len(child.statistics) > 0 {
+			encoded = append(encoded, child.statistics)
+		}
+	}
+	return encoded
+}
+
+// summary returns the reports that cover the child.
+func (s *subscriber) summary(record member.Record, version uint64, now time.Time) []*controlpb.Report {
+	reports := []*controlpb.Report{s.report}
+	if len(s.report.GetDomains()) == 0 {
+		reports = append(reports, reportOf(record, s.held.Version))
+	}
+	named := slices.ContainsFunc(s.report.GetLaggards(), func(l *controlpb.Laggard) bool { return l.Node == record.ID })
+	if behind := now.Sub(s.behindSince); !named && !s.behindSince.IsZero() && behind > lagTolerance {
+		reports = append(reports, &controlpb.Report{Laggards: []*controlpb.Laggard{{
+			Node: record.ID, FailureDomain: record.FailureDomain, Version: s.held.Version,
+			AgeMs: millis(behind), Reason: "has not confirmed version " + versionText(version),
+		}}})
+	}
+	return reports
+}
+
+// reportOf returns the report that counts one node.
+func reportOf(record member.Record, version uint64) *controlpb.Report {
+	return &controlpb.Report{Domains: []*controlpb.DomainReport{{
+		Region:        record.Region,
+		FailureDomain: record.FailureDomain,
+		Versions:      []*controlpb.VersionCount{{Version: version, Nodes: 1}},
+	}}}
+}
+
+func millis(d time.Duration) uint32 {
+	return uint32(min(d.Milliseconds(), int64(^uint32(0))))
+}
--- /dev/null
+++ b/internal/relay/subscription.go
@@ -0,0 +1,129 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/controlpb"
+)
+
+const (
+	// silenceTimeout is how long a child waits for a message of its parent.
+	silenceTimeout = 3 * heartbeatInterval
+	// avoidTime is how long a failed parent stands behind the others.
+	avoidTime = 5 * time.Second
+	// firstReconnect and maxReconnect bound the jittered wait before the next
+	// parent.
+	firstReconnect = 100 * time.Millisecond
+	maxReconnect   = 2 * time.Second
+	// idleInterval is how often a node without a parent looks for one.
+	idleInterval = 200 * time.Millisecond
+)
+
+// subscription keeps the node subscribed to one parent.
+type subscription struct {
+	relay *Relay
+
+	mu      sync.Mutex
+	current string
+	// heard is when the last message of a parent came.
+	heard time.Time
+	// avoided holds until when a parent stands behind the others.
+	avoided map[string]time.Time
+}
+
+// run subscribes to one parent after the other until the context ends.
+func (s *subscription) run(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		parent, found := s.choose()
+		if !found {
+			sleep(ctx, around(idleInterval, s.relay.options.Random()))
+			continue
+		}
+		if s.follow(ctx, parent) {
+			failures = 0
+		}
+		wait := fullJitter(firstReconnect, maxReconnect, failures, s.relay.options.Random())
+		failures++
+		sleep(ctx, wait)
+	}
+}
+
+// follow stays with a parent as long as it can; true when the parent served.
+func (s *subscription) follow(ctx context.Context, parent string) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	follower := &follower{relay: s.relay, parent: parent, reported: &controlpb.Report{}}
+	defer s.setParent("")
+	err := follower.run(ctx)
+	if !s.eligible(parent) {
+		return follower.served
+	}
+	s.avoid(parent)
+	if err != nil && follower.served {
+		s.relay.options.Logger.WithError(err).WithField("parent", parent).Info("left the parent")
+	}
+	return follower.served
+}
+
+func (s *subscription) choose() (string, bool) {
+	parents := s.parents()
+	now := s.relay.options.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ChooseParent(parents, func(id string) bool { return now.Before(s.avoided[id]) })
+}
+
+func (s *subscription) parents() []string {
+	view := s.relay.options.View()
+	return Parents(view, RoleOf(view, s.relay.options.Lease.Held()), s.relay.options.StoreRegion)
+}
+
+// eligible reports whether the node may stay with the parent. A better one that
+// appears is no reason to leave, because moving children cost more than they
+// gain.
+func (s *subscription) eligible(parent string) bool { return slices.Contains(s.parents(), parent) }
+
+func (s *subscription) avoid(parent string) {
+	now := s.relay.options.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, until := range s.avoided {
+		if now.After(until) {
+			delete(s.avoided, id)
+		}
+	}
+	s.avoided[parent] = now.Add(avoidTime)
+}
+
+func (s *subscription) setParent(parent string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.current = parent
+}
+
+// parent returns the node that answered the subscription.
+func (s *subscription) parent() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
+// heardFrom records a message of the parent.
+func (s *subscription) heardFrom(parent string, digest *controlpb.Digest) {
+	s.mu.Lock()
+	s.current = parent
+	s.heard = s.relay.options.Now()
+	s.mu.Unlock()
+	s.relay.readiness.peerNamed(parent, digest.GetVersion(), true)
+}
+
+// lastHeard returns when the last message of a parent came.
+func (s *subscription) lastHeard() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heard
+}
