--- a/internal/admit/ticket.go
+++ b/internal/admit/ticket.go
@@ -21,3 +21,6 @@
 
 // Running reports whether the call holds a slot.
 func (t *Ticket) Running() bool { return t.state == ticketRunning }
+
+// Waiting reports whether the call waits for a slot.
+func (t *Ticket) Waiting() bool { return t.state == ticketWaiting }
