Shed calls by a long service time instead of the average

Cause: the shed limit compared the average time to the objective, so about half of the calls at the limit were late; a fifth of the capacity went into them.

--- a/internal/admit/estimate.go
+++ b/internal/admit/estimate.go
@@ -10,7 +10,7 @@
 	}
 	free := q.limit.at(now) - q.running[download]
 	if free <= 0 {
-		return q.workWaiting(interactive) + q.times.download/time.Duration(max(1, q.running[download]))
+		return q.workWaiting(interactive) + q.times.download.average/time.Duration(max(1, q.running[download]))
 	}
 	return (q.workWaiting(interactive) + q.meanRunning()) / time.Duration(free)
 }
@@ -21,7 +21,7 @@
 	if q.quiet(now) {
 		share = slots
 	}
-	own := q.workWaiting(download) + q.times.download
+	own := q.workWaiting(download) + q.times.download.average
 	return q.workWaiting(interactive)/slots + own/share
 }
 
--- a/internal/admit/refusal.go
+++ b/internal/admit/refusal.go
@@ -52,7 +52,7 @@
 // are the calls that would miss their objective, and downloads beyond the one
 // that waits.
 func (q *Queue) shed(now time.Time, ticket *Ticket, wait time.Duration) bool {
-	answered := now.Add(wait + q.times.of(ticket.request.Priority))
+	answered := now.Add(wait + q.times.long(ticket.request.Priority))
 	late := expired(answered, ticket.request.Objective)
 	if !q.overload.note(now, late) {
 		return false
--- /dev/null
+++ b/internal/admit/service_time.go
@@ -0,0 +1,28 @@
+package admit
+
+import "time"
+
+const (
+	// serviceTimeWeight is the weight of a new sample in the moving averages.
+	serviceTimeWeight = 0.1
+	// longDeviations is the number of mean deviations above the average at which
+	// a service time counts as long.
+	longDeviations = 2
+)
+
+// serviceTime is the moving average of a service time and of its deviation from
+// the average.
+type serviceTime struct {
+	average   time.Duration
+	deviation time.Duration
+}
+
+func (s *serviceTime) add(held time.Duration) {
+	if s.average == 0 {
+		s.average = held
+		return
+	}
+	difference := held - s.average
+	s.average += time.Duration(serviceTimeWeight * float64(difference))
+	s.deviation += time.Duration(serviceTimeWeight * float64(difference.Abs()-s.deviation))
+}
--- a/internal/admit/service_times.go
+++ b/internal/admit/service_times.go
@@ -6,34 +6,32 @@
 	"rosemaryladder.dev/rosemaryladder/internal/config"
 )
 
-// serviceTimeWeight is the weight of a new sample in the moving average.
-const serviceTimeWeight = 0.1
-
 // serviceTimes holds the moving average of the time that a call of each
 // priority holds its slot. An unmeasured priority counts as 0, so its calls are
 // bounded by the length of the queue only.
 type serviceTimes struct {
-	lookup   time.Duration
-	order    time.Duration
-	download time.Duration
+	lookup   serviceTime
+	order    serviceTime
+	download serviceTime
 }
 
 // of returns the average of a priority.
 func (s *serviceTimes) of(priority config.Priority) time.Duration {
-	return *s.field(priority)
+	return s.field(priority).average
+}
+
+// long returns a time that few calls of a priority exceed.
+func (s *serviceTimes) long(priority config.Priority) time.Duration {
+	field := s.field(priority)
+	return field.average + longDeviations*field.deviation
 }
 
 // add counts a finished call.
 func (s *serviceTimes) add(priority config.Priority, held time.Duration) {
-	average := s.field(priority)
-	if *average == 0 {
-		*average = held
-		return
-	}
-	*average += time.Duration(serviceTimeWeight * float64(held-*average))
+	s.field(priority).add(held)
 }
 
-func (s *serviceTimes) field(priority config.Priority) *time.Duration {
+func (s *serviceTimes) field(priority config.Priority) *serviceTime {
 	switch priority {
 	case config.PriorityOrder:
 		return &s.order
