Shed waiting calls that can no longer meet their objective

Cause: a call admitted on an estimate may wait longer than estimated; running it then spends a slot on a late answer. The goodput test fails without it.

--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -133,6 +133,11 @@
 		if ticket == nil {
 			break
 		}
+		if q.tooLate(now, ticket) {
+			q.counts.Shed++
+			q.refuseTicket(ticket, errShed)
+			continue
+		}
 		q.remove(ticket)
 		q.start(now, ticket)
 		ticket.request.Decided(nil)
--- a/internal/admit/refusal.go
+++ b/internal/admit/refusal.go
@@ -60,6 +60,13 @@
 	return late || (ticket.class == download && len(q.waiting[download]) > 0)
 }
 
+// tooLate reports whether a waiting call would miss its objective although it
+// gets a slot now. During sustained overload the slot goes to the next call.
+func (q *Queue) tooLate(now time.Time, ticket *Ticket) bool {
+	answered := now.Add(q.times.long(ticket.request.Priority))
+	return q.overload.sustained(now) && expired(answered, ticket.request.Objective)
+}
+
 // makeRoom reports whether the queue has room for the call. A lookup or order
 // displaces the newest download from a full queue.
 func (q *Queue) makeRoom(ticket *Ticket) bool {
--- a/internal/route/goodput_test.go
+++ b/internal/route/goodput_test.go
@@ -22,4 +22,4 @@
 }
 
 // minGoodput is the lowest accepted mean goodput in percent.
-const minGoodput = 92.0
+const minGoodput = 95.0
