Stop a crashing request after two backend servers

The report of a crash named the service of the server, which was already forgotten; the probe of a broken connection could take an idle connection, or reach a listener that the ending process had not closed yet; and a call could be retried twice after hand-over, which stops a third server before the quarantine knows. Ruled out: slow spreading of the reports (80 ms from the first to the last node, seen in the events).

--- a/internal/call/deps.go
+++ b/internal/call/deps.go
@@ -45,9 +45,9 @@
 // Quarantine knows the calls that crash backend servers.
 type Quarantine interface {
 	// Blocked reports whether calls with the fingerprint are refused.
-	Blocked(fingerprint uint64) bool
+	Blocked(service string, fingerprint uint64) bool
 	// Crashed counts a backend server that was gone after running the call.
-	Crashed(fingerprint uint64)
+	Crashed(service string, fingerprint uint64)
 }
 
 // Deps are the parts that a Node works with. All of them are required.
--- a/internal/call/gate.go
+++ b/internal/call/gate.go
@@ -61,7 +61,7 @@
 		return nil, refused
 	}
 	call := &running{request: r, fingerprint: r.body.fingerprint(r.method, r.uri)}
-	if g.deps.Quarantine.Blocked(call.fingerprint) {
+	if g.deps.Quarantine.Blocked(call.request.service, call.fingerprint) {
 		return nil, refuse(result.Quarantined, fmt.Sprintf("calls with fingerprint %x stopped several backend servers of service %s", call.fingerprint, r.service))
 	}
 	if r.once {
@@ -224,13 +224,7 @@
 func (g *gate) probe(call *running, address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
-	connections := g.client.pool(address)
-	c, err := connections.get(ctx)
-	if err == nil {
-		connections.put(c)
-		return
-	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	if !g.client.pool(address).refuses(ctx) {
 		return
 	}
 	g.deps.Server.Gone(address)
@@ -238,7 +232,7 @@
 		return
 	}
 	g.metrics.crashed.Inc(1)
-	g.deps.Quarantine.Crashed(call.fingerprint)
+	g.deps.Quarantine.Crashed(call.request.service, call.fingerprint)
 }
 
 // load returns the load of the gate for the answer.
--- a/internal/call/pool.go
+++ b/internal/call/pool.go
@@ -4,11 +4,22 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
+const (
+	// probes is how often a server whose connection broke is dialled to tell
+	// whether it is gone.
+	probes = 4
+	// probeInterval is the time between two of these dials.
+	probeInterval = 20 * time.Millisecond
+)
+
 // pool holds the connections to one address.
 type pool struct {
 	address string
@@ -69,6 +80,22 @@
 	return newConn(raw), nil
 }
 
+// refuses reports whether the address refuses new connections. It asks more than
+// once, because a process that ends closes its sockets one by one and its
+// listener may be among the last. The broken connection that leads here was
+// dropped, so the bound of connections holds.
+func (p *pool) refuses(ctx context.Context) bool {
+	for range probes {
+		raw, err := p.dial(ctx, "tcp", p.address)
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+		raw.Close()
+		time.Sleep(probeInterval)
+	}
+	return false
+}
+
 // put keeps a connection whose call ended whole.
 func (p *pool) put(c *conn) {
 	c.idleSince = p.now()
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -153,7 +153,7 @@
 		Admit:      n.gate,
 		Claimer:    n.claims,
 		Kept:       kept{n.claims.Answers()},
-		Quarantine: crashes{n.quarantine, n.exchange, n.server, n.now},
+		Quarantine: crashes{n.quarantine, n.exchange, n.now},
 		Server:     n.server,
 		Burn:       n.burn,
 		Events:     n.events,
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -5,7 +5,6 @@
 	"strconv"
 	"time"
 
-	"rosemaryladder.dev/rosemaryladder/internal/drain"
 	"rosemaryladder.dev/rosemaryladder/internal/event"
 	"rosemaryladder.dev/rosemaryladder/internal/gossip"
 	"rosemaryladder.dev/rosemaryladder/internal/quarantine"
@@ -15,23 +14,18 @@
 type crashes struct {
 	list     *quarantine.List
 	exchange *gossip.Exchanger
-	server   *drain.Tracker
 	now      func() time.Time
 }
 
 // Blocked reports whether calls with the fingerprint are refused.
-func (c crashes) Blocked(fingerprint uint64) bool {
-	_, blocked := c.list.Blocked(c.request(fingerprint), c.now())
+func (c crashes) Blocked(service string, fingerprint uint64) bool {
+	_, blocked := c.list.Blocked(quarantine.Request{Service: service, Fingerprint: fingerprint}, c.now())
 	return blocked
 }
 
 // Crashed reports that the backend server was gone after running the call.
-func (c crashes) Crashed(fingerprint uint64) {
-	c.exchange.Report(c.request(fingerprint))
-}
-
-func (c crashes) request(fingerprint uint64) quarantine.Request {
-	return quarantine.Request{Service: c.server.Effective().Service, Fingerprint: fingerprint}
+func (c crashes) Crashed(service string, fingerprint uint64) {
+	c.exchange.Report(quarantine.Request{Service: service, Fingerprint: fingerprint})
 }
 
 // recordBlock leaves an event for explain.
--- a/internal/retry/decision.go
+++ b/internal/retry/decision.go
@@ -67,7 +67,9 @@
 	if !failure.Idempotent || failure.AttemptHeader > 1 || failure.Depth > 0 {
 		return GiveUp
 	}
-	if failure.Code != result.OutcomeUnknown {
+	// The request itself may have stopped the server. A second retry after
+	// hand-over could stop a third server before the quarantine knows it.
+	if failure.Code != result.OutcomeUnknown || failure.Attempts > 1 {
 		return GiveUp
 	}
 	return Paid
