--- a/internal/claim/at_most_once_test.go
+++ b/internal/claim/at_most_once_test.go
@@ -190,6 +190,9 @@
 		if f.running[claim.Key].ID != claim.ID {
 			f.released[claim.ID] = true
 			f.commitOne(f.logs[0], request{claim: claim, release: true})
+			if answer := f.commitOne(f.logs[1], request{claim: claim}); answer.holder.WonBy(claim.ID) {
+				f.t.Fatalf("attempt %s won after its release", claim.ID)
+			}
 		}
 	}
 	for i, log := range append(f.logs, f.newLog()) {
