--- a/internal/config/editor_test.go
+++ b/internal/config/editor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -57,20 +58,20 @@
 			}
 			races--
 			quiet = true
-			if _, err := rival.Apply(context.Background(), upsert(config.NewChangeID(), nil, drawTarget(t))); err != nil {
+			if _, err := rival.Apply(context.Background(), upsert(fmt.Sprint("rival-", races), nil, drawTarget(t))); err != nil {
 				t.Fatal(err)
 			}
 			quiet = false
 		}
-		for range 3 {
-			change := upsert(config.NewChangeID(), nil, sample("mine"))
+		for i := range 3 {
+			change := upsert(fmt.Sprint("mine-", i), nil, sample("mine"))
 			change.Targets[0].Target.SuccessPercent = 90 + float64(accepted)
 			outcome, err := newEditor(fake).Apply(context.Background(), change)
 			document := stored(t, fake).Document()
 			version, found := document.Applied(change.ID)
 			switch code := result.CodeOf(err); {
-			case err == nil && !outcome.Unchanged && (!found || version != outcome.Version):
-				t.Fatalf("accepted as version %d, stored as %d", outcome.Version, version)
+			case err == nil && (found == outcome.Unchanged || found && version != outcome.Version):
+				t.Fatalf("accepted as %+v, stored as version %d", outcome, version)
 			case err != nil && code != result.ChangeOutcomeUnknown && found:
 				t.Fatalf("refused, but stored: %v", err)
 			case found:
--- a/internal/config/generate_test.go
+++ b/internal/config/generate_test.go
@@ -34,7 +34,7 @@
 
 // drawChange returns a change that is valid for the snapshot.
 func drawChange(t *rapid.T, base *config.Snapshot) config.Change {
-	change := config.Change{ID: config.NewChangeID()}
+	change := config.Change{ID: fmt.Sprint("change-", base.Version()+1)}
 	switch rapid.IntRange(0, 2).Draw(t, "kind") {
 	case 0:
 		change.Stops = []config.StopUpsert{{Stop: drawStop(t)}}
--- a/internal/relay/counters.go
+++ b/internal/relay/counters.go
@@ -16,7 +16,9 @@
 	storeReads    tally.Counter
 	storeWatches  tally.Counter
 	storeFailures tally.Counter
-	subscribers   tally.Gauge
+	// limits counts what was left out because a bound was reached.
+	limits      tally.Counter
+	subscribers tally.Gauge
 }
 
 func newCounters(scope tally.Scope) *counters {
@@ -33,6 +35,7 @@
 		storeReads:    scope.Counter("store_reads"),
 		storeWatches:  scope.Counter("store_watches"),
 		storeFailures: scope.Counter("store_failures"),
+		limits:        scope.Counter("limits_reached"),
 		subscribers:   scope.Gauge("subscribers"),
 	}
 }
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -8,9 +8,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
-	"rosemaryladder.dev/rosemaryladder/internal/config"
 	"rosemaryladder.dev/rosemaryladder/internal/controlpb"
-	"rosemaryladder.dev/rosemaryladder/internal/event"
 )
 
 const (
@@ -192,11 +190,7 @@
 }
 
 // crossesRegions reports whether the parent is in another region.
-func (f *follower) crossesRegions() bool {
-	view := f.relay.options.View()
-	parent, found := view.Node(f.parent)
-	return found && parent.Region != view.Self.Region
-}
+func (f *follower) crossesRegions() bool { return f.relay.inOtherRegion(f.parent) }
 
 // upkeep leaves a parent that is none any more and refreshes the report.
 func (f *follower) upkeep() error {
@@ -205,13 +199,3 @@
 	}
 	return f.sendReport()
 }
-
-// reportMismatch records that another node holds other content at the same
-// version.
-func (r *Relay) reportMismatch(node string, held config.Digest) {
-	r.counters.mismatches.Inc(1)
-	r.options.Events.Record(event.Event{
-		Kind: event.KindConfig, Subject: versionText(held.Version),
-		Message: "the content of version " + versionText(held.Version) + " differs from that of node " + node,
-	})
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 
 	"rosemaryladder.dev/rosemaryladder/internal/config"
 	"rosemaryladder.dev/rosemaryladder/internal/controlpb"
+	"rosemaryladder.dev/rosemaryladder/internal/event"
 )
 
 // Relay is the part of a node in the distribution of configuration.
@@ -116,6 +117,23 @@
 	return report.GetBurn(), err
 }
 
+// inOtherRegion reports whether a member is in another region than this node.
+func (r *Relay) inOtherRegion(node string) bool {
+	view := r.options.View()
+	record, found := view.Node(node)
+	return found && record.Region != view.Self.Region
+}
+
+// reportMismatch records that another node holds other content at the same
+// version.
+func (r *Relay) reportMismatch(node string, held config.Digest) {
+	r.counters.mismatches.Inc(1)
+	r.options.Events.Record(event.Event{
+		Kind: event.KindConfig, Subject: versionText(held.Version),
+		Message: "the content of version " + versionText(held.Version) + " differs from that of node " + node,
+	})
+}
+
 // readsStore reports whether the node is the reader in the store's region.
 func (r *Relay) readsStore() bool {
 	return r.options.Lease.Held() && r.options.View().Self.Region == r.options.StoreRegion
--- a/internal/relay/repair_state.go
+++ b/internal/relay/repair_state.go
@@ -10,6 +10,9 @@
 	// repairDelay is how long a node stays behind a neighbour before it fetches
 	// from it. In that time an update through the tree arrives normally.
 	repairDelay = 100 * time.Millisecond
+	// farRepairDelay applies to nodes of another region, so that a neighbour of
+	// the own region is asked first and the link carries a version once.
+	farRepairDelay = 500 * time.Millisecond
 	// maxSightings bounds the nodes whose digests are remembered.
 	maxSightings = 128
 )
@@ -33,21 +36,23 @@
 }
 
 // observe records the digest that a node named. A node that was ahead and still
-// is keeps its time, so that a stream of changes cannot postpone the repair.
-func (s *repairState) observe(node string, digest, held config.Digest, delay time.Duration, now time.Time) {
+// is keeps its time, so that a stream of changes cannot postpone the repair. It
+// returns false when there is no room for the node.
+func (s *repairState) observe(node string, digest, held config.Digest, delay time.Duration, now time.Time) bool {
 	if digest.Version <= held.Version {
 		delete(s.sightings, node)
-		return
+		return true
 	}
 	old, found := s.sightings[node]
 	if !found && len(s.sightings) >= maxSightings {
-		return
+		return false
 	}
 	if found && old.digest.Version > held.Version {
 		s.sightings[node] = sighting{digest: digest, since: old.since, delay: min(old.delay, delay)}
-		return
+		return true
 	}
 	s.sightings[node] = sighting{digest: digest, since: now, delay: delay}
+	return true
 }
 
 // decide returns the node to fetch from now. Otherwise it returns how long to
--- a/internal/relay/repairer.go
+++ b/internal/relay/repairer.go
@@ -27,7 +27,11 @@
 // observe takes the digest of a neighbour or the parent. The tree gets the time
 // of a batch to bring the version first.
 func (r *repairer) observe(node string, digest config.Digest) {
-	r.note(node, digest, repairDelay+r.relay.options.Batch)
+	delay := repairDelay
+	if r.relay.inOtherRegion(node) {
+		delay = farRepairDelay
+	}
+	r.note(node, digest, delay+r.relay.options.Batch)
 	held := r.relay.options.Holder.Current().Digest()
 	if digest.Version == held.Version && digest.Hash != held.Hash {
 		r.relay.reportMismatch(node, held)
@@ -44,7 +48,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	held := r.relay.options.Holder.Current().Digest()
-	r.state.observe(node, digest, held, delay, r.relay.options.Now())
+	if !r.state.observe(node, digest, held, delay, r.relay.options.Now()) {
+		r.relay.counters.limits.Inc(1)
+	}
 	if digest.Version <= held.Version {
 		return
 	}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -106,6 +106,9 @@
 func (s *session) received(message *controlpb.ChildMessage) {
 	r := s.relay
 	current := r.options.Holder.Current().Digest()
+	if len(message.Report.GetBurn()) > maxStatisticsBytes {
+		r.counters.limits.Inc(1)
+	}
 	r.children.received(s.child, message, current.Version, r.options.Now())
 	held := fromProto(message.Held)
 	if message.Held == nil {
--- a/internal/relay/subscribers.go
+++ b/internal/relay/subscribers.go
@@ -84,18 +84,6 @@
 	return len(s.children)
 }
 
-// ids returns the ids of the children, sorted.
-func (s *subscribers) ids() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	ids := make([]string, 0, len(s.children))
-	for id := range s.children {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 // reports returns the reports of the children of the view's own region. The
 // sums of another region are asked from its reader.
 func (s *subscribers) reports(view *member.View, version uint64, now time.Time) []*controlpb.Report {
--- a/internal/relay/subscription.go
+++ b/internal/relay/subscription.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/controlpb"
+	"rosemaryladder.dev/rosemaryladder/internal/event"
 )
 
 const (
@@ -63,8 +65,9 @@
 		return follower.served
 	}
 	s.avoid(parent)
-	if err != nil && follower.served {
+	if ctx.Err() == nil && follower.served {
 		s.relay.options.Logger.WithError(err).WithField("parent", parent).Info("left the parent")
+		s.relay.options.Events.Record(event.Event{Kind: event.KindRepair, Subject: parent, Message: fmt.Sprintf("left parent %s: %v", parent, err)})
 	}
 	return follower.served
 }
