--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -8,9 +8,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
-	"rosemaryladder.dev/rosemaryladder/internal/config"
 	"rosemaryladder.dev/rosemaryladder/internal/controlpb"
-	"rosemaryladder.dev/rosemaryladder/internal/event"
 )
 
 const (
@@ -49,7 +47,7 @@
 		return err
 	}
 	changed := f.relay.options.Holder.Changed()
-	if err := f.sendHeld(); err != nil {
+	if err := f.introduce(); err != nil {
 		return err
 	}
 	return f.loop(ctx, changed)
@@ -153,8 +151,8 @@
 	return f.sendHeld()
 }
 
-// sendHeld names the digest in force to the parent.
-func (f *follower) sendHeld() error {
+// introduce names the node to the parent.
+func (f *follower) introduce() error {
 	view := f.relay.options.View()
 	return f.stream.Send(&controlpb.ChildMessage{
 		Node:  view.Self.ID,
@@ -163,6 +161,11 @@
 	})
 }
 
+// sendHeld names the digest in force to the parent.
+func (f *follower) sendHeld() error {
+	return f.stream.Send(&controlpb.ChildMessage{Held: toProto(f.relay.options.Holder.Current().Digest())})
+}
+
 // sendReport sends the sum of the reports when it changed. A parent in another
 // region asks for it when it is wanted, which saves bytes on the link.
 func (f *follower) sendReport() error {
@@ -192,11 +195,7 @@
 }
 
 // crossesRegions reports whether the parent is in another region.
-func (f *follower) crossesRegions() bool {
-	view := f.relay.options.View()
-	parent, found := view.Node(f.parent)
-	return found && parent.Region != view.Self.Region
-}
+func (f *follower) crossesRegions() bool { return f.relay.inOtherRegion(f.parent) }
 
 // upkeep leaves a parent that is none any more and refreshes the report.
 func (f *follower) upkeep() error {
@@ -205,13 +204,3 @@
 	}
 	return f.sendReport()
 }
-
-// reportMismatch records that another node holds other content at the same
-// version.
-func (r *Relay) reportMismatch(node string, held config.Digest) {
-	r.counters.mismatches.Inc(1)
-	r.options.Events.Record(event.Event{
-		Kind: event.KindConfig, Subject: versionText(held.Version),
-		Message: "the content of version " + versionText(held.Version) + " differs from that of node " + node,
-	})
-}
