--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -10,7 +10,7 @@
 // exchangeWith exchanges records with a known node.
 func (e *Exchanger) exchangeWith(ctx context.Context, node member.Record, full bool) error {
 	address := node.ControlAddress()
-	reply, refused, err := e.call(ctx, address, e.compose(node.ID, full))
+	reply, refused, err := e.send(ctx, address, e.compose(node.ID, full))
 	if err != nil {
 		e.peers.update(node.ID, func(p *peer) { p.digest = nil })
 		if refused {
@@ -30,7 +30,7 @@
 
 // introduceTo exchanges all records with the unknown node at an address.
 func (e *Exchanger) introduceTo(ctx context.Context, address string) error {
-	reply, _, err := e.call(ctx, address, e.introduction())
+	reply, _, err := e.send(ctx, address, e.introduction())
 	if err != nil {
 		return err
 	}
--- a/internal/gossip/exchanger.go
+++ b/internal/gossip/exchanger.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"rosemaryladder.dev/rosemaryladder/internal/controlpb"
 	"rosemaryladder.dev/rosemaryladder/internal/member"
 	"rosemaryladder.dev/rosemaryladder/internal/quarantine"
 )
@@ -30,6 +31,8 @@
 	pool     *pool
 	peers    *peers
 	loops    *loops
+	// send is call; tests replace it.
+	send func(context.Context, string, *controlpb.Gossip) (*controlpb.Gossip, bool, error)
 	// changed holds a token while the plan may have changed.
 	changed    chan struct{}
 	joined     chan struct{}
@@ -57,6 +60,7 @@
 		joined:   make(chan struct{}),
 	}
 	e.loops = newLoops(e)
+	e.send = e.call
 	deps.Table.Subscribe(member.ListenerFunc(func(member.Change) { e.Wake() }))
 	return e, nil
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -82,14 +82,12 @@
 		return "", errors.Errorf("membership message with invalid sender %q", sender)
 	}
 	now := e.deps.Now()
-	var acked position
 	e.peers.update(sender, func(p *peer) {
 		p.acknowledge(message.GetHeld(), e.log)
-		acked = p.acked
 		p.heardAt = now
 	})
 	table := e.deps.Table
-	table.Merge(sender, acked.records, decodeRecords(message.GetRecords()), now)
+	table.Merge(sender, decodeRecords(message.GetRecords()), now)
 	if e.deps.Quarantine.Add(quarantine.FromProto(message.GetCrashes()), now) {
 		e.Wake()
 	}
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -3,9 +3,8 @@
 import "time"
 
 // Merge takes over the records of a message from a peer that are newer than
-// those held. acked is the position of the table's own log that the peer had
-// applied when it sent the message.
-func (t *Table) Merge(peer string, acked uint64, records []Record, now time.Time) {
+// those held.
+func (t *Table) Merge(peer string, records []Record, now time.Time) {
 	if excess := len(records) - t.config.MaxMessageRecords; excess > 0 {
 		t.stats.truncated.Add(uint64(excess))
 		records = records[:t.config.MaxMessageRecords]
@@ -17,13 +16,13 @@
 			t.stats.invalidInput.Add(1)
 			continue
 		}
-		t.merge(peer, acked, record, now)
+		t.merge(peer, record, now)
 	}
 }
 
-func (t *Table) merge(peer string, acked uint64, record Record, now time.Time) {
+func (t *Table) merge(peer string, record Record, now time.Time) {
 	if record.ID == t.id {
-		t.mergeSelf(peer, acked, record, now)
+		t.mergeSelf(record, now)
 		return
 	}
 	held := t.entries[record.ID]
@@ -31,11 +30,8 @@
 		t.mergeUnknown(peer, record, now)
 		return
 	}
-	switch order := compareVersions(record, held.record); {
-	case order > 0:
+	if compareVersions(record, held.record) > 0 {
 		t.set(record, peer, now)
-	case order < 0:
-		t.correct(held, peer, acked)
 	}
 }
 
@@ -54,18 +50,6 @@
 	t.set(record, peer, now)
 }
 
-// correct sends a record again when a peer showed an older one although it had
-// acknowledged the held one: the peer has forgotten it.
-func (t *Table) correct(held *entry, peer string, acked uint64) {
-	if held.position > acked && held.source != peer {
-		return
-	}
-	t.position++
-	held.position = t.position
-	held.source = ""
-	t.stats.corrections.Add(1)
-}
-
 // evict removes the record of the node that has been gone the longest.
 func (t *Table) evict() bool {
 	var oldest *entry
@@ -88,13 +72,9 @@
 // mergeSelf refutes what others say about the own node. Only the own process
 // changes its record, so anything newer is a suspicion, or comes from an earlier
 // process whose clock was ahead, or from another process with the same id.
-func (t *Table) mergeSelf(peer string, acked uint64, record Record, now time.Time) {
+func (t *Table) mergeSelf(record Record, now time.Time) {
 	own := t.entries[t.id].record
-	order := compareVersions(record, own)
-	if order < 0 {
-		t.correct(t.entries[t.id], peer, acked)
-	}
-	if order <= 0 {
+	if compareVersions(record, own) <= 0 {
 		return
 	}
 	if record.Incarnation > own.Incarnation {
--- a/internal/member/stats.go
+++ b/internal/member/stats.go
@@ -11,7 +11,6 @@
 	deaths       atomic.Uint64
 	refutations  atomic.Uint64
 	outbids      atomic.Uint64
-	corrections  atomic.Uint64
 	pausesNoted  atomic.Uint64
 	invalidInput atomic.Uint64
 }
@@ -33,8 +32,6 @@
 	// Outbids counts how often another process used the own id with a higher
 	// incarnation.
 	Outbids uint64
-	// Corrections counts records sent again because a peer had lost them.
-	Corrections uint64
 	// Pauses counts pauses of the own process.
 	Pauses uint64
 	// Invalid counts received records that failed validation.
@@ -51,7 +48,6 @@
 		Deaths:      t.stats.deaths.Load(),
 		Refutations: t.stats.refutations.Load(),
 		Outbids:     t.stats.outbids.Load(),
-		Corrections: t.stats.corrections.Load(),
 		Pauses:      t.stats.pausesNoted.Load(),
 		Invalid:     t.stats.invalidInput.Load(),
 	}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -57,6 +57,7 @@
 	table.regions.connectedSince = now
 	table.set(self, "", now)
 	table.publish(now)
+	table.notifier.deliver()
 	return table, nil
 }
 
--- /dev/null
+++ b/internal/member/table_test.go
@@ -0,0 +1,191 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestTable(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Table")
+}
+
+var start = time.Date(2026, 5, 17, 0, 0, 0, 0, time.UTC)
+
+func record(id, region string) Record {
+	return Record{ID: id, IP: "127.0.0.1", CallPort: 1, ControlPort: 2, OperatorPort: 3,
+		Region: region, FailureDomain: region + "-a", Incarnation: 1, State: Alive}
+}
+
+func newTable(config Config, id string, others ...Record) *Table {
+	table, err := NewTable(config, record(id, "svealand"), start)
+	Expect(err).NotTo(HaveOccurred())
+	table.Merge("peer", others, start)
+	return table
+}
+
+func stateOf(table *Table, id string) State {
+	held, _ := table.View().Node(id)
+	return held.State
+}
+
+// pass lets time pass with a tick every 100 ms and a call before each.
+func pass(table *Table, from time.Time, duration time.Duration, each func(now time.Time)) time.Time {
+	now := from
+	for now.Before(from.Add(duration)) {
+		now = now.Add(100 * time.Millisecond)
+		each(now)
+		table.Tick(now)
+	}
+	return now
+}
+
+func nothing(time.Time) {}
+
+var _ = Describe("Table", func() {
+	// Guards against a node that was frozen and suspects everyone when it wakes.
+	It("does not take its own pause for the silence of others", func() {
+		table := newTable(DefaultConfig(), "a", record("b", "svealand"))
+		table.Heard("b", start)
+		table.Tick(start)
+		now := start.Add(20 * time.Second)
+		table.Tick(now)
+		Expect(stateOf(table, "b")).To(Equal(Alive))
+		Expect(table.Stats().Pauses).To(BeEquivalentTo(1))
+		pass(table, now, 4*time.Second, nothing)
+		Expect(stateOf(table, "b")).To(Equal(Dead))
+	})
+
+	// Guards against a killed node that goes unnoticed because the nodes that
+	// would watch it died with it.
+	It("suspects a silent node that has this node as its neighbour", func() {
+		var others []Record
+		for i := range 30 {
+			others = append(others, record(fmt.Sprintf("n%d", i), "svealand"))
+		}
+		table := newTable(DefaultConfig(), "a", others...)
+		chosen := make(map[string]bool)
+		for _, neighbour := range table.Plan().Neighbours {
+			chosen[neighbour.ID] = true
+		}
+		watchedBy := ""
+		for _, other := range others {
+			if !chosen[other.ID] && table.watches(other) {
+				watchedBy = other.ID
+			}
+		}
+		Expect(watchedBy).NotTo(BeEmpty())
+		table.Heard(watchedBy, start)
+		pass(table, start, 1600*time.Millisecond, func(now time.Time) {
+			for id := range chosen {
+				table.Heard(id, now)
+			}
+		})
+		Expect(stateOf(table, watchedBy)).To(Equal(Suspect))
+	})
+
+	// Guards against backend servers of the other region that vanish from the view
+	// when only the link is cut, and against a region that forgets who died before
+	// the other one could learn of it.
+	It("keeps the records of an unreachable region", func() {
+		suspect := record("y", "gotaland")
+		suspect.State = Suspect
+		table := newTable(DefaultConfig(), "a", record("x", "gotaland"), suspect, record("z", "gotaland"))
+		dead := record("z", "gotaland")
+		dead.State = Dead
+		table.Merge("peer", []Record{dead}, start)
+		now := pass(table, start, 20*time.Minute, nothing)
+		Expect(table.View().RegionReachable("gotaland")).To(BeFalse())
+		Expect(stateOf(table, "x")).To(Equal(Alive))
+		Expect(stateOf(table, "y")).To(Equal(Suspect))
+		Expect(stateOf(table, "z")).To(Equal(Dead))
+		contact := func(now time.Time) { table.Heard("x", now) }
+		now = pass(table, now, 9*time.Minute, contact)
+		Expect(table.View().RegionReachable("gotaland")).To(BeTrue())
+		Expect(stateOf(table, "z")).To(Equal(Dead))
+		pass(table, now, 2*time.Minute, contact)
+		Expect(stateOf(table, "z")).To(BeZero(), "forgotten 10 minutes after the link returned")
+	})
+
+	// Guards against nodes that keep telling each other of an old contact, which
+	// looks younger by the travel time of each message.
+	It("notices a cut link although its neighbours report contacts", func() {
+		a := newTable(DefaultConfig(), "a", record("x", "gotaland"))
+		b := newTable(DefaultConfig(), "b", record("x", "gotaland"))
+		const travel = 45 * time.Millisecond
+		pass(a, start, 10*time.Second, func(now time.Time) {
+			b.MergeContacts(a.Contacts(now), now.Add(travel))
+			a.MergeContacts(b.Contacts(now.Add(travel)), now.Add(2*travel))
+		})
+		Expect(a.View().RegionReachable("gotaland")).To(BeFalse())
+	})
+
+	// Guards against a leaving node that is reported as a failure.
+	It("does not suspect a leaving node", func() {
+		leaving := record("b", "svealand")
+		leaving.State = Leaving
+		table := newTable(DefaultConfig(), "a", leaving)
+		pass(table, start, 3*time.Second, nothing)
+		table.Refused("b", start.Add(3*time.Second))
+		Expect(stateOf(table, "b")).To(Equal(Leaving))
+		Expect(table.Stats().Suspicions).To(BeZero())
+	})
+
+	// Guards against memory and messages that grow without bound.
+	It("bounds the table and each message", func() {
+		config := DefaultConfig()
+		config.MaxRecords = 20
+		config.MaxMessageRecords = 8
+		table := newTable(config, "a")
+		gone := record("gone", "svealand")
+		table.Merge("peer", []Record{gone}, start)
+		gone.State = Dead
+		table.Merge("peer", []Record{gone}, start)
+		for i := range 40 {
+			table.Merge("peer", []Record{record(fmt.Sprintf("n%d", i), "svealand")}, start)
+		}
+		Expect(table.View().Nodes()).To(HaveLen(20))
+		Expect(table.Stats()).To(HaveField("Evicted", BeEquivalentTo(1)))
+		Expect(table.Stats()).To(HaveField("Refused", BeEquivalentTo(21)))
+		seen := make(map[string]bool)
+		for from := uint64(0); from < table.Position(); {
+			records, reached := table.ChangedSince("other", from)
+			Expect(len(records)).To(BeNumerically("<=", 8))
+			for _, r := range records {
+				seen[r.ID] = true
+			}
+			from = reached
+		}
+		Expect(seen).To(HaveLen(20))
+	})
+
+	// Guards against two hosts with one name that flood the fleet with records.
+	It("outbids another process with its id at most once per interval", func() {
+		table := newTable(DefaultConfig(), "a")
+		for i := range uint64(50) {
+			other := record("a", "svealand")
+			other.Incarnation = 100 + i*2
+			table.Merge("peer", []Record{other}, start.Add(time.Duration(i)*100*time.Millisecond))
+		}
+		Expect(table.Stats().Outbids).To(BeEquivalentTo(1))
+	})
+
+	// Guards against listeners that see changes in another order than they were made.
+	It("tells listeners of changes in order, also when they change the table", func() {
+		table := newTable(DefaultConfig(), "a")
+		var states []ServerState
+		table.Subscribe(ListenerFunc(func(change Change) {
+			states = append(states, change.View.Self.Server.State)
+			if change.View.Self.Server.State == ServerStarting {
+				table.SetServer(Server{Service: "katalog", State: ServerReady}, start)
+			}
+		}))
+		table.SetServer(Server{Service: "katalog", State: ServerStarting}, start)
+		table.Leave(start)
+		Expect(states).To(Equal([]ServerState{ServerStarting, ServerReady, ServerLeaving}))
+	})
+})
