call: check run states, single runs and whole answers under broken connections

A property test breaks the connections between front and gate and between gate and server after any number of bytes in either direction.

--- /dev/null
+++ b/internal/call/property_test.go
@@ -0,0 +1,181 @@
+package call
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+// countingServer counts how often each call was begun, answers with the identity
+// of the call and refuses some calls without running them.
+type countingServer struct {
+	mu   sync.Mutex
+	runs map[string]int
+	// refuse is the number of calls to come that are refused without running.
+	refuse int
+}
+
+func (s *countingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Test-Id")
+	s.mu.Lock()
+	refuse := s.refuse > 0
+	if refuse {
+		s.refuse--
+	} else {
+		s.runs[id]++
+	}
+	s.mu.Unlock()
+	if refuse {
+		w.Header().Set(HeaderRun, string(result.NotRun))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	content, _ := io.ReadAll(r.Body)
+	answer := answerFor(id, string(content))
+	if size, _ := strconv.Atoi(r.Header.Get("X-Test-Chunks")); size > 0 {
+		for range size {
+			_, _ = io.WriteString(w, answer)
+			_ = http.NewResponseController(w).Flush()
+		}
+		return
+	}
+	_, _ = io.WriteString(w, answer)
+}
+
+func (s *countingServer) ran(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id]
+}
+
+func answerFor(id, body string) string { return fmt.Sprintf("<%s %d %s>", id, len(body), body) }
+
+// testCall is a call of the property test.
+type testCall struct {
+	id     string
+	once   bool
+	body   string
+	chunks int
+}
+
+// TestCallsUnderFaults guards against the three worst outcomes of a broken
+// connection: a refusal that says not-run although the call ran, a second run of
+// a non-idempotent call, and a truncated or foreign answer that looks whole. The
+// connections between front and gate and between gate and server break after any
+// number of bytes in either direction, which covers every step of a call.
+func TestCallsUnderFaults(t *testing.T) {
+	server := &countingServer{runs: make(map[string]int)}
+	f := newFleet(t, fleetOptions{nodes: 3, slots: 50, attempts: 3, deadline: 5 * time.Second}, func(int) http.Handler { return server })
+	toGate, toServer := newBreaker(), newBreaker()
+	f.nodes[0].front.client.dial = toGate.wrap(f.nodes[0].front.client.dial)
+	for _, node := range f.nodes[1:] {
+		node.gate.client.dial = toServer.wrap(node.gate.client.dial)
+	}
+	caller := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	number := 0
+	seen := make(map[string]int)
+	var refused []string
+	rapid.Check(t, func(rt *rapid.T) {
+		number++
+		once := rapid.Bool().Draw(rt, "once")
+		call := testCall{
+			id: strconv.Itoa(number), once: once,
+			body:   strings.Repeat("b", rapid.SampledFrom([]int{0, 1, 100, 40_000}).Draw(rt, "body")),
+			chunks: rapid.IntRange(0, 3).Draw(rt, "chunks"),
+		}
+		server.mu.Lock()
+		server.refuse = rapid.IntRange(0, 3).Draw(rt, "refuse")
+		server.mu.Unlock()
+		allRefused := true
+		for sending := range rapid.IntRange(1, 3).Draw(rt, "sendings") {
+			drawFault(rt, toGate, "gate")
+			drawFault(rt, toServer, "server")
+			before := server.ran(call.id)
+			run := checkAnswer(rt, caller, f, server, call, before)
+			seen[run]++
+			allRefused = allRefused && run == string(result.NotRun)
+			if runs := server.ran(call.id); once && runs > 1 {
+				rt.Fatalf("sending %d: a non-idempotent call ran %d times", sending, runs)
+			}
+		}
+		if allRefused {
+			refused = append(refused, call.id)
+		}
+	})
+	time.Sleep(100 * time.Millisecond)
+	for _, id := range refused {
+		if server.ran(id) > 0 {
+			t.Errorf("call %s ran after it was refused as not-run", id)
+		}
+	}
+	t.Logf("answers by run state, without one when the connection broke: %v", seen)
+	for _, run := range []result.RunState{result.NotRun, result.RunUnknown, result.Ran, ""} {
+		if seen[string(run)] == 0 {
+			t.Errorf("no call had the run state %q, so the faults did not cover it", run)
+		}
+	}
+}
+
+// drawFault chooses after how many bytes the connections break, often never.
+func drawFault(rt *rapid.T, b *breaker, name string) {
+	bytes := rapid.OneOf(rapid.Int64Range(0, 700), rapid.Int64Range(0, 120_000))
+	write, read := int64(-1), int64(-1)
+	switch rapid.SampledFrom([]string{"none", "none", "write", "read"}).Draw(rt, name) {
+	case "write":
+		write = bytes.Draw(rt, name+"Write")
+	case "read":
+		read = bytes.Draw(rt, name+"Read")
+	}
+	b.set(write, read)
+}
+
+// checkAnswer sends the call once, checks what the caller is told and returns the
+// run state.
+func checkAnswer(rt *rapid.T, caller *http.Client, f *fleet, server *countingServer, call testCall, before int) string {
+	method, path := http.MethodPut, "/files"
+	if call.once {
+		method, path = http.MethodPost, "/orders"
+	}
+	request, err := http.NewRequest(method, f.url(path), io.NopCloser(strings.NewReader(call.body)))
+	if err != nil {
+		rt.Fatal(err)
+	}
+	request.Host, request.ContentLength = testService, int64(len(call.body))
+	request.Header.Set("X-Test-Id", call.id)
+	request.Header.Set("X-Test-Chunks", strconv.Itoa(call.chunks))
+	request.Header.Set(HeaderKey, call.id)
+	response, err := caller.Do(request)
+	if err != nil {
+		return "" // The caller knows that it has no answer.
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return ""
+	}
+	ran := server.ran(call.id) - before
+	run := response.Header.Get(HeaderRun)
+	switch run {
+	case string(result.NotRun):
+		if ran > 0 {
+			rt.Fatalf("a refusal says not-run, but the call ran %d times: %s", ran, content)
+		}
+	case string(result.Ran):
+		if want := strings.Repeat(answerFor(call.id, call.body), max(call.chunks, 1)); string(content) != want {
+			rt.Fatalf("the answer has %d bytes instead of %d", len(content), len(want))
+		}
+	case string(result.RunUnknown):
+	default:
+		rt.Fatalf("an answer has the run state %q", run)
+	}
+	return run
+}
