Add make measure

Ruled out: polling the nodes for convergence, which is coarser than the figure; the times come from the store's write and the nodes' own events.

--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -100,5 +100,5 @@
 		next := call.do(c.client, c.options.Nodes[(choice+uint64(repeat))%nodes])
 		o = o.after(next)
 	}
-	report.add(call.key, o, time.Since(started), c.options.ListOrders)
+	report.add(call.key, o, time.Since(started), call.class.Objective, c.options.ListOrders)
 }
--- a/internal/standin/caller/class.go
+++ b/internal/standin/caller/class.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Class is one class of calls, written as
@@ -19,6 +20,9 @@
 	Size int64
 	// Body is the size of the request body in bytes.
 	Body int
+	// Objective is the latency within which a whole answer counts as in target; 0
+	// counts none.
+	Objective time.Duration
 	// Once is set for non-idempotent calls.
 	Once bool
 }
@@ -54,6 +58,8 @@
 		c.Size, err = strconv.ParseInt(value, 10, 64)
 	case "body":
 		c.Body, err = strconv.Atoi(value)
+	case "objective":
+		c.Objective, err = time.ParseDuration(value)
 	case "once":
 		c.Once, err = strconv.ParseBool(value)
 	default:
--- a/internal/standin/caller/report.go
+++ b/internal/standin/caller/report.go
@@ -16,6 +16,8 @@
 	Sent int64 `json:"sent"`
 	// Whole counts answers that belong to their request and are complete.
 	Whole int64 `json:"whole"`
+	// InTarget counts the whole answers within the objective of the class.
+	InTarget int64 `json:"in_target"`
 	// Refused counts final refusals by code.
 	Refused map[string]int64 `json:"refused"`
 	// Unknown counts calls whose outcome stayed unknown.
@@ -49,12 +51,15 @@
 }
 
 // add counts the final outcome of one call.
-func (r *Report) add(key string, o outcome, elapsed time.Duration, listOrders bool) {
+func (r *Report) add(key string, o outcome, elapsed, objective time.Duration, listOrders bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch o.kind {
 	case whole:
 		r.Whole++
+		if elapsed <= objective {
+			r.InTarget++
+		}
 		// A duration is never outside the range of the sketch.
 		_ = r.sketch.Add(float64(elapsed) / float64(time.Millisecond))
 	case refused:
@@ -82,7 +87,7 @@
 		r.P50, r.P99, r.P999 = quantiles[0], quantiles[1], quantiles[2]
 	}
 	return &Report{
-		Sent: r.Sent, Whole: r.Whole, Refused: maps.Clone(r.Refused), Unknown: r.Unknown, Broken: r.Broken,
+		Sent: r.Sent, Whole: r.Whole, InTarget: r.InTarget, Refused: maps.Clone(r.Refused), Unknown: r.Unknown, Broken: r.Broken,
 		Mismatched: r.Mismatched, Failed: r.Failed, Repeated: r.Repeated, Skipped: r.Skipped,
 		P50: r.P50, P99: r.P99, P999: r.P999, Orders: maps.Clone(r.Orders),
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"rosemaryladder.dev/rosemaryladder/internal/dial"
 	"rosemaryladder.dev/rosemaryladder/internal/operator"
 )
 
@@ -47,7 +48,7 @@
 }
 
 // ports are the ports that every node uses on its own IP.
-type ports struct{ call, control, operator, announce, server int }
+type ports struct{ call, control, operator, announce, server, store int }
 
 // Host is one host with its node and its backend server.
 type Host struct {
@@ -92,7 +93,7 @@
 		return nil, err
 	}
 	f.ports = picked
-	f.storeAddr = f.infrastructure(1, picked.call)
+	f.storeAddr = f.infrastructure(1, picked.store)
 	f.storeAdmin = f.infrastructure(2, picked.call)
 	f.linkAddr = f.infrastructure(3, picked.call)
 	f.linkAdmin = f.infrastructure(4, picked.call)
@@ -130,7 +131,8 @@
 	return append(args,
 		"--kind", fmt.Sprintf("%d=control", f.ports.control),
 		"--kind", fmt.Sprintf("%d=call", f.ports.call),
-		"--kind", fmt.Sprintf("%d=operator", f.ports.operator))
+		"--kind", fmt.Sprintf("%d=operator", f.ports.operator),
+		"--kind", fmt.Sprintf("%d=store", f.ports.store))
 }
 
 func lastDot(ip string) int {
@@ -199,6 +201,17 @@
 		f.storeAddr, f.Options.Deployment.StoreRegion, seeds, proxy, f.Options.Batch)
 }
 
+// StoreAddress returns the address of the store.
+func (f *Fleet) StoreAddress() string { return f.storeAddr }
+
+// Dialer returns a dialer that reaches other hosts as the host does.
+func (f *Fleet) Dialer(host *Host) dial.Dialer {
+	if f.Options.Direct {
+		return dial.Dialer{LocalIP: host.IP}
+	}
+	return dial.Dialer{LocalIP: host.IP, EgressProxy: f.linkAddr}
+}
+
 // Start starts every program and waits until every node serves and knows every
 // ready backend server.
 func (f *Fleet) Start(ctx context.Context) error {
@@ -301,7 +314,7 @@
 // pickPorts lets the kernel choose the ports on one IP; the other IPs of the
 // fleet belong to it alone.
 func pickPorts(ip string) (ports, error) {
-	var picked [5]int
+	var picked [6]int
 	for i := range picked {
 		listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 		if err != nil {
@@ -310,7 +323,7 @@
 		defer listener.Close()
 		picked[i] = listener.Addr().(*net.TCPAddr).Port
 	}
-	return ports{picked[0], picked[1], picked[2], picked[3], picked[4]}, nil
+	return ports{picked[0], picked[1], picked[2], picked[3], picked[4], picked[5]}, nil
 }
 
 func waitListening(ctx context.Context, address string) error {
--- /dev/null
+++ b/internal/standin/measure/calls.go
@@ -0,0 +1,164 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/standin/caller"
+	"rosemaryladder.dev/rosemaryladder/internal/standin/fleet"
+)
+
+const (
+	// callServiceTime is how long a backend server runs a call.
+	callServiceTime = 20 * time.Millisecond
+	// callDuration is how long each load is sent.
+	callDuration = 12 * time.Second
+	// callerGrace bounds the wait for a caller after its last call was due.
+	callerGrace = 30 * time.Second
+	// rampTime lets the servers finish their ramp after a cold start.
+	rampTime = 11 * time.Second
+)
+
+// calls measures the call path on a fleet without network latency.
+func (m *measurement) calls(ctx context.Context) error {
+	time.Sleep(rampTime)
+	service := m.fleet.Options.Deployment.Service(fleet.Lookup)
+	capacity := float64(service.Instances*m.fleet.Options.Deployment.Slots) / callServiceTime.Seconds()
+	m.print("capacity", capacity, "calls/s")
+	if err := m.addedLatency(service.Name, capacity/2); err != nil {
+		return err
+	}
+	if err := m.overload(ctx, service.Name, capacity); err != nil {
+		return err
+	}
+	return m.orders(ctx)
+}
+
+// addedLatency compares calls through the nodes with calls to the servers.
+func (m *measurement) addedLatency(service string, rate float64) error {
+	var nodes, servers []string
+	for _, host := range m.fleet.Hosts {
+		if host.Service.Name == service {
+			servers = append(servers, host.ServerAddress())
+		}
+		nodes = append(nodes, host.CallAddress())
+	}
+	class := fmt.Sprintf("name=lookup,service=%s,path=/lookup,rate=%f", service, rate)
+	direct, err := m.call(servers, class)
+	if err != nil {
+		return err
+	}
+	cpu := m.cpuSeconds()
+	through, err := m.call(nodes, class)
+	if err != nil {
+		return err
+	}
+	cpu = m.cpuSeconds() - cpu
+	m.print("direct_latency_p50_ms", direct.P50, "ms")
+	m.print("direct_latency_p99_ms", direct.P99, "ms")
+	m.print("added_latency_p50_ms", through.P50-direct.P50, "ms")
+	m.print("added_latency_p99_ms", through.P99-direct.P99, "ms")
+	m.print("half_load_whole_percent", 100*float64(through.Whole)/float64(through.Sent), "%")
+	m.print("calls_per_core_per_s", float64(through.Sent)/cpu, "calls/s")
+	return nil
+}
+
+// overload sends 120 % of the capacity and counts the calls in target.
+func (m *measurement) overload(ctx context.Context, service string, capacity float64) error {
+	var nodes []string
+	for _, host := range m.fleet.Hosts {
+		nodes = append(nodes, host.CallAddress())
+	}
+	firstCalls, attempts, err := m.attempts(ctx)
+	if err != nil {
+		return err
+	}
+	report, err := m.call(nodes, fmt.Sprintf("name=lookup,service=%s,path=/lookup,rate=%f,objective=80ms", service, 1.2*capacity))
+	if err != nil {
+		return err
+	}
+	firstAfter, attemptsAfter, err := m.attempts(ctx)
+	if err != nil {
+		return err
+	}
+	goodput := float64(report.InTarget) / callDuration.Seconds() / capacity
+	m.print("goodput_overload_percent", 100*goodput, "% of capacity")
+	m.print("retry_amplification", (attemptsAfter-attempts)/(firstAfter-firstCalls), "attempts/call")
+	return nil
+}
+
+// attempts returns the first attempts and all attempts of the nodes so far.
+func (m *measurement) attempts(ctx context.Context) (first, all float64, err error) {
+	first, err = m.sumMetric(ctx, "rosemaryladder_call_calls")
+	if err != nil {
+		return 0, 0, err
+	}
+	retried, err := m.sumMetric(ctx, "rosemaryladder_call_retried")
+	return first, first + retried, err
+}
+
+// orders sends non-idempotent calls and compares claims with store writes.
+func (m *measurement) orders(ctx context.Context) error {
+	service := m.fleet.Options.Deployment.Service(fleet.Order)
+	var nodes []string
+	for _, host := range m.fleet.Hosts {
+		nodes = append(nodes, host.CallAddress())
+	}
+	if err := m.fleet.ResetStoreCounts(ctx); err != nil {
+		return err
+	}
+	report, err := m.call(nodes, fmt.Sprintf("name=order,service=%s,path=/order,method=POST,body=200,once=true,rate=400", service.Name))
+	if err != nil {
+		return err
+	}
+	counts, err := m.fleet.StoreCounts(ctx)
+	if err != nil {
+		return err
+	}
+	m.print("orders_whole_percent", 100*float64(report.Whole)/float64(report.Sent), "%")
+	m.print("orders_p99_ms", report.P99, "ms")
+	m.print("claims_per_store_write", float64(report.Whole)/float64(max(counts.ByKeyPrefix["claims"], 1)), "claims/write")
+	m.print("claim_writes_per_s", float64(counts.ByKeyPrefix["claims"])/callDuration.Seconds(), "writes/s")
+	return nil
+}
+
+// call sends calls of one class and returns the report.
+func (m *measurement) call(addresses []string, class string) (*caller.Report, error) {
+	args := []string{"--duration", callDuration.String(), "--class", class, "--seed", fmt.Sprint(time.Now().UnixNano())}
+	for _, address := range addresses {
+		args = append(args, "--node", address)
+	}
+	process := m.fleet.NewCaller("measure", args...)
+	if err := process.Start(); err != nil {
+		return nil, err
+	}
+	if !process.Wait(callDuration + callerGrace) {
+		return nil, fmt.Errorf("the caller did not end")
+	}
+	var reports map[string]*caller.Report
+	if err := json.Unmarshal([]byte(process.Output()), &reports); err != nil {
+		return nil, fmt.Errorf("%w: %s", err, process.Output())
+	}
+	for _, report := range reports {
+		return report, nil
+	}
+	return nil, fmt.Errorf("the caller reported nothing")
+}
+
+func (m *measurement) sumMetric(ctx context.Context, name string) (float64, error) {
+	var sum float64
+	for _, host := range m.fleet.Hosts {
+		values, err := host.Metrics(ctx)
+		if err != nil {
+			return 0, err
+		}
+		for labelled, value := range values {
+			if len(labelled) > len(name) && labelled[:len(name)+1] == name+"{" {
+				sum += value
+			}
+		}
+	}
+	return sum, nil
+}
--- /dev/null
+++ b/internal/standin/measure/convergence.go
@@ -0,0 +1,251 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/config"
+	"rosemaryladder.dev/rosemaryladder/internal/event"
+	"rosemaryladder.dev/rosemaryladder/internal/operator"
+	"rosemaryladder.dev/rosemaryladder/internal/standin/fleet"
+)
+
+const (
+	// convergenceLimit ends the wait for one version.
+	convergenceLimit = 20 * time.Second
+	// changePause separates two changes, so that each is measured alone.
+	changePause = 250 * time.Millisecond
+)
+
+// sample returns the target of a class; the revision makes each change differ.
+func sample(deployment fleet.Deployment, class fleet.Class, revision int) config.Target {
+	target := config.Target{
+		Name: string(class), Service: deployment.Service(class).Name, Methods: []string{"GET"}, Path: "/" + string(class),
+		Idempotent: true, Deadline: 2 * time.Second, Latency: 80 * time.Millisecond, LatencyPercent: 99,
+		SuccessPercent: 90 + float64(revision%90)/10, Priority: config.PriorityLookup,
+	}
+	if class == fleet.Order {
+		target.Idempotent, target.Methods, target.Priority = false, []string{"POST"}, config.PriorityOrder
+	}
+	if class == fleet.Download {
+		target.Deadline, target.Priority = time.Minute, config.PriorityDownload
+	}
+	return target
+}
+
+// declare sets the three targets.
+func (m *measurement) declare(ctx context.Context) error {
+	change := config.Change{ID: config.NewChangeID()}
+	for _, class := range []fleet.Class{fleet.Lookup, fleet.Order, fleet.Download} {
+		change.Targets = append(change.Targets, config.TargetUpsert{Target: sample(m.fleet.Options.Deployment, class, 0)})
+	}
+	reply, err := m.fleet.Hosts[0].Operator().Change(ctx, operator.ChangeRequest{Change: change})
+	if err != nil {
+		return err
+	}
+	_, err = m.waitInForce(ctx, reply.Version, m.fleet.Hosts)
+	return err
+}
+
+// change revises one target at a host and returns the version.
+func (m *measurement) change(ctx context.Context, at *fleet.Host) (uint64, error) {
+	m.changes++
+	change := config.Change{ID: config.NewChangeID(), Targets: []config.TargetUpsert{
+		{Target: sample(m.fleet.Options.Deployment, fleet.Lookup, m.changes)},
+	}}
+	reply, err := at.Operator().Change(ctx, operator.ChangeRequest{Change: change})
+	return reply.Version, err
+}
+
+// convergence measures quiet changes, entered at hosts in turn, and the bytes
+// that each sends between the regions.
+func (m *measurement) convergence(ctx context.Context) error {
+	before, err := m.controlBytes(ctx, "region/control")
+	if err != nil {
+		return err
+	}
+	begin := time.Now()
+	var times []float64
+	for i := range m.options.Changes {
+		elapsed, err := m.converge(ctx, m.fleet.Hosts[i%len(m.fleet.Hosts)], m.fleet.Hosts)
+		if err != nil {
+			return err
+		}
+		times = append(times, elapsed)
+		time.Sleep(changePause)
+	}
+	after, err := m.controlBytes(ctx, "region/control")
+	if err != nil {
+		return err
+	}
+	m.print("convergence_p50_ms", percentile(times, 0.5), "ms")
+	m.print("convergence_p99_ms", percentile(times, 0.99), "ms")
+	quiet := m.quietRegionBytes * time.Since(begin).Seconds()
+	perChange := (after - before - quiet) / float64(m.options.Changes)
+	m.print("control_bytes_per_change_across_regions", perChange, "B")
+	return m.compareWithDelta(perChange)
+}
+
+// compareWithDelta prints the size of a compressed delta and the ratio to it.
+func (m *measurement) compareWithDelta(perChange float64) error {
+	before := config.Document{Version: 1, Targets: []config.Target{sample(m.fleet.Options.Deployment, fleet.Lookup, 1)}, Stops: []config.Stop{}}
+	before.Targets[0].ChangedAt = 1
+	before.Changes = []config.AppliedChange{{ID: config.NewChangeID(), Version: 1}}
+	from, err := config.NewSnapshot(before)
+	if err != nil {
+		return err
+	}
+	change := config.Change{ID: config.NewChangeID(), Targets: []config.TargetUpsert{{Target: sample(m.fleet.Options.Deployment, fleet.Lookup, 2)}}}
+	to, err := config.Apply(from, change, config.Rules{})
+	if err != nil {
+		return err
+	}
+	encoded, err := config.DeltaBetween(from, to).Encode()
+	if err != nil {
+		return err
+	}
+	m.print("compressed_delta", float64(len(encoded)), "B")
+	m.print("control_bytes_per_change_to_delta_ratio", perChange/float64(len(encoded)), "ratio")
+	return nil
+}
+
+// converge makes a change and returns the time in ms from the store's write to
+// the last of the watched hosts having it in force.
+func (m *measurement) converge(ctx context.Context, at *fleet.Host, watched []*fleet.Host) (float64, error) {
+	version, err := m.change(ctx, at)
+	if err != nil {
+		return 0, err
+	}
+	counts, err := m.fleet.StoreCounts(ctx)
+	if err != nil {
+		return 0, err
+	}
+	last, err := m.waitInForce(ctx, version, watched)
+	if err != nil {
+		return 0, err
+	}
+	return float64(last.Sub(counts.WrittenAt["config"])) / float64(time.Millisecond), nil
+}
+
+// waitInForce returns when the last of the hosts put the version or a newer one
+// in force, by the events that the hosts recorded.
+func (m *measurement) waitInForce(ctx context.Context, version uint64, hosts []*fleet.Host) (time.Time, error) {
+	deadline := time.Now().Add(convergenceLimit)
+	var last time.Time
+	for _, host := range hosts {
+		at, found := publishedAt(ctx, host, version)
+		for !found {
+			if time.Now().After(deadline) {
+				return last, fmt.Errorf("%s does not have version %d in force after %s", host.Name, version, convergenceLimit)
+			}
+			time.Sleep(5 * time.Millisecond)
+			at, found = publishedAt(ctx, host, version)
+		}
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last, nil
+}
+
+func publishedAt(ctx context.Context, host *fleet.Host, version uint64) (time.Time, bool) {
+	reply, err := host.Operator().Events(ctx, operator.EventQuery{Kind: event.KindConfig, Limit: 5})
+	if err != nil {
+		return time.Time{}, false
+	}
+	var at time.Time
+	for _, e := range reply.Events {
+		if published, err := strconv.ParseUint(strings.TrimPrefix(e.Subject, "v"), 10, 64); err == nil && e.Code == 0 && published >= version {
+			at = e.At
+		}
+	}
+	return at, !at.IsZero()
+}
+
+// faults measures changes that are made right after kills: of both readers, of
+// a whole failure domain and of every third node, in turn.
+func (m *measurement) faults(ctx context.Context) error {
+	var times []float64
+	for round := range m.options.Changes / 4 {
+		victims := m.victims(ctx, round)
+		alive := m.without(victims)
+		for _, host := range victims {
+			host.Node.Signal(syscall.SIGKILL)
+		}
+		elapsed, err := m.converge(ctx, alive[round%len(alive)], alive)
+		if err != nil {
+			return err
+		}
+		times = append(times, elapsed)
+		if err := m.restart(ctx, victims); err != nil {
+			return err
+		}
+	}
+	m.print("convergence_faults_p50_ms", percentile(times, 0.5), "ms")
+	m.print("convergence_faults_p99_ms", percentile(times, 0.99), "ms")
+	return nil
+}
+
+func (m *measurement) victims(ctx context.Context, round int) []*fleet.Host {
+	var victims []*fleet.Host
+	for i, host := range m.fleet.Hosts {
+		report, err := host.Operator().Host(ctx, "")
+		isReader := err == nil && report.Role == "reader"
+		domain := m.fleet.Options.Deployment.Regions[round%2].Domains[0]
+		if round%3 == 0 && isReader || round%3 == 1 && host.FailureDomain == domain || round%3 == 2 && i%3 == 0 {
+			victims = append(victims, host)
+		}
+	}
+	return victims
+}
+
+func (m *measurement) without(victims []*fleet.Host) []*fleet.Host {
+	dead := make(map[*fleet.Host]bool)
+	for _, host := range victims {
+		dead[host] = true
+	}
+	var alive []*fleet.Host
+	for _, host := range m.fleet.Hosts {
+		if !dead[host] {
+			alive = append(alive, host)
+		}
+	}
+	return alive
+}
+
+func (m *measurement) restart(ctx context.Context, hosts []*fleet.Host) error {
+	for _, host := range hosts {
+		host.Node.Kill()
+		if err := host.Node.Start(); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	return m.fleet.WaitReady(ctx)
+}
+
+// herd kills every node, starts them together and prints the store's peak.
+func (m *measurement) herd(ctx context.Context) error {
+	for _, host := range m.fleet.Hosts {
+		host.Node.Signal(syscall.SIGKILL)
+	}
+	if err := m.fleet.ResetStoreCounts(ctx); err != nil {
+		return err
+	}
+	begin := time.Now()
+	if err := m.restart(ctx, m.fleet.Hosts); err != nil {
+		return err
+	}
+	counts, err := m.fleet.StoreCounts(ctx)
+	if err != nil {
+		return err
+	}
+	m.print("store_calls_peak_herd", float64(counts.PeakPerSecond), "calls/s")
+	m.print("herd_ready_s", time.Since(begin).Seconds(), "s")
+	return nil
+}
--- a/internal/standin/store/counts.go
+++ b/internal/standin/store/counts.go
@@ -12,7 +12,9 @@
 	ByKind map[string]uint64 `json:"by_kind"`
 	// ByKeyPrefix counts writes by the part of the key before the first slash.
 	ByKeyPrefix map[string]uint64 `json:"writes_by_key_prefix"`
-	Total       uint64            `json:"total"`
+	// WrittenAt is the time of the newest write by the same prefix.
+	WrittenAt map[string]time.Time `json:"written_at"`
+	Total     uint64               `json:"total"`
 	// PeakPerSecond is the largest number of calls in one second.
 	PeakPerSecond uint64 `json:"peak_per_second"`
 	// BytesIn and BytesOut count the values written and read.
@@ -42,7 +44,7 @@
 func (c *counter) reset() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.counts = Counts{ByKind: make(map[string]uint64), ByKeyPrefix: make(map[string]uint64)}
+	c.counts = Counts{ByKind: make(map[string]uint64), ByKeyPrefix: make(map[string]uint64), WrittenAt: make(map[string]time.Time)}
 	c.since = c.now()
 	c.second = 0
 	c.inSec = 0
@@ -65,6 +67,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts.ByKeyPrefix[prefix]++
+	c.counts.WrittenAt[prefix] = c.now()
 	c.counts.BytesIn += uint64(size)
 }
 
@@ -80,6 +83,7 @@
 	counts := c.counts
 	counts.ByKind = maps.Clone(counts.ByKind)
 	counts.ByKeyPrefix = maps.Clone(counts.ByKeyPrefix)
+	counts.WrittenAt = maps.Clone(counts.WrittenAt)
 	counts.Seconds = c.now().Sub(c.since).Seconds()
 	return counts
 }
