--- /dev/null
+++ b/internal/call/bench_test.go
@@ -0,0 +1,88 @@
+package call
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// benchmarkCalls measures pooled calls to an address, one after the other or
+// many at once.
+func benchmarkCalls(b *testing.B, address string, parallel bool) {
+	client := &http.Transport{MaxIdleConnsPerHost: 256}
+	defer client.CloseIdleConnections()
+	do := func() {
+		request := &http.Request{
+			Method: http.MethodGet, Host: testService, Header: make(http.Header),
+			URL: &url.URL{Scheme: "http", Host: address, Path: "/patterns/1"},
+		}
+		response, err := client.RoundTrip(request)
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			b.Errorf("status %d", response.StatusCode)
+		}
+	}
+	do()
+	b.ReportAllocs()
+	b.ResetTimer()
+	began := cpuTime(b)
+	defer func() { b.ReportMetric(float64((cpuTime(b)-began).Nanoseconds())/float64(b.N)/1000, "cpu-us/op") }()
+	if !parallel {
+		for range b.N {
+			do()
+		}
+		return
+	}
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			do()
+		}
+	})
+}
+
+// cpuTime returns the processor time that this process has used. Unlike the time
+// of an operation it hardly depends on what else the machine does.
+func cpuTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// smallAnswer is a backend server without a service time.
+func smallAnswer(int) http.Handler {
+	body := []byte(`{"pattern":"flag"}`)
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) })
+}
+
+// BenchmarkCall compares a direct call with a call through front and gate on two
+// nodes, and with one whose front and gate are the same node. Everything runs in
+// one process; the difference to the direct call is what the nodes add.
+func BenchmarkCall(b *testing.B) {
+	f := newFleet(b, fleetOptions{nodes: 1, slots: 512, attempts: 1, deadline: 10 * time.Second}, smallAnswer)
+	listener, err := net.Listen("tcp", "127.0.2.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := &http.Server{Handler: smallAnswer(0)}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	for _, mode := range []struct {
+		name     string
+		parallel bool
+	}{{"serial", false}, {"parallel", true}} {
+		b.Run("direct/"+mode.name, func(b *testing.B) { benchmarkCalls(b, listener.Addr().String(), mode.parallel) })
+		b.Run("two-nodes/"+mode.name, func(b *testing.B) { benchmarkCalls(b, f.addresses[0], mode.parallel) })
+		b.Run("one-node/"+mode.name, func(b *testing.B) { benchmarkCalls(b, f.addresses[1], mode.parallel) })
+	}
+}
--- a/internal/call/faults_test.go
+++ b/internal/call/faults_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"sync/atomic"
 )
 
@@ -13,12 +12,10 @@
 	// writeLeft and readLeft are the bytes that may still pass; negative is no
 	// bound.
 	writeLeft, readLeft atomic.Int64
-	mu                  sync.Mutex
-	conns               map[net.Conn]struct{}
 }
 
 func newBreaker() *breaker {
-	b := &breaker{conns: make(map[net.Conn]struct{})}
+	b := new(breaker)
 	b.set(-1, -1)
 	return b
 }
--- a/internal/call/fleet_test.go
+++ b/internal/call/fleet_test.go
@@ -40,7 +40,7 @@
 	trackers   []*drain.Tracker
 	servers    []net.Listener
 	addresses  []string
-	view       atomic.Pointer[member.View]
+	views      []*atomic.Pointer[member.View]
 	claims     *fakeClaims
 	quarantine *fakeQuarantine
 	events     *event.Ring
@@ -56,7 +56,8 @@
 	var records []member.Record
 	for i := range options.nodes + 1 {
 		records = append(records, f.addNode(t, i, options))
-		f.view.Store(member.NewView(records[i], records, nil))
+		f.views = append(f.views, new(atomic.Pointer[member.View]))
+		f.views[i].Store(member.NewView(records[i], records, nil))
 		node, err := New(DefaultConfig(), f.deps(i, options))
 		if err != nil {
 			t.Fatal(err)
@@ -68,7 +69,9 @@
 			f.addServer(t, i, options, server(i))
 		}
 	}
-	f.view.Store(member.NewView(records[0], records, nil))
+	for i, view := range f.views {
+		view.Store(member.NewView(records[i], records, nil))
+	}
 	return f
 }
 
@@ -76,7 +79,7 @@
 	t.Helper()
 	record := member.Record{ID: fmt.Sprintf("h%d", i), IP: fmt.Sprintf("127.0.1.%d", i+1), Incarnation: 1, State: member.Alive}
 	if i > 0 {
-		record.Server = member.Server{Service: testService, State: member.ServerReady, Slots: options.slots, Connections: 100}
+		record.Server = member.Server{Service: testService, State: member.ServerReady, Slots: options.slots, Connections: 600}
 	}
 	tracker, err := drain.NewTracker(drain.DefaultConfig(record.ID, "d"), fixedSnapshot{f.snapshot}, f.events, time.Now)
 	if err != nil {
@@ -94,14 +97,8 @@
 	id, ip := fmt.Sprintf("h%d", i), fmt.Sprintf("127.0.1.%d", i+1)
 	return Deps{
 		Snapshots: fixedSnapshot{f.snapshot},
-		View: func() *member.View {
-			view := f.view.Load()
-			if self, found := view.Node(id); found && view.Self.ID != id {
-				return member.NewView(self, view.Nodes(), nil)
-			}
-			return view
-		},
-		Chooser: fakeChooser{}, Policy: fakePolicy{options.attempts},
+		View:      f.views[i].Load,
+		Chooser:   fakeChooser{}, Policy: fakePolicy{options.attempts},
 		Admit: fakeAdmit{make(chan struct{}, options.slots)}, Claimer: f.claims, Kept: nodeKept{f.claims, id},
 		Quarantine: f.quarantine, Server: f.trackers[i], Burn: fakeBurn{}, Events: f.events,
 		Scope: tally.NoopScope, Logger: logger, Dialer: dial.Dialer{LocalIP: ip}, Now: time.Now,
@@ -135,7 +132,7 @@
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	f.servers = append(f.servers, listener)
-	err = f.trackers[i].Announce(drain.Announcement{Service: testService, Address: listener.Addr().String(), State: "ready", Slots: options.slots, Connections: 100})
+	err = f.trackers[i].Announce(drain.Announcement{Service: testService, Address: listener.Addr().String(), State: "ready", Slots: options.slots, Connections: 600})
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/call/load_test.go
@@ -0,0 +1,182 @@
+package call
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"rosemaryladder.dev/rosemaryladder/internal/event"
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+	"rosemaryladder.dev/rosemaryladder/internal/standin/backend"
+	"rosemaryladder.dev/rosemaryladder/internal/standin/caller"
+	"rosemaryladder.dev/rosemaryladder/internal/telemetry"
+)
+
+// TestManyCalls guards against answers that reach the wrong caller and against
+// log lines for calls: 10,000 calls with distinct bodies, 100 at once.
+func TestManyCalls(t *testing.T) {
+	const calls, workers = 10_000, 100
+	var lines bytes.Buffer
+	logger := telemetry.NewLogger(&lines, telemetry.LogText, logrus.DebugLevel, "test")
+	f := newFleet(t, fleetOptions{nodes: 3, slots: 100, attempts: 3, logger: logger}, standIn)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workers}}
+	var group sync.WaitGroup
+	for worker := range workers {
+		group.Go(func() {
+			for i := range calls / workers {
+				body := strings.Repeat(fmt.Sprintf("%d/%d ", worker, i), 1+i*7%300)
+				if err := expectDigest(client, f.url("/files/1"), body); err != nil {
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	if lines.Len() > 0 {
+		t.Errorf("calls were logged: %.500s", lines.String())
+	}
+}
+
+// expectDigest sends a body and checks that the answer is for it.
+func expectDigest(client *http.Client, url, body string) error {
+	request, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Host = testService
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if !strings.Contains(string(content), `"`+backend.Digest([]byte(body))+`"`) {
+		return fmt.Errorf("the answer %s is not for the body sent", content)
+	}
+	return nil
+}
+
+// TestLargeDownload guards against answers that are collected in memory: 200 MB
+// pass through front and gate while the heap grows by less than 16 MB.
+func TestLargeDownload(t *testing.T) {
+	const size, most = 200 << 20, 16 << 20
+	f := newFleet(t, fleetOptions{nodes: 1, slots: 2, attempts: 1, deadline: time.Minute}, standIn)
+	runtime.GC()
+	var before, now runtime.MemStats
+	runtime.ReadMemStats(&before)
+	done := make(chan map[string]*caller.Report)
+	go func() {
+		done <- caller.Run(context.Background(), caller.Options{
+			Nodes: f.addresses[:1], Duration: 5 * time.Millisecond, Timeout: time.Minute, MaxInFlight: 1,
+			Classes: []caller.Class{{Name: "d", Service: testService, Method: "GET", Path: "/files/1", Rate: 1000, Size: size}},
+		})
+	}()
+	for {
+		select {
+		case reports := <-done:
+			if reports["d"].Whole != 1 || reports["d"].Mismatched > 0 {
+				t.Errorf("the download was not whole: %+v", reports["d"])
+			}
+			return
+		case <-time.After(20 * time.Millisecond):
+			runtime.ReadMemStats(&now)
+			if int64(now.HeapAlloc)-int64(before.HeapAlloc) > most {
+				t.Fatalf("the heap grew by %d bytes", now.HeapAlloc-before.HeapAlloc)
+			}
+		}
+	}
+}
+
+// TestCancellation guards against servers that go on working for callers that
+// have given up, and against slots that such calls keep.
+func TestCancellation(t *testing.T) {
+	began, cancelled := make(chan struct{}), make(chan struct{})
+	f := newFleet(t, fleetOptions{nodes: 1, slots: 1, attempts: 3, deadline: time.Minute}, func(int) http.Handler {
+		return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			close(began)
+			<-r.Context().Done()
+			close(cancelled)
+		})
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, f.url("/patterns/1"), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = testService
+	go func() {
+		<-began
+		cancel()
+	}()
+	if _, err := http.DefaultClient.Do(request); err == nil {
+		t.Error("a cancelled call was answered")
+	}
+	select {
+	case <-cancelled:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the cancellation did not reach the server")
+	}
+	waitUntil(t, "the slot is free", func() bool {
+		inFlight, _, _ := f.nodes[1].deps.Admit.Load()
+		return inFlight == 0 && f.trackers[1].InFlight() == 0
+	})
+}
+
+func waitUntil(t *testing.T, what string, reached func() bool) {
+	t.Helper()
+	for range 500 {
+		if reached() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("not reached: %s", what)
+}
+
+// TestCrashingCall guards against a call that takes down one server after the
+// other when its caller repeats it, and against other calls being blamed.
+func TestCrashingCall(t *testing.T) {
+	var f *fleet
+	f = newFleet(t, fleetOptions{nodes: 3, slots: 10, attempts: 1}, func(node int) http.Handler {
+		server := backend.New(backend.Options{Slots: 10, Behaviour: backend.Behaviour{CrashBody: "poison"}})
+		server.Crash = func() { _ = f.servers[node-1].Close() }
+		return server
+	})
+	var codes []string
+	for range 10 {
+		response, _ := answerTo(t, http.MethodPut, f.url("/files/1"), "", "poison")
+		codes = append(codes, response.Header.Get(HeaderResult))
+		if codes[len(codes)-1] == fmt.Sprint(int(result.Quarantined)) {
+			break
+		}
+	}
+	alive := 0
+	for _, tracker := range f.trackers[1:] {
+		if tracker.Address() != "" {
+			alive++
+		}
+	}
+	if alive != 1 || codes[len(codes)-1] != fmt.Sprint(int(result.Quarantined)) {
+		t.Errorf("%d servers are alive after the answers %v", alive, codes)
+	}
+	if len(f.quarantine.crashed) != 1 {
+		t.Errorf("blamed fingerprints: %v", f.quarantine.crashed)
+	}
+	events := f.events.Select(event.Query{Kind: event.KindRefusal})
+	if len(events) == 0 || events[0].Code != result.Quarantined || events[0].Subject == "" {
+		t.Errorf("the refusal was not recorded: %+v", events)
+	}
+}
