--- a/internal/call/conn.go
+++ b/internal/call/conn.go
@@ -16,12 +16,23 @@
 	limit     limitReader
 	reader    *bufio.Reader
 	idleSince time.Time
+	// raw is nil when the connection is no socket.
+	raw syscall.RawConn
+	// probe checks the socket; it is kept because a closure for each call would be
+	// an allocation.
+	probe  func(fd uintptr) bool
+	usable bool
 }
 
 func newConn(raw net.Conn) *conn {
 	c := &conn{Conn: raw}
 	c.limit.reader = raw
 	c.reader = bufio.NewReaderSize(&c.limit, connReadBuffer)
+	if source, ok := raw.(syscall.Conn); ok {
+		if control, err := source.SyscallConn(); err == nil {
+			c.raw, c.probe = control, c.peek
+		}
+	}
 	return c
 }
 
@@ -32,20 +43,18 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	source, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	if c.raw == nil {
 		return true
 	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return false
-	}
-	usable := false
-	err = raw.Read(func(fd uintptr) bool {
-		var probe [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		usable = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && usable
+	c.usable = false
+	return c.raw.Read(c.probe) == nil && c.usable
+}
+
+// peek sets usable when the socket is open and has nothing to read. It never
+// waits.
+func (c *conn) peek(fd uintptr) bool {
+	var probe [1]byte
+	_, _, err := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	c.usable = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+	return true
 }
