--- a/internal/claim/config.go
+++ b/internal/claim/config.go
@@ -23,7 +23,7 @@
 	DefaultSealBytes = 512 << 10
 	// DefaultAckTimeout is how long an owner may take to acknowledge a request
 	// before it counts as frozen; it covers a connection across regions.
-	DefaultAckTimeout = 200 * time.Millisecond
+	DefaultAckTimeout = 300 * time.Millisecond
 	// DefaultIdle is how long a node keeps a shard in memory that it does not
 	// write to.
 	DefaultIdle = 10 * time.Minute
--- a/internal/claim/conn_pool.go
+++ b/internal/claim/conn_pool.go
@@ -32,6 +32,8 @@
 type pooledConn struct {
 	conn *grpc.ClientConn
 	used time.Time
+	// heard is when the other end last acknowledged a request.
+	heard time.Time
 	// silentUntil is set after the owner did not acknowledge a request.
 	silentUntil time.Time
 }
@@ -73,6 +75,25 @@
 	)
 }
 
+// heard notes that the other end acknowledged a request.
+func (p *connPool) heard(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pooled := p.conns[address]; pooled != nil {
+		pooled.heard = p.now()
+	}
+}
+
+// quiet returns how long ago the other end acknowledged a request.
+func (p *connPool) quiet(address string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pooled := p.conns[address]; pooled != nil {
+		return p.now().Sub(pooled.heard)
+	}
+	return maxWait
+}
+
 // silence keeps requests away from an address for a moment.
 func (p *connPool) silence(address string) {
 	p.mu.Lock()
--- a/internal/claim/remote.go
+++ b/internal/claim/remote.go
@@ -54,7 +54,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silent := time.AfterFunc(r.ackTimeout, func() { cancel(errNoOwner) })
+	silent := r.whenSilent(address, func() { cancel(errNoOwner) })
 	defer silent.Stop()
 	stream, err := conn.NewStream(ctx, &grpc.StreamDesc{}, method)
 	if err == nil {
@@ -68,11 +68,28 @@
 	}
 	if err == nil {
 		silent.Stop()
+		r.conns.heard(address)
 		err = stream.RecvMsg(reply)
 	}
 	return r.classify(ctx, address, err)
 }
 
+// whenSilent starts a timer that gives up when the owner acknowledged no request
+// at all for the ack timeout. An owner that is slow under load still
+// acknowledges some, and giving it up would move the load to the store.
+func (r *remote) whenSilent(address string, giveUp func()) *time.Timer {
+	var timer *time.Timer
+	timer = time.AfterFunc(maxWait, func() {
+		if quiet := r.conns.quiet(address); quiet < r.ackTimeout {
+			timer.Reset(r.ackTimeout - quiet)
+			return
+		}
+		giveUp()
+	})
+	timer.Reset(r.ackTimeout)
+	return timer
+}
+
 // classify tells an owner that does not answer from one that refused.
 func (r *remote) classify(ctx context.Context, address string, err error) error {
 	switch {
