--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -104,8 +104,13 @@
 // gossip names the node's digest to three neighbours.
 func (n *testNode) gossip(ctx context.Context) {
 	for sleep(ctx, 50*time.Millisecond) {
-		alive := without(aliveIDs(n.view(), anyRecord), n.id)
-		for _, id := range rank("neighbour "+n.id, alive)[:min(3, len(alive))] {
+		var others []string
+		for _, record := range n.view().Nodes() {
+			if record.ID != n.id && record.State != member.Dead {
+				others = append(others, record.ID)
+			}
+		}
+		for _, id := range rank("neighbour "+n.id, others)[:min(3, len(others))] {
 			n.cluster.mu.Lock()
 			neighbour := n.cluster.nodes[id]
 			n.cluster.mu.Unlock()
--- a/internal/relay/parent_test.go
+++ b/internal/relay/parent_test.go
@@ -125,3 +125,31 @@
 	}
 	return 0
 }
+
+// TestRepairWithoutTree guards I9 when no reader and no relay is left: a version
+// that one node holds spreads through the digests alone.
+func TestRepairWithoutTree(t *testing.T) {
+	c := newCluster(t)
+	c.fill(2)
+	c.within(2*inForceLimit, "all serve", c.allServe)
+	for _, id := range c.ids() {
+		c.edit(id, func(record *member.Record) { record.State, record.Reader = member.Leaving, false })
+	}
+	c.within(inForceLimit, "no node has a parent", func() bool {
+		for _, node := range c.nodes {
+			if node.relay.Parent() != "" {
+				return false
+			}
+		}
+		return true
+	})
+	version := c.change("south-1-01")
+	c.within(inForceLimit, "change without a tree", func() bool {
+		for _, node := range c.nodes {
+			if node.holder.Current().Version() != version {
+				return false
+			}
+		}
+		return true
+	})
+}
