--- a/internal/burn/recorder.go
+++ b/internal/burn/recorder.go
@@ -1,8 +1,8 @@
 // Package burn counts outcomes and latencies by target and region and computes
 // how fast each target uses its error budget.
 //
-// It owns the windows of sketches of its node. Lost reports make the sums older,
-// never wrong.
+// It owns the windows of its node and the reports of the nodes below it. Lost
+// reports make the sums older, never wrong.
 package burn
 
 import "time"
--- /dev/null
+++ b/internal/gossip/fuzz_test.go
@@ -0,0 +1,56 @@
+package gossip
+
+import (
+	"context"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"rosemaryladder.dev/rosemaryladder/internal/controlpb"
+	"rosemaryladder.dev/rosemaryladder/internal/member"
+)
+
+// FuzzExchange guards against messages that stop a node, bring invalid records
+// into its view or make it lose its own record.
+func FuzzExchange(f *testing.F) {
+	s := newSimulation(3)
+	full, err := proto.Marshal(s.processes[1].exchanger.compose("h0", true))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(full)
+	own := member.ToProto(s.processes[0].table().View().Self)
+	own.State = controlpb.NodeState_NODE_STATE_DEAD
+	suspicion, err := proto.Marshal(&controlpb.Gossip{
+		Sender:   "h1",
+		Records:  []*controlpb.NodeRecord{own},
+		Contacts: []*controlpb.RegionContact{{Region: "vestland", AgeMs: 3}},
+		Crashes:  []*controlpb.CrashReport{{Fingerprint: 1, Node: "h1", AtUnixMs: s.now.UnixMilli()}},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(suspicion)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		message := &controlpb.Gossip{}
+		if proto.Unmarshal(data, message) != nil {
+			return
+		}
+		process := newSimulation(2).processes[0]
+		service := &server{exchanger: process.exchanger}
+		for range 2 {
+			if _, err := service.Exchange(context.Background(), message); err != nil {
+				return
+			}
+		}
+		view := process.table().View()
+		if view.Self.ID != "h0" || view.Self.State != member.Alive {
+			t.Fatalf("the own record became %+v", view.Self)
+		}
+		for _, record := range view.Nodes() {
+			if err := record.Validate(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
