--- /dev/null
+++ b/internal/gossip/store_test.go
@@ -0,0 +1,100 @@
+package gossip_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/store"
+)
+
+// memoryStore is a store in memory. It counts the calls and can be down.
+type memoryStore struct {
+	calls atomic.Int64
+	down  atomic.Bool
+
+	mu     sync.Mutex
+	values map[string]store.Value
+	leases store.LeaseID
+}
+
+func newMemoryStore() *memoryStore { return &memoryStore{values: make(map[string]store.Value)} }
+
+func (s *memoryStore) begin() error {
+	s.calls.Add(1)
+	if s.down.Load() {
+		return store.ErrNotSent
+	}
+	return nil
+}
+
+func (s *memoryStore) Get(_ context.Context, key string) (store.Value, error) {
+	if err := s.begin(); err != nil {
+		return store.Value{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.values[key], nil
+}
+
+func (s *memoryStore) CompareAndSwap(_ context.Context, key string, expected store.Revision, data []byte, _ store.LeaseID) (store.Revision, error) {
+	if err := s.begin(); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.values[key].Revision != expected {
+		return 0, store.ErrConflict
+	}
+	s.values[key] = store.Value{Data: data, Revision: expected + 1}
+	return expected + 1, nil
+}
+
+func (s *memoryStore) Grant(context.Context, time.Duration) (store.LeaseID, error) {
+	if err := s.begin(); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases++
+	return s.leases, nil
+}
+
+func (s *memoryStore) KeepAlive(context.Context, store.LeaseID) error { return s.begin() }
+
+func (s *memoryStore) Revoke(context.Context, store.LeaseID) error { return s.begin() }
+
+func (s *memoryStore) GetNewer(ctx context.Context, key string, _ store.Revision) (store.Value, error) {
+	return s.Get(ctx, key)
+}
+
+func (s *memoryStore) Watch(ctx context.Context, key string, _ store.Revision) (store.Value, error) {
+	return s.Get(ctx, key)
+}
+
+// TestJoinThroughStore guards against nodes without seeds in their settings that
+// start together and stay apart, within a domain or between domains, and against
+// a herd that loads the store.
+func TestJoinThroughStore(t *testing.T) {
+	const size = 12
+	shared := newMemoryStore()
+	shared.down.Store(true)
+	var nodes []*testNode
+	for i := range size {
+		nodes = append(nodes, startNode(t, i, nil, shared))
+	}
+	time.Sleep(500 * time.Millisecond)
+	shared.down.Store(false)
+	took := await(t, 20*time.Second, "all nodes know all others", func() bool {
+		return all(nodes, func(n *testNode) bool { return alive(n) == size })
+	})
+	calls := shared.calls.Load()
+	t.Logf("%d nodes joined through the store after %s with %d calls", size, took, calls)
+	if calls > 12*size {
+		t.Errorf("%d calls to the store, want at most 12 for each node", calls)
+	}
+	late := startNode(t, size, nil, shared)
+	await(t, 10*time.Second, "a late node knows all others", func() bool { return alive(late) == size+1 })
+}
--- /dev/null
+++ b/internal/gossip/traffic_test.go
@@ -0,0 +1,64 @@
+package gossip_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/member"
+)
+
+// maxControlBytes is the stated limit of control bytes a second for a node.
+const maxControlBytes = 7 << 10
+
+// quietTraffic returns the bytes a second that a node sends and receives while
+// nothing changes. Bytes are those on the TCP connections, without the headers of
+// TCP and IP.
+func quietTraffic(t testing.TB, nodes []*testNode, duration time.Duration) float64 {
+	t.Helper()
+	for _, n := range nodes {
+		n.version.Store(1000)
+		n.table.SetServer(member.Server{Service: "katalog", State: member.ServerReady, Slots: 9, Connections: 120}, time.Now())
+	}
+	time.Sleep(3 * time.Second)
+	before := totalBytes(nodes)
+	begin := time.Now()
+	time.Sleep(duration)
+	// Each byte is sent by one node and received by another.
+	return 2 * float64(totalBytes(nodes)-before) / time.Since(begin).Seconds() / float64(len(nodes))
+}
+
+func totalBytes(nodes []*testNode) int64 {
+	var total int64
+	for _, n := range nodes {
+		total += n.listener.bytes.Load()
+	}
+	return total
+}
+
+// TestQuietTraffic guards against an exchange that uses up the control bytes of a
+// node.
+func TestQuietTraffic(t *testing.T) {
+	rate := quietTraffic(t, startFleet(t, 13), 5*time.Second)
+	t.Logf("13 nodes: %.0f bytes/s sent and received by a node", rate)
+	if rate > maxControlBytes {
+		t.Errorf("a node sends and receives %.0f bytes/s, want at most %d", rate, maxControlBytes)
+	}
+}
+
+// BenchmarkQuietTraffic reports how the traffic of a node grows with the fleet,
+// and how long a leaving server takes to be known everywhere.
+func BenchmarkQuietTraffic(b *testing.B) {
+	for _, size := range []int{13, 26, 52, 104} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			nodes := startFleet(b, size)
+			b.ReportMetric(quietTraffic(b, nodes, 10*time.Second), "B/s/node")
+			nodes[1].table.SetServer(member.Server{Service: "katalog", State: member.ServerLeaving}, time.Now())
+			took := await(b, 3*time.Second, "a leaving server is known", func() bool {
+				return all(nodes, func(n *testNode) bool { return len(n.table.View().Servers("katalog")) == size-1 })
+			})
+			b.ReportMetric(float64(took.Milliseconds()), "leaving-ms")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
