--- a/internal/route/compare_test.go
+++ b/internal/route/compare_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-var algorithms = []Algorithm{Random{}, LeastInFlight{}, TwoChoices{}, LeastEstimate{}, TwoChoicesByEstimate{}}
+var algorithms = []Algorithm{Random{}, LeastInFlight{}, TwoChoices{}, LeastEstimate{}, TwoChoicesByEstimate{}, HoldBack{}}
 
 // average runs a scenario with each rotation of the faults.
 func average(t *testing.T, s scenario) figures {
