Keep serving a shard when single reads of its segments fail

A new owner kept nothing of the segments it had read when one read failed, so with many segments and a store that loses answers it never served. It now keeps them. A sealed segment that is missing refuses only the requests for its keys instead of holding up their whole batch.

TestTakeOverWhileReadsFail fails without the kept segments ("did not serve in 200 tries") and passes with them.

--- a/internal/claim/at_most_once_test.go
+++ b/internal/claim/at_most_once_test.go
@@ -157,12 +157,17 @@
 func (f *fleet) check(r request, answer outcome) {
 	id, key := r.claim.ID, r.claim.Key
 	if r.release {
-		delete(f.unrecorded, id)
+		if answer.err == nil {
+			delete(f.unrecorded, id)
+		}
 		return
 	}
 	if errors.Is(answer.err, errReleased) && f.released[id] {
 		return
 	}
+	if errors.Is(answer.err, errSegmentMissing) && f.store.faults {
+		return
+	}
 	if answer.err != nil {
 		f.t.Fatalf("attempt %s for %s failed: %v", id, key, answer.err)
 	}
@@ -227,6 +232,31 @@
 	return values
 }
 
+// TestTakeOverWhileReadsFail guards against a new owner that starts over with a
+// shard's sealed segments each time that a read fails, and so never serves.
+func TestTakeOverWhileReadsFail(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t)
+		f.store.faults = false
+		f.logs[0].config.SealRecords = 1
+		for i := range 30 {
+			f.commitOne(f.logs[0], request{claim: Claim{Service: "s", Key: fmt.Sprint(i), Node: "n", ID: fmt.Sprint(i), At: f.now}})
+		}
+		f.store.faults = true
+		wanted := Claim{Service: "s", Key: "0", Node: "n", ID: "late", At: f.now}
+		for range 200 {
+			outcomes, err := f.logs[1].commit(context.Background(), []request{{claim: wanted}})
+			if err == nil && outcomes[0].err == nil {
+				if outcomes[0].holder.ID != "0" {
+					t.Fatalf("the new owner sees attempt %s", outcomes[0].holder.ID)
+				}
+				return
+			}
+		}
+		t.Fatal("the new owner did not serve in 200 tries")
+	})
+}
+
 // TestAtMostOnce guards against a key that two attempts win, or whose winner a
 // later attempt does not see, with several owners at once, frozen owners, lost
 // and late writes, old values, restarts, releases and expired segments.
--- a/internal/claim/claimer.go
+++ b/internal/claim/claimer.go
@@ -10,15 +10,18 @@
 	"time"
 )
 
-// Retention is how long a claim is kept, counted from the first attempt.
+// Retention is how long a claim is kept at least, counted from the first
+// attempt. A shard with few claims keeps them longer, until its head is sealed.
 const Retention = 24 * time.Hour
 
 // Claimer records claims in the store.
 type Claimer interface {
 	// Claim returns the claim in force for the key. The claim is won when the
 	// returned ID is the requested one. An error means that the claim was not
-	// recorded as far as is known; the caller must not run the call.
+	// recorded as far as is known; the caller must not run the call and must not
+	// use the ID again.
 	Claim(ctx context.Context, wanted Claim) (Claim, error)
-	// Release withdraws a won claim whose call did not run.
+	// Release withdraws a won claim whose call did not run. With an error the
+	// release may or may not be recorded.
 	Release(ctx context.Context, won Claim) error
 }
--- a/internal/claim/ledger.go
+++ b/internal/claim/ledger.go
@@ -93,15 +93,17 @@
 	return positions
 }
 
-// decide answers a batch in order. sealed holds the records of the batch's keys
-// from sealed segments by key hash, oldest first. The answers hold once the
-// returned records are stored, or once the ledger is known to be the newest
-// when there are none.
-func (l *ledger) decide(batch []request, sealed map[uint64][]record) ([]record, []outcome) {
+// decide answers a batch in order. The answers hold once the returned records
+// are stored, or once the ledger is known to be the newest when there are none.
+func (l *ledger) decide(batch []request, sealed sealedRecords) ([]record, []outcome) {
 	var appended []record
 	outcomes := make([]outcome, len(batch))
 	states := make(map[string]*keyState)
 	for i, r := range batch {
+		if err := sealed.failed[record(r).hash()]; err != nil {
+			outcomes[i] = outcome{err: err}
+			continue
+		}
 		name := r.claim.name()
 		if states[name] == nil {
 			states[name] = newKeyState(l.history(name, sealed))
@@ -117,10 +119,10 @@
 }
 
 // history returns the records of a key, oldest first.
-func (l *ledger) history(name string, sealed map[uint64][]record) []record {
+func (l *ledger) history(name string, sealed sealedRecords) []record {
 	hash := hashName(name)
 	var records []record
-	for _, r := range sealed[hash] {
+	for _, r := range sealed.byHash[hash] {
 		if r.claim.name() == name {
 			records = append(records, r)
 		}
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -16,8 +16,12 @@
 	"rosemaryladder.dev/rosemaryladder/internal/store"
 )
 
-// maxWait bounds a request whose context has no deadline.
-const maxWait = 30 * time.Second
+const (
+	// maxWait bounds a request whose context has no deadline.
+	maxWait = 30 * time.Second
+	// keptAnswerTimeout bounds the question to a node that may be frozen.
+	keptAnswerTimeout = time.Second
+)
 
 // Service claims keys for the calls of its node and records claims for other
 // nodes. It is safe for concurrent use.
@@ -128,6 +132,8 @@
 	if err != nil {
 		return Answer{}
 	}
+	ctx, cancel := context.WithTimeout(ctx, keptAnswerTimeout)
+	defer cancel()
 	message := &controlpb.KeptAnswerRequest{Service: holder.Service, Key: holder.Key}
 	reply, err := controlpb.NewClaimsClient(conn).KeptAnswer(ctx, message)
 	if err != nil {
--- a/internal/claim/service_test.go
+++ b/internal/claim/service_test.go
@@ -267,6 +267,7 @@
 			counts := m.store.Counts()
 			b.ReportMetric(float64(b.N)/float64(counts.ByKeyPrefix["claims"]), "claims/write")
 			b.ReportMetric(float64(counts.PeakPerSecond), "peak-store-calls/s")
+			b.ReportMetric(float64(counts.BytesIn)/float64(b.N), "stored-B/claim")
 			b.ReportMetric(float64(failed.Load()), "failed")
 		})
 	}
--- a/internal/claim/shard_log.go
+++ b/internal/claim/shard_log.go
@@ -43,6 +43,8 @@
 	acquire func(ctx context.Context) error
 
 	ledger *ledger
+	// indexed are the segments that a refresh read before it failed.
+	indexed []segmentIndex
 	// stale is set while the store may hold a newer revision.
 	stale bool
 	// uncertain is set when a write of the last commit may have taken effect
--- a/internal/claim/shard_segments.go
+++ b/internal/claim/shard_segments.go
@@ -61,53 +61,56 @@
 }
 
 // indexSegments returns the indexes of a head's segments and reads those that
-// are not known yet.
+// are not known yet. What was read is kept when a later read fails: a new owner
+// has many segments to read, and some read always fails while the store loses
+// answers.
 func (l *shardLog) indexSegments(ctx context.Context, names []segmentName) ([]segmentIndex, error) {
 	known := make(map[uint64]segmentIndex)
-	for _, index := range l.ledger.indexes {
+	for _, index := range append(l.ledger.indexes, l.indexed...) {
 		known[index.name.number] = index
 	}
-	indexes := make([]segmentIndex, len(names))
-	for i, name := range names {
+	indexes := make([]segmentIndex, 0, len(names))
+	for _, name := range names {
 		index, found := known[name.number]
 		if !found {
 			records, err := l.readSegment(ctx, name)
 			if err != nil {
+				l.indexed = indexes
 				return nil, err
 			}
 			index = newSegmentIndex(name, records)
 		}
-		indexes[i] = index
+		indexes = append(indexes, index)
 	}
+	l.indexed = nil
 	return indexes, nil
 }
 
-// sealedRecords returns the records of the batch's keys from sealed segments.
-// Only keys that were claimed before need a store read.
-func (l *shardLog) sealedRecords(ctx context.Context, batch []request) (map[uint64][]record, error) {
-	wanted := make(map[int]bool)
-	hashes := make(map[uint64]bool)
+// sealedRecords returns what the sealed segments hold of the batch's keys. Only
+// keys that were claimed before need a store read.
+func (l *shardLog) sealedRecords(ctx context.Context, batch []request) (sealedRecords, error) {
+	sealed := newSealedRecords()
+	wanted := make(map[int][]uint64)
 	for _, r := range batch {
 		hash := record(r).hash()
-		hashes[hash] = true
 		for _, position := range l.ledger.segmentsWith(hash, l.now()) {
-			wanted[position] = true
+			wanted[position] = append(wanted[position], hash)
 		}
 	}
-	found := make(map[uint64][]record)
 	for position, index := range l.ledger.indexes {
-		if !wanted[position] {
+		hashes := wanted[position]
+		if len(hashes) == 0 {
 			continue
 		}
 		records, err := l.readSegment(ctx, index.name)
-		if err != nil {
-			return nil, err
-		}
-		for _, r := range records {
-			if hash := r.hash(); hashes[hash] {
-				found[hash] = append(found[hash], r)
-			}
+		switch {
+		case errors.Is(err, errSegmentMissing), errors.Is(err, errCorrupt):
+			sealed.unreadable(hashes, err)
+		case err != nil:
+			return sealedRecords{}, err
+		default:
+			sealed.add(hashes, records)
 		}
 	}
-	return found, nil
+	return sealed, nil
 }
--- a/internal/claim/writer.go
+++ b/internal/claim/writer.go
@@ -71,7 +71,7 @@
 	}
 	select {
 	case answer := <-p.answered:
-		return answer, false
+		return answer, p.uncertain
 	case <-ctx.Done():
 		return w.giveUp(p)
 	}
@@ -84,7 +84,7 @@
 	defer w.mu.Unlock()
 	select {
 	case answer := <-p.answered:
-		return answer, false
+		return answer, p.uncertain
 	default:
 	}
 	for i, waiting := range w.waiting {
