call: don't parse a port out of a Host header without one

Cause: net.SplitHostPort allocates its error.

Tried and dropped: a context that starts its deadline timer only when it is waited for, together with socket deadlines.

--- a/internal/call/accept.go
+++ b/internal/call/accept.go
@@ -86,6 +86,9 @@
 
 // serviceOf returns the service that a Host header names.
 func serviceOf(host string) string {
+	if !strings.Contains(host, ":") {
+		return host
+	}
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		return name
 	}
