--- /dev/null
+++ b/internal/call/limits_test.go
@@ -0,0 +1,148 @@
+package call
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"rosemaryladder.dev/rosemaryladder/internal/claim"
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+	"rosemaryladder.dev/rosemaryladder/internal/standin/backend"
+	"rosemaryladder.dev/rosemaryladder/internal/standin/caller"
+)
+
+// codeOf sends a call and returns the result code and the run state.
+func codeOf(t *testing.T, method, url, key string, header http.Header) (string, result.RunState) {
+	t.Helper()
+	request, err := http.NewRequest(method, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = testService
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	if key != "" {
+		request.Header.Set(HeaderKey, key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Error(err)
+		return "", ""
+	}
+	response.Body.Close()
+	return response.Header.Get(HeaderResult), result.RunState(response.Header.Get(HeaderRun))
+}
+
+// TestLimits guards against a bound that is not enforced or not counted, and
+// against callers who pass as nodes.
+func TestLimits(t *testing.T) {
+	f := newFleet(t, fleetOptions{nodes: 1, slots: 5, attempts: 2}, standIn)
+	scope := tally.NewTestScope("", nil)
+	front := f.nodes[0]
+	front.metrics = newMetrics(scope)
+	front.front.metrics = front.metrics
+	expect := func(what, counter string, code result.Code, header http.Header, path string) {
+		t.Helper()
+		got, run := codeOf(t, http.MethodGet, f.url(path), "", header)
+		if got != fmt.Sprint(int(code)) || run != result.NotRun {
+			t.Errorf("%s: code %q, run %q", what, got, run)
+		}
+		if found := scope.Snapshot().Counters()["call."+counter+"+"]; found == nil || found.Value() != 1 {
+			t.Errorf("%s: counter %s is %v", what, counter, found)
+		}
+	}
+	expect("large head", "limit_head", result.BodyTooLarge, http.Header{"X-Big": {strings.Repeat("x", 70<<10)}}, "/patterns")
+	expect("long key", "limit_key", result.BadRequest, http.Header{HeaderKey: {strings.Repeat("k", 256)}}, "/patterns")
+	// The caller's IP is not one of a node.
+	expect("forged hop", "untrusted_hop", result.NodeNotReady, http.Header{headerHop: {"id 1 lookup many 1 0"}}, "/patterns")
+	front.inFlight.Add(int64(front.config.Calls))
+	expect("many calls", "limit_calls", result.Overloaded, nil, "/patterns")
+	front.inFlight.Add(-int64(front.config.Calls))
+	front.Drain()
+	if code, run := codeOf(t, http.MethodGet, f.url("/patterns"), "", nil); code != fmt.Sprint(int(result.Draining)) || run != result.NotRun {
+		t.Errorf("a node that is leaving answered %q, %q", code, run)
+	}
+}
+
+// TestDeadlines guards against a call that waited in vain and is reported as
+// unknown, and against one that was handed over and is reported as not-run.
+func TestDeadlines(t *testing.T) {
+	began := make(chan struct{}, 1)
+	f := newFleet(t, fleetOptions{nodes: 1, slots: 1, attempts: 3, deadline: 300 * time.Millisecond}, func(int) http.Handler {
+		return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			began <- struct{}{}
+			<-r.Context().Done()
+		})
+	})
+	var group sync.WaitGroup
+	group.Go(func() {
+		if code, run := codeOf(t, http.MethodGet, f.url("/patterns/1"), "", nil); code != fmt.Sprint(int(result.DeadlineUnknown)) || run != result.RunUnknown {
+			t.Errorf("a call that was running at its deadline got code %q, run %q", code, run)
+		}
+	})
+	<-began
+	if code, run := codeOf(t, http.MethodGet, f.url("/patterns/2"), "", http.Header{HeaderDeadline: {"50"}}); code != fmt.Sprint(int(result.DeadlineNotRun)) || run != result.NotRun {
+		t.Errorf("a call that was waiting at its deadline got code %q, run %q", code, run)
+	}
+	group.Wait()
+}
+
+// slowClaims answers only after the deadline, as a gate that was frozen sees it.
+type slowClaims struct {
+	*fakeClaims
+	delay time.Duration
+}
+
+func (s slowClaims) Claim(ctx context.Context, wanted claim.Claim) (claim.Claim, error) {
+	time.Sleep(s.delay)
+	return s.fakeClaims.Claim(ctx, wanted)
+}
+
+// TestLateClaim guards against an order that runs after its deadline because its
+// gate was frozen while it claimed the key.
+func TestLateClaim(t *testing.T) {
+	server := &countingServer{runs: make(map[string]int)}
+	f := newFleet(t, fleetOptions{nodes: 1, slots: 5, attempts: 3, deadline: 100 * time.Millisecond}, func(int) http.Handler { return server })
+	f.nodes[1].gate.deps.Claimer = slowClaims{f.claims, 120 * time.Millisecond}
+	code, run := codeOf(t, http.MethodPost, f.url("/orders"), "k1", nil)
+	if code != fmt.Sprint(int(result.DeadlineNotRun)) || run != result.NotRun || server.ran("") != 0 {
+		t.Errorf("code %q, run %q, %d runs", code, run, server.ran(""))
+	}
+	if len(f.claims.claims) != 0 {
+		t.Error("the claim of a call that did not run was not withdrawn")
+	}
+}
+
+// TestStandInCaller guards against a caller stand-in that reports faults of its
+// own, and against a repeat of an order that does not find the kept answer at
+// another node.
+func TestStandInCaller(t *testing.T) {
+	f := newFleet(t, fleetOptions{nodes: 3, slots: 100, attempts: 3, deadline: 5 * time.Second}, standIn)
+	classes := []caller.Class{
+		{Name: "l", Service: testService, Method: "GET", Path: "/patterns/1", Rate: 100},
+		{Name: "o", Service: testService, Method: "POST", Path: "/orders", Rate: 100, Body: 500, Once: true},
+		{Name: "d", Service: testService, Method: "GET", Path: "/files/1", Rate: 20, Size: 1 << 20},
+	}
+	reports := caller.Run(context.Background(), caller.Options{Nodes: f.addresses, Duration: 500 * time.Millisecond, Timeout: 10 * time.Second, MaxInFlight: 100, Classes: classes})
+	for name, report := range reports {
+		if report.Sent == 0 || report.Whole != report.Sent || report.P50 <= 0 {
+			t.Errorf("class %s: %+v", name, report)
+		}
+	}
+	for range 10 {
+		response, content := answerTo(t, http.MethodPost, f.url("/orders"), "k1", "flag")
+		if response.Header.Get(HeaderRun) != string(result.Ran) || !strings.Contains(content, backend.Digest([]byte("flag"))) {
+			t.Errorf("a repeated order was answered with %v %s", response.Header, content)
+		}
+	}
+	if load := f.nodes[1].gate.load(); load.InFlight != 0 || load.Slots != 100 {
+		t.Errorf("load after all calls: %+v", load)
+	}
+}
