Leave configuration digests to the interval between regions

Cause: each change cost 415 B between the regions, 3.6 times the compressed delta; every bridge exchanged its digest at once although the relay tree carries the version. Ruled out: leaving the digest out between regions, which would take the repair away when a reader is dead.

--- a/internal/event/ring.go
+++ b/internal/event/ring.go
@@ -25,7 +25,7 @@
 
 // NewRing returns a ring for the named node that keeps size events.
 func NewRing(node string, size int, now func() time.Time) *Ring {
-	return &Ring{node: node, now: now, changes: newBuffer(size / 2), refusals: newBuffer(size / 2)}
+	return &Ring{node: node, now: now, changes: newBuffer(max(size/2, 1)), refusals: newBuffer(max(size/2, 1))}
 }
 
 // Record stores an event, filling in the node and the time when they are empty.
--- a/internal/gossip/loop.go
+++ b/internal/gossip/loop.go
@@ -12,6 +12,10 @@
 	exchanger *Exchanger
 	// target returns the node to exchange with after a number of failures.
 	target func(failures int) (member.Record, bool)
+	// quietDigest is set when a changed configuration digest alone is no reason to
+	// exchange before the interval. Between regions the relay tree carries the
+	// version; an exchange for it would cost as many bytes as the delta.
+	quietDigest bool
 	// wake holds a token while there may be news.
 	wake     chan struct{}
 	cancel   context.CancelFunc
@@ -61,7 +65,7 @@
 	}
 	full := e.needsFull(node.ID)
 	recent := e.deps.Now().Sub(e.peers.get(node.ID).heardAt) < e.config.SkipWithin
-	if recent && !full && !e.hasNews(node.ID) {
+	if recent && !full && !e.hasNews(node.ID, true) {
 		e.counters.skipped.Inc(1)
 		return
 	}
@@ -71,7 +75,7 @@
 // triggered exchanges when there is news. It reports whether it did.
 func (l *loop) triggered(ctx context.Context) bool {
 	node, found := l.target(l.failures)
-	if !found || !l.exchanger.hasNews(node.ID) {
+	if !found || !l.exchanger.hasNews(node.ID, !l.quietDigest) {
 		return false
 	}
 	l.exchange(ctx, node, false)
--- a/internal/gossip/loops.go
+++ b/internal/gossip/loops.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 
 	"rosemaryladder.dev/rosemaryladder/internal/member"
 )
 
+// regionPrefix starts the key of a loop to another region.
+const regionPrefix = "region "
+
 // loops runs one loop for each neighbour and, on a bridge, for each other region.
 type loops struct {
 	exchanger *Exchanger
@@ -41,6 +45,7 @@
 func (l *loops) start(ctx context.Context, key string, target func(int) (member.Record, bool)) {
 	ctx, cancel := context.WithCancel(ctx)
 	started := &loop{exchanger: l.exchanger, target: target, wake: make(chan struct{}, 1), cancel: cancel}
+	started.quietDigest = strings.HasPrefix(key, regionPrefix)
 	l.running[key] = started
 	started.notify()
 	l.group.Go(func() { started.run(ctx) })
@@ -54,7 +59,7 @@
 		wanted["node "+node.ID+" "+node.ControlAddress()] = func(int) (member.Record, bool) { return node, true }
 	}
 	for region := range plan.Regions {
-		wanted["region "+region] = func(failures int) (member.Record, bool) {
+		wanted[regionPrefix+region] = func(failures int) (member.Record, bool) {
 			return l.bridgeTarget(region, failures)
 		}
 	}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -62,10 +62,11 @@
 	}
 }
 
-// hasNews reports whether there is anything to tell a peer at once.
-func (e *Exchanger) hasNews(to string) bool {
+// hasNews reports whether there is anything to tell a peer; a changed
+// configuration digest counts when withDigest is set.
+func (e *Exchanger) hasNews(to string, withDigest bool) bool {
 	state := e.peers.get(to)
-	if !proto.Equal(state.digest, e.deps.Digest()) {
+	if withDigest && !proto.Equal(state.digest, e.deps.Digest()) {
 		return true
 	}
 	if e.deps.Table.HasChangedSince(to, state.acked.records) {
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	n.table.Subscribe(member.ListenerFunc(n.recordMembership))
+	n.table.Subscribe(member.EventListener(n.events))
 	n.quarantine, err = quarantine.New(quarantine.DefaultConfig())
 	if err != nil {
 		return err
@@ -62,6 +62,7 @@
 	if err != nil {
 		return err
 	}
+	n.table.Subscribe(member.ListenerFunc(n.hurryElection))
 	n.burn, err = burn.NewWindows(burn.DefaultConfig(), n.settings.Node.Region, latencyObjective(n.holder))
 	if err != nil {
 		return err
