relay: answer fresher fleet status and repair across regions sooner

Status was up to 439 ms old, because the node that is asked and the reader each kept the whole answer for 200 ms. Only the sum of another region, which crosses the paid link, is now kept for 200 ms; whole answers are kept for 50 ms.

A node of another region is now fetched from after 250 ms instead of 500 ms.

--- a/internal/relay/fleet_reader.go
+++ b/internal/relay/fleet_reader.go
@@ -12,8 +12,11 @@
 )
 
 const (
-	// fleetCacheTime is how long an answer serves other viewers.
+	// fleetCacheTime is how long the sum of another region serves all viewers.
 	fleetCacheTime = 200 * time.Millisecond
+	// viewerCacheTime is how long an answer serves the viewers of one node. The
+	// sum of a reader is cheap, and whoever waits for a change sees it sooner.
+	viewerCacheTime = 50 * time.Millisecond
 	// fleetTimeout bounds one question to a reader.
 	fleetTimeout = time.Second
 	// scopeHeader is the gRPC metadata key that limits a question to the
@@ -31,9 +34,11 @@
 	// statistics asks for the objective statistics as well.
 	statistics bool
 
-	mu     sync.Mutex
-	cached *controlpb.Report
-	at     time.Time
+	whole answerCache
+
+	mu sync.Mutex
+	// regions keeps the answers of other regions.
+	regions map[string]*answerCache
 }
 
 // read returns the state of the fleet as this node's membership expects it.
@@ -59,21 +64,9 @@
 	return report
 }
 
-// report returns the sum over all regions. Viewers that ask at the same time
-// wait for one answer.
+// report returns the sum over all regions.
 func (f *fleetReader) report(ctx context.Context) (*controlpb.Report, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.relay.options.Now()
-	if f.cached != nil && now.Sub(f.at) < fleetCacheTime {
-		return f.cached, nil
-	}
-	report, err := f.ask(ctx)
-	if err != nil {
-		return nil, err
-	}
-	f.cached, f.at = report, now
-	return report, nil
+	return f.whole.get(ctx, f.relay.options.Now(), viewerCacheTime, f.ask)
 }
 
 // ask returns the sum of the node's reader, or as the reader itself the sum of
@@ -88,7 +81,7 @@
 	var group sync.WaitGroup
 	for i, region := range regions {
 		group.Go(func() {
-			reports[i], _ = f.askReader(ctx, region, scopeRegion)
+			reports[i], _ = f.region(ctx, region)
 		})
 	}
 	reports[len(regions)] = f.sum()
@@ -98,6 +91,26 @@
 	return merged, nil
 }
 
+// region returns the sum of another region. It is kept longer, because it
+// crosses the paid link.
+func (f *fleetReader) region(ctx context.Context, region string) (*controlpb.Report, error) {
+	return f.cacheOf(region).get(ctx, f.relay.options.Now(), fleetCacheTime, func(ctx context.Context) (*controlpb.Report, error) {
+		return f.askReader(ctx, region, scopeRegion)
+	})
+}
+
+func (f *fleetReader) cacheOf(region string) *answerCache {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.regions == nil {
+		f.regions = make(map[string]*answerCache)
+	}
+	if f.regions[region] == nil {
+		f.regions[region] = &answerCache{}
+	}
+	return f.regions[region]
+}
+
 // askReader asks the readers of a region in turn.
 func (f *fleetReader) askReader(ctx context.Context, region, scope string) (*controlpb.Report, error) {
 	view := f.relay.options.View()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -108,7 +108,8 @@
 func (r *Relay) Subscribers() int { return r.children.count() }
 
 // Fleet returns what the nodes of all regions have in force. The answer is at
-// most fleetCacheTime old at each of the two nodes it passes.
+// most fleetCacheTime old for another region and viewerCacheTime at each of the
+// two nodes it passes.
 func (r *Relay) Fleet(ctx context.Context) *Fleet { return r.fleet.read(ctx) }
 
 // FleetStatistics returns the objective statistics summed over all regions.
--- a/internal/relay/repair_state.go
+++ b/internal/relay/repair_state.go
@@ -12,7 +12,7 @@
 	repairDelay = 100 * time.Millisecond
 	// farRepairDelay applies to nodes of another region, so that a neighbour of
 	// the own region is asked first and the link carries a version once.
-	farRepairDelay = 500 * time.Millisecond
+	farRepairDelay = 250 * time.Millisecond
 	// maxSightings bounds the nodes whose digests are remembered.
 	maxSightings = 128
 )
