--- a/internal/call/accept.go
+++ b/internal/call/accept.go
@@ -67,6 +67,7 @@
 		}
 	}
 	request.deadline = now.Add(min(call.target.Deadline, time.Duration(deadline)*time.Millisecond))
+	request.objective = now.Add(call.target.Latency)
 	request.attempt, request.depth = attempt, depth
 	return nil
 }
@@ -86,6 +87,9 @@
 
 // serviceOf returns the service that a Host header names.
 func serviceOf(host string) string {
+	if !strings.Contains(host, ":") {
+		return host
+	}
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		return name
 	}
