Give every claim request its own id in the store

A request that reached its gate twice with the same id, for example after a connection was lost and the front sent it again, won twice: the store's record carried the attempt's id, and both requests found their own. Each request now stores a random id, and the id of the attempt only tells the caller whether it won. A rule that the front never sends an id twice was ruled out: the claim must not depend on it.

TestSameIDTwice failed before ("3 of 3 claims with the same id won") and passes now. The tests compare attempts by fingerprint instead of id, because the others see the id of the store; the comparison is as strict.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -31,10 +31,12 @@
 	At          time.Time
 	// ID tells this attempt from every other one for the same key.
 	ID string
+	// storedID is the id in the store of a claim that was won.
+	storedID string
 }
 
-// NewID returns an id that no other attempt has.
-func NewID() string {
+// newID returns an id that no other request has.
+func newID() string {
 	id := uuid.New()
 	return base64.RawURLEncoding.EncodeToString(id[:])
 }
@@ -58,6 +60,21 @@
 	return nil
 }
 
+// withNewID returns the claim as it is sent to the store. The random id makes two
+// requests for the same attempt differ, so that only one of them can win.
+func (c Claim) withNewID() Claim {
+	c.ID = newID()
+	return c
+}
+
+// asStored returns a won claim as it is in the store.
+func (c Claim) asStored() Claim {
+	if c.storedID != "" {
+		c.ID = c.storedID
+	}
+	return c
+}
+
 // WonBy reports whether the claim belongs to the attempt with the id.
 func (c Claim) WonBy(id string) bool { return c.ID == id }
 
--- a/internal/claim/claimer.go
+++ b/internal/claim/claimer.go
@@ -18,8 +18,8 @@
 type Claimer interface {
 	// Claim returns the claim in force for the key. The claim is won when the
 	// returned ID is the requested one. An error means that the claim was not
-	// recorded as far as is known; the caller must not run the call and must not
-	// use the ID again.
+	// recorded as far as is known; the caller must not run the call. At most one
+	// of several requests with the same ID wins.
 	Claim(ctx context.Context, wanted Claim) (Claim, error)
 	// Release withdraws a won claim whose call did not run. With an error the
 	// release may or may not be recorded.
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -91,12 +91,17 @@
 	if err := wanted.Validate(); err != nil {
 		return Claim{}, err
 	}
-	answer, mayBeStored := s.submit(ctx, request{claim: wanted})
+	sent := wanted.withNewID()
+	answer, mayBeStored := s.submit(ctx, request{claim: sent})
+	if answer.err == nil && answer.holder.WonBy(sent.ID) {
+		wanted.storedID = sent.ID
+		return wanted, nil
+	}
 	if answer.err == nil {
 		return answer.holder, nil
 	}
 	if mayBeStored {
-		s.abandon.add(wanted)
+		s.abandon.add(sent)
 	}
 	return Claim{}, result.Wrap(answer.err, result.ClaimUnavailable,
 		"the call to %s with key %q was not claimed", wanted.Service, wanted.Key)
@@ -107,7 +112,7 @@
 	if err := won.Validate(); err != nil {
 		return err
 	}
-	answer, _ := s.submit(ctx, request{claim: won, release: true})
+	answer, _ := s.submit(ctx, request{claim: won.asStored(), release: true})
 	if answer.err == nil {
 		return nil
 	}
--- a/internal/claim/service_test.go
+++ b/internal/claim/service_test.go
@@ -85,10 +85,12 @@
 	return node
 }
 
-// attempt returns a new attempt of a node for a key.
+// attempt returns a new attempt of a node for a key. The fingerprint names the
+// attempt to the others, which see the id of the store.
 func (n *meshNode) attempt(key string) claim.Claim {
-	id := fmt.Sprintf("attempt-%d", n.mesh.next.Add(1))
-	return claim.Claim{Service: "orderdesk", Key: key, Node: n.id, Incarnation: 1, At: time.Now(), ID: id}
+	number := n.mesh.next.Add(1)
+	id := fmt.Sprintf("attempt-%d", number)
+	return claim.Claim{Service: "orderdesk", Key: key, Fingerprint: number, Node: n.id, Incarnation: 1, At: time.Now(), ID: id}
 }
 
 func (n *meshNode) claim(key string, deadline time.Duration) (wanted, holder claim.Claim, err error) {
@@ -118,10 +120,13 @@
 		for _, node := range nodes {
 			group.Go(func() {
 				key := fmt.Sprintf("%s-%d", prefix, i)
-				_, holder, err := node.claim(key, 20*time.Second)
+				wanted, holder, err := node.claim(key, 20*time.Second)
 				mu.Lock()
 				defer mu.Unlock()
-				if earlier, told := holders[key]; err != nil || told && earlier.ID != holder.ID {
+				if holder.WonBy(wanted.ID) != (holder.Fingerprint == wanted.Fingerprint) {
+					m.t.Errorf("node %s, key %s: the holder is %+v, but the attempt was %+v", node.id, key, holder, wanted)
+				}
+				if earlier, told := holders[key]; err != nil || told && earlier.Fingerprint != holder.Fingerprint {
 					m.t.Errorf("node %s, key %s: holder %s, earlier %s, error %v", node.id, key, holder.ID, earlier.ID, err)
 				}
 				holders[key] = holder
@@ -163,6 +168,33 @@
 	}
 }
 
+// TestSameIDTwice guards against a request that reaches its gate twice, with the
+// same id, and runs twice.
+func TestSameIDTwice(t *testing.T) {
+	m := newMesh(t)
+	owner, gate := m.start("owner", "north"), m.start("gate", "south")
+	for i := range 20 {
+		wanted := gate.attempt(fmt.Sprint("order-", i))
+		var wins atomic.Int64
+		var group sync.WaitGroup
+		for _, node := range []*meshNode{gate, gate, owner} {
+			group.Go(func() {
+				holder, err := node.service.Claim(context.Background(), wanted)
+				if err != nil {
+					t.Error(err)
+				}
+				if holder.WonBy(wanted.ID) {
+					wins.Add(1)
+				}
+			})
+		}
+		group.Wait()
+		if wins.Load() != 1 {
+			t.Fatalf("%d of 3 claims with the same id won key %s", wins.Load(), wanted.Key)
+		}
+	}
+}
+
 // TestOutage guards against a call that runs without a recorded claim, and
 // against an order that can never be placed again because its refused attempt
 // still holds the key.
