Choose a shard's owners without sorting the region

A cache for each view was ruled out: the scan is cheap enough, and the view changes often in a large fleet.

--- a/internal/claim/owners.go
+++ b/internal/claim/owners.go
@@ -1,8 +1,6 @@
 package claim
 
 import (
-	"cmp"
-	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,31 +13,50 @@
 // is frozen and not yet declared dead.
 const ownersTried = 2
 
+// rankedNode is a node with its rank for a shard; the lowest rank owns it.
+type rankedNode struct {
+	record *member.Record
+	rank   uint64
+}
+
 // ownersOf returns the nodes of a region that own a shard, best first. Two
 // nodes with different views may both take themselves for the owner, which is
 // safe because they write with compare and swap.
 func ownersOf(shard int, view *member.View, region string) []member.Record {
-	type ranked struct {
-		record member.Record
-		rank   uint64
-	}
-	var candidates []ranked
-	for _, record := range view.Nodes() {
-		if record.Region == region && record.State == member.Alive {
-			candidates = append(candidates, ranked{record, rankOf(shard, record.ID)})
+	var best [ownersTried]rankedNode
+	nodes := view.Nodes()
+	for i := range nodes {
+		if nodes[i].Region == region && nodes[i].State == member.Alive {
+			insert(&best, rankedNode{&nodes[i], rankOf(shard, nodes[i].ID)})
 		}
 	}
-	slices.SortFunc(candidates, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.record.ID, b.record.ID))
-	})
 	owners := make([]member.Record, 0, ownersTried)
-	for _, candidate := range candidates[:min(ownersTried, len(candidates))] {
-		owners = append(owners, candidate.record)
+	for _, owner := range best {
+		if owner.record != nil {
+			owners = append(owners, *owner.record)
+		}
 	}
 	return owners
 }
 
-// rankOf is the rendezvous hash of a shard and a node.
+// insert puts a node among the best when it belongs there. Nodes come sorted by
+// id, so equal ranks keep that order.
+func insert(best *[ownersTried]rankedNode, node rankedNode) {
+	for i := range best {
+		if best[i].record == nil || node.rank < best[i].rank {
+			best[i], node = node, best[i]
+		}
+		if node.record == nil {
+			return
+		}
+	}
+}
+
+// rankOf is the rendezvous hash of a shard and a node. It runs for every node of
+// the region at each claim and does not allocate.
 func rankOf(shard int, node string) uint64 {
-	return xxhash.Sum64String(strconv.Itoa(shard) + "\x00" + node)
+	var buffer [64]byte
+	name := strconv.AppendInt(buffer[:0], int64(shard), 10)
+	name = append(name, 0)
+	return xxhash.Sum64(append(name, node...))
 }
--- a/internal/claim/service_test.go
+++ b/internal/claim/service_test.go
@@ -195,6 +195,33 @@
 	}
 }
 
+// TestWriteLimit guards against an owner that takes more of the store's writes
+// than its share.
+func TestWriteLimit(t *testing.T) {
+	m := newMesh(t)
+	owner := m.start("owner", "north")
+	var group sync.WaitGroup
+	started := time.Now()
+	for range 8 {
+		group.Go(func() {
+			for time.Since(started) < 3*time.Second {
+				// One key has one shard, and each release makes room for a claim.
+				wanted, holder, err := owner.claim("order", time.Second)
+				if err == nil && holder.WonBy(wanted.ID) {
+					_ = releaseWithin(owner, holder, time.Second)
+				}
+			}
+		})
+	}
+	group.Wait()
+	seconds := time.Since(started).Seconds()
+	limit := claim.DefaultWriteBurst + claim.DefaultWritesPerSecond*seconds + 1
+	writes := m.store.Counts().ByKeyPrefix["claims"]
+	if float64(writes) > limit || writes < 10 {
+		t.Errorf("%d writes of one shard in %.1f s; the limit is %.0f", writes, seconds, limit)
+	}
+}
+
 // TestOutage guards against a call that runs without a recorded claim, and
 // against an order that can never be placed again because its refused attempt
 // still holds the key.
