call: look up kept answers only after the claim, and wait for a running order

Cause: the gate looked up the kept answer before the claim. The daemon's store of kept answers doesn't compare fingerprints, so an order with a reused key got the answer of the other order (TestOutcomes, "reused key", fails with the lookup before the claim). Now only a lost claim with an equal fingerprint leads to the lookup.

A repeat of an order that is still running now waits for its answer within the deadline instead of a refusal as repeat-unknown; seen to fail without the wait. Also, as docs/CALLERS.md says: keys have at most 128 bytes, and a server gets the depth as received and adds one itself.

--- a/internal/call/accept.go
+++ b/internal/call/accept.go
@@ -13,7 +13,7 @@
 
 // Bounds of what a caller states in headers.
 const (
-	maxKeyBytes = 255
+	maxKeyBytes = 128
 	maxAttempt  = 1000
 	// maxDepth leaves room above the 26 levels of today's services and still ends
 	// a loop of services that call each other.
--- a/internal/call/body.go
+++ b/internal/call/body.go
@@ -23,6 +23,10 @@
 	restTaken bool
 }
 
+// pooledBodyBytes is the largest buffer that is pooled, so that a few large
+// bodies don't make every later small one hold as much memory.
+const pooledBodyBytes = 64 << 10
+
 var bodyBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // readBody reads up to limit bytes of a request body into memory.
@@ -63,8 +67,10 @@
 	if b.buffer == nil {
 		return
 	}
-	b.buffer.Reset()
-	bodyBuffers.Put(b.buffer)
+	if b.buffer.Cap() <= pooledBodyBytes {
+		b.buffer.Reset()
+		bodyBuffers.Put(b.buffer)
+	}
 	b.buffer, b.kept = nil, nil
 }
 
--- a/internal/call/deps.go
+++ b/internal/call/deps.go
@@ -38,7 +38,8 @@
 type KeptAnswers interface {
 	// Keep stores a whole answer.
 	Keep(service, key string, fingerprint uint64, status int, header http.Header, body []byte)
-	// Kept returns the answer of the call with the key and fingerprint.
+	// Kept returns the answer of the call with the key. It is asked only after a
+	// claim has shown that the fingerprint is that of the call.
 	Kept(service, key string, fingerprint uint64) (status int, header http.Header, body []byte, ok bool)
 }
 
--- a/internal/call/fakes_test.go
+++ b/internal/call/fakes_test.go
@@ -71,10 +71,9 @@
 }
 
 type keptAnswer struct {
-	fingerprint uint64
-	status      int
-	header      http.Header
-	body        []byte
+	status int
+	header http.Header
+	body   []byte
 }
 
 func newFakeClaims() *fakeClaims {
@@ -104,17 +103,17 @@
 	node   string
 }
 
-func (k nodeKept) Keep(_, key string, fingerprint uint64, status int, header http.Header, body []byte) {
+func (k nodeKept) Keep(_, key string, _ uint64, status int, header http.Header, body []byte) {
 	k.claims.mu.Lock()
 	defer k.claims.mu.Unlock()
-	k.claims.kept[k.node+key] = keptAnswer{fingerprint, status, header, slices.Clone(body)}
+	k.claims.kept[k.node+key] = keptAnswer{status, header, slices.Clone(body)}
 }
 
-func (k nodeKept) Kept(_, key string, fingerprint uint64) (int, http.Header, []byte, bool) {
+func (k nodeKept) Kept(_, key string, _ uint64) (int, http.Header, []byte, bool) {
 	k.claims.mu.Lock()
 	defer k.claims.mu.Unlock()
 	found, ok := k.claims.kept[k.node+key]
-	return found.status, found.header, found.body, ok && found.fingerprint == fingerprint
+	return found.status, found.header, found.body, ok
 }
 
 // fakeQuarantine counts crashed servers by fingerprint for a whole fleet.
--- a/internal/call/front.go
+++ b/internal/call/front.go
@@ -259,7 +259,7 @@
 func (f *front) repeat(ctx context.Context, call *fronted, refused *refusal) (*answer, *refusal) {
 	r := call.request
 	if refused.claimedBy == call.view.Self.ID {
-		if kept := f.gate.kept(r.service, r.key, refused.fingerprint); kept != nil {
+		if kept := f.gate.kept(ctx, r.service, r.key, refused.fingerprint); kept != nil {
 			return kept, nil
 		}
 		return nil, refused
--- a/internal/call/gate.go
+++ b/internal/call/gate.go
@@ -31,6 +31,7 @@
 	// answered remembers calls that a server answered, so that a crash is not
 	// blamed on calls that merely ran at the same time.
 	answered answeredSet
+	running  runningKeys
 }
 
 // running is a call at its gate.
@@ -38,8 +39,10 @@
 	request     *request
 	fingerprint uint64
 	release     func()
-	// claimed is set once the claim was won.
+	// claimed is set once the claim was won, and then end must be called after the
+	// answer was kept or the call failed.
 	claimed *claimed
+	end     func()
 }
 
 // do admits a call, hands it over and returns the head of the answer. The
@@ -68,11 +71,6 @@
 	if g.deps.Quarantine.Blocked(call.request.service, call.fingerprint) {
 		return nil, refuse(result.Quarantined, fmt.Sprintf("calls with fingerprint %x stopped several backend servers of service %s", call.fingerprint, r.service))
 	}
-	if r.once {
-		if kept := g.kept(r.service, r.key, call.fingerprint); kept != nil {
-			return kept, nil
-		}
-	}
 	if r.once {
 		if refused := g.claimIfRoom(ctx, call); refused != nil {
 			return nil, refused
@@ -80,7 +78,11 @@
 	}
 	found, refused := g.acquireAndHandOver(ctx, call)
 	if refused != nil {
-		return nil, g.withdraw(call, refused)
+		refused = g.withdraw(call, refused)
+		if call.end != nil {
+			call.end()
+		}
+		return nil, refused
 	}
 	return found, nil
 }
@@ -170,7 +172,7 @@
 		{HeaderCallID, r.id},
 		{HeaderDeadline, strconv.FormatInt(remaining, 10)},
 		{HeaderAttempt, strconv.Itoa(r.attempt)},
-		{HeaderDepth, strconv.Itoa(r.depth + 1)},
+		{HeaderDepth, strconv.Itoa(r.depth)},
 	}
 }
 
--- a/internal/call/gate_claim.go
+++ b/internal/call/gate_claim.go
@@ -34,7 +34,11 @@
 		return refuseError(err, result.ClaimUnavailable)
 	case inForce.ID == wanted.ID:
 		call.claimed = &inForce
-		return g.checkClaimAge(ctx, call)
+		if refused := g.checkClaimAge(ctx, call); refused != nil {
+			return refused
+		}
+		call.end = g.running.begin(r.service, r.key)
+		return nil
 	case inForce.Fingerprint != call.fingerprint:
 		return refuse(result.KeyReused, "the key "+strconv.Quote(r.key)+" was used before for another request of service "+r.service)
 	default:
@@ -74,8 +78,10 @@
 	return unknown
 }
 
-// kept returns the kept answer of a call; nil when there is none.
-func (g *gate) kept(service, key string, fingerprint uint64) *answer {
+// kept returns the kept answer of a call, once the call has ended; nil when there
+// is none. The claim has shown that the fingerprint is that of the call.
+func (g *gate) kept(ctx context.Context, service, key string, fingerprint uint64) *answer {
+	g.running.wait(ctx, service, key)
 	status, header, body, ok := g.deps.Kept.Kept(service, key, fingerprint)
 	if !ok {
 		return nil
@@ -93,10 +99,6 @@
 // keepWhole keeps the answer of a non-idempotent call once it was read to its
 // end.
 func (g *gate) keepWhole(call *running, found *answer) {
-	if found.length > int64(g.config.KeptAnswerBytes) {
-		g.metrics.keptTooLarge.Inc(1)
-		return
-	}
 	copied := &boundedBuffer{limit: g.config.KeptAnswerBytes}
 	found.body = io.TeeReader(found.body, copied)
 	finish := found.finish
@@ -104,6 +106,7 @@
 		if whole {
 			g.keep(call, found, copied)
 		}
+		call.end()
 		finish(whole)
 	}
 }
--- a/internal/call/gate_handler.go
+++ b/internal/call/gate_handler.go
@@ -74,7 +74,7 @@
 		g.refuse(w, "", refuse(result.BadRequest, "header "+headerKept+" is malformed"))
 		return
 	}
-	kept := g.kept(serviceOf(r.Host), r.Header.Get(HeaderKey), fingerprint)
+	kept := g.kept(r.Context(), serviceOf(r.Host), r.Header.Get(HeaderKey), fingerprint)
 	if kept == nil {
 		g.refuse(w, "", refuse(result.RepeatUnknown, "no answer is kept for the key"))
 		return
--- a/internal/call/limits_test.go
+++ b/internal/call/limits_test.go
@@ -59,7 +59,7 @@
 		}
 	}
 	expect("large head", "limit_head", result.BodyTooLarge, http.Header{"X-Big": {strings.Repeat("x", 70<<10)}}, "/patterns")
-	expect("long key", "limit_key", result.BadRequest, http.Header{HeaderKey: {strings.Repeat("k", 256)}}, "/patterns")
+	expect("long key", "limit_key", result.BadRequest, http.Header{HeaderKey: {strings.Repeat("k", 129)}}, "/patterns")
 	// The caller's IP is not one of a node.
 	expect("forged hop", "untrusted_hop", result.NodeNotReady, http.Header{headerHop: {"id 1 lookup many 1 0"}}, "/patterns")
 	front.inFlight.Add(int64(front.config.Calls))
--- a/internal/call/release_test.go
+++ b/internal/call/release_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
+	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/claim"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
@@ -42,3 +44,31 @@
 		t.Errorf("the servers ran %d orders instead of 1", server.ran(""))
 	}
 }
+
+// TestRepeatWhileRunning guards against a caller who repeats an order that is
+// still running and is told that its outcome is unknown, although the answer
+// comes in time.
+func TestRepeatWhileRunning(t *testing.T) {
+	began, finish := make(chan struct{}), make(chan struct{})
+	f := newFleet(t, fleetOptions{nodes: 2, slots: 5, attempts: 3}, func(int) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			close(began)
+			<-finish
+			_, _ = w.Write([]byte("sewn"))
+		})
+	})
+	var group sync.WaitGroup
+	order := func() {
+		response, content := answerTo(t, http.MethodPost, f.url("/orders"), "k1", "flag")
+		if content != "sewn" || response.Header.Get(HeaderRun) != string(result.Ran) {
+			t.Errorf("an order was answered with %v %s", response.Header, content)
+		}
+	}
+	group.Go(order)
+	<-began
+	for range 5 {
+		group.Go(order)
+	}
+	time.AfterFunc(100*time.Millisecond, func() { close(finish) })
+	group.Wait()
+}
