call: end a call whose caller stops reading at its deadline

Cause: a caller that stopped reading a download kept the call, the slot and the connections of three hops without limit, because the deadline ended reads from the server but not writes to the caller. Seen to fail without the write deadline (TestStalledCaller).

--- a/internal/call/front.go
+++ b/internal/call/front.go
@@ -70,7 +70,7 @@
 	found.copyHeader(w.Header())
 	w.Header()[HeaderCallID] = []string{call.request.id}
 	w.Header()[HeaderRun] = []string{string(result.Ran)}
-	return send(w, found)
+	return send(w, found, call.request.deadline.Add(f.config.AnswerGrace))
 }
 
 // count records the outcome of a call of a target. A call that its caller gave
--- a/internal/call/gate_handler.go
+++ b/internal/call/gate_handler.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
@@ -32,7 +33,7 @@
 	if found.load != nil {
 		header[HeaderLoad] = []string{formatLoad(*found.load)}
 	}
-	whole, _ := send(w, found)
+	whole, _ := send(w, found, call.deadline)
 	call.body.free()
 	if !whole {
 		panic(http.ErrAbortHandler)
@@ -67,6 +68,9 @@
 	return call, refused
 }
 
+// keptTimeout bounds the sending of a kept answer, which is small.
+const keptTimeout = 5 * time.Second
+
 // serveKept answers a front that asks for the kept answer of a claimed call.
 func (g *gate) serveKept(w http.ResponseWriter, r *http.Request) {
 	fingerprint, err := strconv.ParseUint(r.Header.Get(headerKept), 16, 64)
@@ -81,5 +85,5 @@
 	}
 	kept.copyHeader(w.Header())
 	w.Header()[HeaderRun] = []string{string(result.Ran)}
-	send(w, kept)
+	send(w, kept, g.deps.Now().Add(keptTimeout))
 }
--- a/internal/call/limits_test.go
+++ b/internal/call/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -146,3 +147,19 @@
 		t.Errorf("load after all calls: %+v", load)
 	}
 }
+
+// TestStalledCaller guards against a caller who stops reading a download and
+// keeps a slot of the server beyond the deadline.
+func TestStalledCaller(t *testing.T) {
+	f := newFleet(t, fleetOptions{nodes: 1, slots: 1, attempts: 1, deadline: 300 * time.Millisecond}, standIn)
+	conn, err := net.Dial("tcp", f.addresses[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "GET /files/1?size=%d HTTP/1.1\r\nHost: %s\r\n\r\n", 100<<20, testService)
+	waitUntil(t, "the call runs", func() bool { return f.trackers[1].InFlight() == 1 })
+	waitUntil(t, "the call ended", func() bool {
+		return f.trackers[1].InFlight() == 0 && f.nodes[0].InFlight() == 0 && f.nodes[1].InFlight() == 0
+	})
+}
