--- a/internal/call/fleet_test.go
+++ b/internal/call/fleet_test.go
@@ -154,6 +154,7 @@
 	}
 	snapshot, err := config.NewSnapshot(config.Document{Version: 1, Targets: []config.Target{
 		target("downloads", http.MethodGet, "/files", true, config.PriorityDownload),
+		target("heads", http.MethodHead, "/patterns", true, config.PriorityLookup),
 		target("lookups", http.MethodGet, "/patterns", true, config.PriorityLookup),
 		target("orders", http.MethodPost, "/orders", false, config.PriorityOrder),
 		target("uploads", http.MethodPut, "/files", true, config.PriorityLookup),
--- /dev/null
+++ b/internal/call/forms_test.go
@@ -0,0 +1,101 @@
+package call
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+// formsServer answers in every form that an answer can have.
+type formsServer struct{ began, finish chan struct{} }
+
+func (s *formsServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/patterns/empty":
+		w.WriteHeader(http.StatusNoContent)
+	case "/patterns/unchanged":
+		w.Header().Set("Content-Length", "7")
+		w.WriteHeader(http.StatusNotModified)
+	case "/patterns/trailer":
+		w.Header().Set("Trailer", "X-Sum")
+		_, _ = io.WriteString(w, "content")
+		w.Header().Set("X-Sum", "42")
+	case "/files/slow":
+		_, _ = io.WriteString(w, "first ")
+		_ = http.NewResponseController(w).Flush()
+		close(s.began)
+		<-s.finish
+		_, _ = io.WriteString(w, "second")
+	default:
+		w.Header().Set("X-Depth", r.Header.Get(HeaderDepth))
+		w.Header().Set("Connection", "X-Private")
+		w.Header().Set("X-Private", "1")
+		w.Header().Set(HeaderCallID, "forged")
+		_, _ = io.WriteString(w, "content")
+	}
+}
+
+// TestAnswerForms guards against answers that hang, lose a trailer or leak
+// headers, and connections that are left with a rest of the last answer. Each
+// form is used twice on the same connections.
+func TestAnswerForms(t *testing.T) {
+	f := newFleet(t, fleetOptions{nodes: 1, slots: 5, attempts: 1}, func(int) http.Handler { return &formsServer{} })
+	cases := []struct {
+		method, path string
+		status       int
+		content      string
+		header       map[string]string
+	}{
+		{"GET", "/patterns/1", 200, "content", map[string]string{"X-Private": "", "Content-Length": "7"}},
+		{"HEAD", "/patterns/1", 200, "", map[string]string{"Content-Length": "7"}},
+		{"GET", "/patterns/empty", 204, "", nil},
+		{"GET", "/patterns/unchanged", 304, "", nil},
+		{"GET", "/patterns/trailer", 200, "content", nil},
+	}
+	for range 2 {
+		for _, c := range cases {
+			response, content := answerTo(t, c.method, f.url(c.path), "", "")
+			if response.StatusCode != c.status || content != c.content {
+				t.Errorf("%s %s: status %d, content %q", c.method, c.path, response.StatusCode, content)
+			}
+			for name, want := range c.header {
+				if got := response.Header.Get(name); got != want {
+					t.Errorf("%s %s: header %s is %q", c.method, c.path, name, got)
+				}
+			}
+			if id := response.Header.Get(HeaderCallID); id == "" || id == "forged" {
+				t.Errorf("%s %s: call id %q", c.method, c.path, id)
+			}
+			if c.path == "/patterns/trailer" && response.Trailer.Get("X-Sum") != "42" {
+				t.Errorf("the trailer is %v", response.Trailer)
+			}
+		}
+	}
+	if open := f.nodes[1].gate.client.pool(f.trackers[1].Address()).open; open != 1 {
+		t.Errorf("%d connections to the server are open after calls one after the other", open)
+	}
+}
+
+// TestDrainCutsNothing guards against a planned stop or the exit of a node that
+// cuts a call in flight, and against new work for a server that is leaving.
+func TestDrainCutsNothing(t *testing.T) {
+	server := &formsServer{began: make(chan struct{}), finish: make(chan struct{})}
+	f := newFleet(t, fleetOptions{nodes: 1, slots: 5, attempts: 1}, func(int) http.Handler { return server })
+	var group sync.WaitGroup
+	group.Go(func() {
+		if _, content := answerTo(t, http.MethodGet, f.url("/files/slow"), "", ""); content != "first second" {
+			t.Errorf("a call in flight during the drain got %q", content)
+		}
+	})
+	<-server.began
+	f.nodes[1].Drain()
+	if code, run := codeOf(t, http.MethodGet, f.url("/patterns/1"), "", nil); code != "57" || run != result.NotRun {
+		t.Errorf("a new call got code %q, run %q", code, run)
+	}
+	time.AfterFunc(50*time.Millisecond, func() { close(server.finish) })
+	group.Wait()
+}
