--- a/internal/call/front.go
+++ b/internal/call/front.go
@@ -70,7 +70,7 @@
 	found.copyHeader(w.Header())
 	w.Header()[HeaderCallID] = []string{call.request.id}
 	w.Header()[HeaderRun] = []string{string(result.Ran)}
-	return send(w, found)
+	return send(w, found, call.request.deadline.Add(f.config.AnswerGrace))
 }
 
 // count records the outcome of a call of a target. A call that its caller gave
@@ -259,7 +259,7 @@
 func (f *front) repeat(ctx context.Context, call *fronted, refused *refusal) (*answer, *refusal) {
 	r := call.request
 	if refused.claimedBy == call.view.Self.ID {
-		if kept := f.gate.kept(r.service, r.key, refused.fingerprint); kept != nil {
+		if kept := f.gate.kept(ctx, r.service, r.key, refused.fingerprint); kept != nil {
 			return kept, nil
 		}
 		return nil, refused
--- a/internal/call/gate_handler.go
+++ b/internal/call/gate_handler.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
@@ -32,7 +33,7 @@
 	if found.load != nil {
 		header[HeaderLoad] = []string{formatLoad(*found.load)}
 	}
-	whole, _ := send(w, found)
+	whole, _ := send(w, found, call.deadline)
 	call.body.free()
 	if !whole {
 		panic(http.ErrAbortHandler)
@@ -67,6 +68,9 @@
 	return call, refused
 }
 
+// keptTimeout bounds the sending of a kept answer, which is small.
+const keptTimeout = 5 * time.Second
+
 // serveKept answers a front that asks for the kept answer of a claimed call.
 func (g *gate) serveKept(w http.ResponseWriter, r *http.Request) {
 	fingerprint, err := strconv.ParseUint(r.Header.Get(headerKept), 16, 64)
@@ -74,12 +78,12 @@
 		g.refuse(w, "", refuse(result.BadRequest, "header "+headerKept+" is malformed"))
 		return
 	}
-	kept := g.kept(serviceOf(r.Host), r.Header.Get(HeaderKey), fingerprint)
+	kept := g.kept(r.Context(), serviceOf(r.Host), r.Header.Get(HeaderKey), fingerprint)
 	if kept == nil {
 		g.refuse(w, "", refuse(result.RepeatUnknown, "no answer is kept for the key"))
 		return
 	}
 	kept.copyHeader(w.Header())
 	w.Header()[HeaderRun] = []string{string(result.Ran)}
-	send(w, kept)
+	send(w, kept, g.deps.Now().Add(keptTimeout))
 }
