Use the other region before local servers shed

Cause: gates shed calls before their average time reaches the objective, so local servers were full while their estimate still met it, and the other region was used only after a refusal.

--- a/internal/route/region.go
+++ b/internal/route/region.go
@@ -2,12 +2,17 @@
 
 import "rosemaryladder.dev/rosemaryladder/internal/member"
 
+// objectiveShare is the share of the latency objective that a server's estimate
+// may use. The gates shed calls before their average time reaches the objective,
+// so a local server at the whole objective is full already.
+const objectiveShare = 0.7
+
 // choose picks a server. The other region is used only when no server of the own
 // region is expected to meet the latency objective and one of the other is. When
 // none is, the call stays in its region, because crossing the link would cost
 // volume and gain nothing.
 func (b *Balancer) choose(candidates []candidate, view *member.View, request *Request) *candidate {
-	objective := request.Target.Latency.Seconds()
+	objective := objectiveShare * request.Target.Latency.Seconds()
 	local, remote := split(candidates, view.Self.Region)
 	if len(local) == 0 {
 		return b.pick(remote, request)
