relay: give the events of TestPublication room

event.NewRing splits its size in two since and panics on the first event when the size is 1, which TestPublication used. The test guards publication, not the ring, so it now asks for 2.

--- a/internal/relay/publication_test.go
+++ b/internal/relay/publication_test.go
@@ -27,7 +27,7 @@
 func newSimNode() *simNode {
 	holder := config.NewHolder()
 	return &simNode{holder: holder, outbox: newOutbox(holder), inbox: &inbox{
-		holder: holder, events: event.NewRing("", 1, time.Now), logger: telemetry.DiscardLogger(),
+		holder: holder, events: event.NewRing("", 2, time.Now), logger: telemetry.DiscardLogger(),
 		counters: newCounters(tally.NoopScope), now: time.Now,
 	}}
 }
