--- a/internal/cli/explain_target.go
+++ b/internal/cli/explain_target.go
@@ -16,7 +16,7 @@
 type TargetExplanation struct {
 	Target  config.Target       `json:"target"`
 	Burn    []burn.TargetReport `json:"burn"`
-	Servers []operator.Member `json:"servers"`
+	Servers []operator.Member   `json:"servers"`
 	// Refusals are recent refused calls of the target's service.
 	Refusals []event.Event `json:"refusals"`
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -9,6 +9,8 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/stats"
+
+	"rosemaryladder.dev/rosemaryladder/internal/gossip"
 )
 
 const (
@@ -37,11 +39,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen on the control port")
 	}
-	server := grpc.NewServer(
+	options := append(gossip.ServerOptions(),
 		grpc.StatsHandler(traffic),
 		grpc.MaxRecvMsgSize(maxControlMessageBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 	)
+	server := grpc.NewServer(options...)
 	for _, part := range parts {
 		part.Register(server)
 	}
--- a/internal/relay/connections.go
+++ b/internal/relay/connections.go
@@ -16,6 +16,8 @@
 const (
 	// maxConnections bounds the open connections for single requests.
 	maxConnections = 8
+	// windowBytes is the flow control window of streams and connections.
+	windowBytes = 1 << 20
 	// maxMessageBytes admits a complete document with its frame.
 	maxMessageBytes = store.MaxValueBytes + 64<<10
 )
@@ -94,6 +96,8 @@
 	return record.ControlAddress(), nil
 }
 
+// dialAddress connects to a control port. The fixed windows switch off the
+// bandwidth estimation of grpc-go, which adds pings to the messages.
 func (c *connections) dialAddress(address string) (*grpc.ClientConn, error) {
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithContextDialer(c.dialer.Dial),
@@ -101,6 +105,8 @@
 		grpc.WithStatsHandler(c.traffic),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithDisableServiceConfig(),
+		grpc.WithInitialWindowSize(windowBytes),
+		grpc.WithInitialConnWindowSize(windowBytes),
 	)
 	return conn, errors.Wrapf(err, "connect to %s", address)
 }
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
+	"rosemaryladder.dev/rosemaryladder/internal/config"
 	"rosemaryladder.dev/rosemaryladder/internal/controlpb"
 )
 
@@ -33,6 +34,8 @@
 	// its time. An empty report after another withdraws the earlier counts.
 	reported   *controlpb.Report
 	reportedAt time.Time
+	// applied is the digest to which the parent's last update led.
+	applied config.Digest
 }
 
 // run subscribes and applies what the parent sends until either side leaves.
@@ -77,7 +80,7 @@
 			err = errors.Errorf("parent %q was silent for %s", f.parent, silenceTimeout)
 		case <-changed:
 			changed = f.relay.options.Holder.Changed()
-			err = f.sendHeld()
+			err = f.confirm()
 		case <-f.relay.children.changed:
 			report.Reset(max(0, reportInterval-time.Since(f.reportedAt)))
 		case <-report.C:
@@ -131,6 +134,7 @@
 // accept applies an update. When the update does not lead from what the node
 // holds, because another one came first, it fetches one that does.
 func (f *follower) accept(ctx context.Context, update *controlpb.Update) error {
+	f.applied = fromProto(update.To)
 	err := f.relay.inbox.accept(update, f.parent, true)
 	if errors.Is(err, errNeedDocument) {
 		err = f.relay.fetch(ctx, f.client, f.parent, true)
@@ -161,6 +165,16 @@
 	})
 }
 
+// confirm names the digest in force to the parent. A parent in another region
+// counts on its own update having been applied, which saves bytes on the link;
+// it hears of every other digest.
+func (f *follower) confirm() error {
+	if f.crossesRegions() && f.relay.options.Holder.Current().Digest() == f.applied {
+		return nil
+	}
+	return f.sendHeld()
+}
+
 // sendHeld names the digest in force to the parent.
 func (f *follower) sendHeld() error {
 	return f.stream.Send(&controlpb.ChildMessage{Held: toProto(f.relay.options.Holder.Current().Digest())})
