relay, config: show all keys in a dry run, report a hash mismatch once

A dry run showed only the name of an added or deleted object. A persistent mismatch recorded an event with every exchange and would have pushed other events out of the ring; repetitions are now only counted.

TestOtherContentIsReplaced covers content that the store never accepted.

--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -23,7 +23,8 @@
 	// Object is "target" or "stop".
 	Object string `json:"object"`
 	Name   string `json:"name"`
-	// Key, Before and After are set for changed objects, one difference a key.
+	// Key is set for changed objects, one difference a key. Before and After hold
+	// the value of the key, or all keys of a deleted or added object.
 	Key    string `json:"key,omitempty"`
 	Before string `json:"before,omitempty"`
 	After  string `json:"after,omitempty"`
@@ -33,9 +34,9 @@
 func (d Difference) String() string {
 	switch d.Kind {
 	case DiffAdded:
-		return fmt.Sprintf("+ %s %s", d.Object, d.Name)
+		return fmt.Sprintf("+ %s %s: %s", d.Object, d.Name, d.After)
 	case DiffDeleted:
-		return fmt.Sprintf("- %s %s", d.Object, d.Name)
+		return fmt.Sprintf("- %s %s: %s", d.Object, d.Name, d.Before)
 	default:
 		return fmt.Sprintf("~ %s %s: %s: %s -> %s", d.Object, d.Name, d.Key, d.Before, d.After)
 	}
@@ -55,13 +56,14 @@
 	for _, item := range changed {
 		old, found := find(before, name(item), name)
 		if !found {
-			list = append(list, Difference{Kind: DiffAdded, Object: object, Name: name(item)})
+			list = append(list, Difference{Kind: DiffAdded, Object: object, Name: name(item), After: joinKeys(keys(item))})
 			continue
 		}
 		list = append(list, diffKeys(object, name(item), keys(old), keys(item))...)
 	}
 	for _, gone := range deleted {
-		list = append(list, Difference{Kind: DiffDeleted, Object: object, Name: gone})
+		old, _ := find(before, gone, name)
+		list = append(list, Difference{Kind: DiffDeleted, Object: object, Name: gone, Before: joinKeys(keys(old))})
 	}
 	slices.SortStableFunc(list, func(a, b Difference) int { return strings.Compare(a.Name, b.Name) })
 	return list
@@ -77,6 +79,15 @@
 	return list
 }
 
+// joinKeys returns the keys of an object on one line.
+func joinKeys(keys []keyValue) string {
+	parts := make([]string, 0, len(keys))
+	for _, key := range keys {
+		parts = append(parts, key.key+" = "+key.value)
+	}
+	return strings.Join(parts, "; ")
+}
+
 // stopKeys returns the keys of a stop as text, always in the same order.
 func stopKeys(s Stop) []keyValue {
 	scope, _ := json.Marshal(s.Scope)
--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -21,6 +21,19 @@
 	"rosemaryladder.dev/rosemaryladder/internal/telemetry"
 )
 
+// countOfNodes are statistics that count the nodes which they cover.
+type countOfNodes struct{}
+
+func (countOfNodes) Encode() []byte { return []byte{1} }
+
+func (countOfNodes) Merge(encoded [][]byte) ([]byte, error) {
+	sum := byte(0)
+	for _, part := range encoded {
+		sum += part[0]
+	}
+	return []byte{sum}, nil
+}
+
 // cluster runs the distribution of several nodes in one process. Membership and
 // leases are what the test says.
 type cluster struct {
@@ -74,6 +87,7 @@
 		StoreRegion: "north", Batch: n.cluster.batch, Holder: n.holder, View: n.view, Lease: n, Store: n.cluster.store,
 		Dialer: dial.Dialer{LocalIP: "127.0.0.1"}, Events: event.NewRing(n.id, 100, time.Now), Logger: telemetry.DiscardLogger(),
 		Scope: n.scope, Traffic: NewTraffic(n.scope), Now: time.Now, Random: rand.Float64,
+		Statistics: countOfNodes{},
 	})
 	if err != nil {
 		n.cluster.t.Fatal(err)
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -147,7 +147,7 @@
 		f.relay.repairer.observe(f.parent, digest)
 		return nil
 	}
-	f.relay.reportMismatch(f.parent, held)
+	f.relay.reportMismatch(f.parent, digest, held)
 	return f.sendHeld()
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -10,6 +12,7 @@
 	"rosemaryladder.dev/rosemaryladder/internal/config"
 	"rosemaryladder.dev/rosemaryladder/internal/controlpb"
 	"rosemaryladder.dev/rosemaryladder/internal/event"
+	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
 // Relay is the part of a node in the distribution of configuration.
@@ -28,8 +31,12 @@
 	reporter     *reporter
 	fleet        *fleetReader
 	statistics   *fleetReader
+	lastMismatch atomic.Pointer[mismatch]
 }
 
+// mismatch is a pair of digests of one version.
+type mismatch struct{ theirs, ours config.Digest }
+
 // New returns a relay. Register it before the gRPC server starts, then Run it.
 func New(options Options) (*Relay, error) {
 	if err := options.Validate(); err != nil {
@@ -126,13 +133,16 @@
 }
 
 // reportMismatch records that another node holds other content at the same
-// version.
-func (r *Relay) reportMismatch(node string, held config.Digest) {
+// version. Repetitions are counted only.
+func (r *Relay) reportMismatch(node string, digest, held config.Digest) {
 	r.counters.mismatches.Inc(1)
-	r.options.Events.Record(event.Event{
-		Kind: event.KindConfig, Subject: versionText(held.Version),
-		Message: "the content of version " + versionText(held.Version) + " differs from that of node " + node,
-	})
+	seen := mismatch{theirs: digest, ours: held}
+	if previous := r.lastMismatch.Swap(&seen); previous != nil && *previous == seen {
+		return
+	}
+	message := fmt.Sprintf("the content of version %d (%016x) differs from that of node %s (%016x)", held.Version, held.Hash, node, digest.Hash)
+	r.options.Logger.Error(message)
+	r.options.Events.Record(event.Event{Kind: event.KindConfig, Subject: versionText(held.Version), Message: message, Code: result.DocumentInvalid})
 }
 
 // readsStore reports whether the node is the reader in the store's region.
--- a/internal/relay/repairer.go
+++ b/internal/relay/repairer.go
@@ -34,7 +34,7 @@
 	r.note(node, digest, delay+r.relay.options.Batch)
 	held := r.relay.options.Holder.Current().Digest()
 	if digest.Version == held.Version && digest.Hash != held.Hash {
-		r.relay.reportMismatch(node, held)
+		r.relay.reportMismatch(node, digest, held)
 	}
 }
 
--- a/internal/relay/scenario_test.go
+++ b/internal/relay/scenario_test.go
@@ -25,6 +25,9 @@
 		fleet := c.nodes["south-0-01"].relay.Fleet(context.Background())
 		return fleet.InForce(version) && len(fleet.Domains) == 4 && fleet.Domains[0].Expected == 5 && fleet.Partial == ""
 	})
+	if sum, err := c.nodes["south-0-01"].relay.FleetStatistics(context.Background()); err != nil || len(sum) != 1 || sum[0] < 2 {
+		t.Errorf("the statistics of both readers: %v, %v", sum, err)
+	}
 
 	view := c.nodes["north-0-00"].view()
 	for _, domain := range []string{"north-0", "south-1"} {
@@ -143,3 +146,34 @@
 	leave()
 	c.within(inForceLimit, "the child is not counted any more", func() bool { return reported() == 2 })
 }
+
+// TestOtherContentIsReplaced guards against content that the store never
+// accepted, at a version that it accepts later: all nodes end with the content
+// of the store.
+func TestOtherContentIsReplaced(t *testing.T) {
+	c := newCluster(t)
+	c.fill(2)
+	version := c.change("south-0-01")
+	c.within(2*inForceLimit, "all serve", func() bool { return c.allServe() && c.allAt(version) })
+	node := c.nodes["south-1-01"]
+	forged, err := config.Apply(node.holder.Current(), config.Change{ID: "forged", Targets: []config.TargetUpsert{{Target: testTarget(99.5)}}}, config.Rules{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	node.holder.Publish(forged)
+	c.within(inForceLimit, "the other content spreads", func() bool { return c.allAt(version + 1) })
+	c.storeElsewhere()
+	value, _, _ := c.store.read()
+	stored, err := config.DecodeSnapshot(value.Data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.within(inForceLimit, "the content of the store", func() bool {
+		for _, id := range c.ids() {
+			if c.nodes[id].holder.Current().Digest() != stored.Digest() {
+				return false
+			}
+		}
+		return true
+	})
+}
