relay: reconnect kept connections within a second

The default backoff of gRPC grows to 2 min, so the sum of another region could stay missing for that long after the link came back while status was asked during the cut.

--- a/internal/relay/connections.go
+++ b/internal/relay/connections.go
@@ -2,9 +2,11 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/stats"
 
@@ -20,6 +22,13 @@
 	maxMessageBytes = store.MaxValueBytes + 64<<10
 )
 
+// connectParams keep a kept connection from waiting long after its node or the
+// link came back. The default of gRPC waits up to 2 min.
+var connectParams = grpc.ConnectParams{
+	Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second},
+	MinConnectTimeout: dial.DefaultTimeout,
+}
+
 // connections opens gRPC connections to other nodes and keeps some of them for
 // single requests.
 type connections struct {
@@ -101,6 +110,7 @@
 		grpc.WithStatsHandler(c.traffic),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithDisableServiceConfig(),
+		grpc.WithConnectParams(connectParams),
 	)
 	return conn, errors.Wrapf(err, "connect to %s", address)
 }
