Join anew when no node sends messages

A restarted node that received one repeated message of a node that is gone held that record as alive. Whether a node has joined is now decided by messages that arrive, not by records that are held.

A failed write of the seeds is repeated after 5 to 15 s and no longer after 30 s. TestDomainsFindEachOther fails without the search for unknown domains.

--- a/internal/gossip/cluster_test.go
+++ b/internal/gossip/cluster_test.go
@@ -63,7 +63,7 @@
 	return n, err
 }
 
-func startNode(t testing.TB, index int, seeds []string, client store.Client) *testNode {
+func startNode(t testing.TB, index int, seeds []string, client store.Client, adjust ...func(*gossip.Config)) *testNode {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -94,7 +94,11 @@
 		listener:   &countingListener{Listener: listener},
 		done:       make(chan struct{}),
 	}
-	n.exchanger, err = gossip.New(gossip.DefaultConfig(), gossip.Dependencies{
+	config := gossip.DefaultConfig()
+	for _, change := range adjust {
+		change(&config)
+	}
+	n.exchanger, err = gossip.New(config, gossip.Dependencies{
 		Table:        table,
 		Quarantine:   list,
 		Dialer:       dial.Dialer{LocalIP: "127.0.0.1"},
--- a/internal/gossip/config.go
+++ b/internal/gossip/config.go
@@ -34,6 +34,9 @@
 	StoreJitter time.Duration
 	// MaxJoinDelay bounds the time between two attempts to join.
 	MaxJoinDelay time.Duration
+	// IsolatedAfter is the time without a message from any node after which the
+	// node joins anew through its seeds.
+	IsolatedAfter time.Duration
 	// RejoinInterval is the time between two attempts to reach a node that is
 	// believed dead.
 	RejoinInterval time.Duration
@@ -58,6 +61,7 @@
 		FullInterval:         10 * time.Second,
 		StoreJitter:          2 * time.Second,
 		MaxJoinDelay:         30 * time.Second,
+		IsolatedAfter:        5 * time.Second,
 		RejoinInterval:       10 * time.Second,
 		SeedInterval:         30 * time.Second,
 		SeedTTL:              90 * time.Second,
@@ -78,6 +82,7 @@
 		{"FullInterval", c.FullInterval},
 		{"StoreJitter", c.StoreJitter},
 		{"MaxJoinDelay", c.MaxJoinDelay},
+		{"IsolatedAfter", c.IsolatedAfter},
 		{"RejoinInterval", c.RejoinInterval},
 		{"SeedInterval", c.SeedInterval},
 		{"SeedTTL minus SeedInterval", c.SeedTTL - c.SeedInterval},
--- a/internal/gossip/convergence_test.go
+++ b/internal/gossip/convergence_test.go
@@ -55,21 +55,30 @@
 			}
 			s.check()
 		}
-		heal(s)
-		if difference := compareViews(s); difference != "" {
+		if difference := heal(s); difference != "" {
 			t.Fatal(difference)
 		}
 	})
 }
 
-// heal ends all failures and gives the nodes time to notice.
-func heal(s *simulation) {
+// convergenceLimit is the time within which all views must be right after the
+// last failure. It leaves room for one full exchange and its repetition.
+const convergenceLimit = 30 * time.Second
+
+// heal ends all failures and describes what is still wrong after the limit.
+func heal(s *simulation) (difference string) {
 	s.side = 0
 	s.lossy = func() (bool, bool) { return true, true }
 	for _, p := range s.processes {
 		p.frozen = false
 	}
-	s.advance(30 * time.Second)
+	for end := s.now.Add(convergenceLimit); s.now.Before(end); {
+		s.advance(2 * time.Second)
+		if difference = compareViews(s); difference == "" {
+			break
+		}
+	}
+	return difference
 }
 
 // neverBack returns a check that no process ever replaces a record by an older
--- a/internal/gossip/exchanger.go
+++ b/internal/gossip/exchanger.go
@@ -10,6 +10,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,6 +35,8 @@
 	loops    *loops
 	// send is call; tests replace it.
 	send func(context.Context, string, *controlpb.Gossip) (*controlpb.Gossip, bool, error)
+	// heardAt is when the last message of any node arrived; nil before the first.
+	heardAt atomic.Pointer[time.Time]
 	// changed holds a token while the plan may have changed.
 	changed    chan struct{}
 	joined     chan struct{}
@@ -133,6 +136,13 @@
 	group.Wait()
 }
 
+// isolated reports whether no node has sent a message lately. The records held
+// do not tell: they may all be those of nodes that are gone.
+func (e *Exchanger) isolated() bool {
+	heardAt := e.heardAt.Load()
+	return heardAt == nil || e.deps.Now().Sub(*heardAt) > e.config.IsolatedAfter
+}
+
 // jitter returns a random time below the limit (full jitter).
 func (e *Exchanger) jitter(limit time.Duration) time.Duration {
 	return time.Duration(e.deps.Random() * float64(limit))
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -82,6 +82,7 @@
 		return "", errors.Errorf("membership message with invalid sender %q", sender)
 	}
 	now := e.deps.Now()
+	e.heardAt.Store(&now)
 	e.peers.update(sender, func(p *peer) {
 		p.acknowledge(message.GetHeld(), e.log)
 		p.heardAt = now
--- a/internal/gossip/seeder.go
+++ b/internal/gossip/seeder.go
@@ -27,7 +27,7 @@
 	s.join(ctx)
 	var nextPublication time.Time
 	for sleep(ctx, s.exchanger.config.RejoinInterval/2+s.exchanger.jitter(s.exchanger.config.RejoinInterval)) {
-		if s.isAlone() {
+		if s.exchanger.isolated() {
 			s.join(ctx)
 			continue
 		}
@@ -36,8 +36,9 @@
 		if now.Before(nextPublication) || !s.exchanger.deps.IsFirstRelay() {
 			continue
 		}
-		nextPublication = now.Add(s.exchanger.config.SeedInterval)
-		s.publish(ctx, true)
+		if s.publish(ctx, true) {
+			nextPublication = now.Add(s.exchanger.config.SeedInterval)
+		}
 	}
 }
 
@@ -94,20 +95,22 @@
 }
 
 // publish writes the seeds of the own domain and looks for domains of which no
-// node is known, so that domains that started apart find each other.
-func (s *seeder) publish(ctx context.Context, overwrite bool) {
+// node is known, so that domains that started apart find each other. It reports
+// whether the seeds were written.
+func (s *seeder) publish(ctx context.Context, overwrite bool) bool {
 	if s.store == nil {
-		return
+		return false
 	}
 	if err := s.store.publish(ctx, s.ownSeeds(), overwrite); err != nil {
 		s.exchanger.deps.Logger.WithError(err).Debug("the seeds of the failure domain could not be written to the store")
-		return
+		return false
 	}
 	for _, domain := range s.store.registered {
 		if !s.domainKnown(domain) {
 			s.tryDomain(ctx, domain)
 		}
 	}
+	return true
 }
 
 func (s *seeder) tryDomain(ctx context.Context, domain string) bool {
@@ -160,17 +163,13 @@
 
 // known reports whether another node has made itself known meanwhile.
 func (s *seeder) known() bool {
-	if s.isAlone() {
+	if s.exchanger.isolated() {
 		return false
 	}
 	s.exchanger.markJoined()
 	return true
 }
 
-func (s *seeder) isAlone() bool {
-	return !slices.ContainsFunc(s.others(), func(r member.Record) bool { return !r.Gone() })
-}
-
 func (s *seeder) domainKnown(domain string) bool {
 	own := s.exchanger.deps.Table.View().Self.FailureDomain
 	return domain == own || slices.ContainsFunc(s.others(), func(r member.Record) bool {
--- a/internal/gossip/simulation_test.go
+++ b/internal/gossip/simulation_test.go
@@ -183,7 +183,7 @@
 		}
 	}
 	seeds := &seeder{exchanger: p.exchanger}
-	if seeds.isAlone() {
+	if p.exchanger.isolated() {
 		s.introduce(p.index)
 		return
 	}
--- a/internal/gossip/store_test.go
+++ b/internal/gossip/store_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"rosemaryladder.dev/rosemaryladder/internal/gossip"
 	"rosemaryladder.dev/rosemaryladder/internal/store"
 )
 
@@ -98,3 +99,28 @@
 	late := startNode(t, size, nil, shared)
 	await(t, 10*time.Second, "a late node knows all others", func() bool { return alive(late) == size+1 })
 }
+
+// TestDomainsFindEachOther guards against parts of a fleet that each joined
+// through their own seeds and never learn of the other part.
+func TestDomainsFindEachOther(t *testing.T) {
+	shared := newMemoryStore()
+	shared.down.Store(true)
+	sooner := func(config *gossip.Config) { config.RejoinInterval = 400 * time.Millisecond }
+	var nodes []*testNode
+	for _, first := range []int{0, 3} {
+		begin := startNode(t, first, nil, shared, sooner)
+		nodes = append(nodes, begin)
+		for _, index := range []int{first + 4, first + 8} {
+			nodes = append(nodes, startNode(t, index, []string{begin.address()}, shared, sooner))
+		}
+	}
+	await(t, 10*time.Second, "each part knows itself", func() bool {
+		return all(nodes, func(n *testNode) bool { return alive(n) == len(nodes)/2 })
+	})
+	// The first nodes of both parts have now stopped looking for seeds.
+	time.Sleep(2 * time.Second)
+	shared.down.Store(false)
+	await(t, 10*time.Second, "both parts know each other", func() bool {
+		return all(nodes, func(n *testNode) bool { return alive(n) == len(nodes) })
+	})
+}
