--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -7,6 +7,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"rosemaryladder.dev/rosemaryladder/internal/event"
 )
 
 func TestTable(t *testing.T) {
@@ -174,6 +176,28 @@
 		Expect(table.Stats().Outbids).To(BeEquivalentTo(1))
 	})
 
+	// Guards against failures and repairs that explain cannot show.
+	It("records what matters to an operator as events", func() {
+		table := newTable(DefaultConfig(), "a", record("x", "gotaland"))
+		ring := event.NewRing("a", 10, func() time.Time { return start })
+		table.Subscribe(EventListener(ring))
+		suspect := record("x", "gotaland")
+		suspect.State = Suspect
+		table.Merge("peer", []Record{suspect}, start)
+		now := pass(table, start, 6*time.Second, nothing)
+		table.Heard("x", now)
+		suspect.State, suspect.Sequence = Alive, 1
+		table.Merge("peer", []Record{suspect}, now)
+		messages := ""
+		for _, e := range ring.Select(event.Query{}) {
+			messages = string(e.Kind) + " " + e.Subject + ": " + e.Message + "\n" + messages
+		}
+		Expect(messages).To(Equal("membership x: the node is suspect\n" +
+			"membership gotaland: the region is unreachable; its records are kept\n" +
+			"repair gotaland: the region is reachable again\n" +
+			"repair x: the node is alive again after it was suspect\n"))
+	})
+
 	// Guards against listeners that see changes in another order than they were made.
 	It("tells listeners of changes in order, also when they change the table", func() {
 		table := newTable(DefaultConfig(), "a")
