--- a/internal/route/balancer_test.go
+++ b/internal/route/balancer_test.go
@@ -1,6 +1,9 @@
 package route
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -58,6 +61,158 @@
 	}
 }
 
+// TestLearning guards against a server that attracts calls because it fails fast,
+// refuses, is cold or was idle in an old report, and against one that never gets
+// calls again. Each case counts the calls of 100 that server a1 gets.
+func TestLearning(t *testing.T) {
+	start := time.Unix(1e9, 0)
+	answer := Outcome{Priority: lookups.Priority, Elapsed: 20 * time.Millisecond, Load: &Load{InFlight: 1, Slots: 6}}
+	failure := Outcome{Priority: lookups.Priority, Elapsed: time.Millisecond, Failed: true, Load: &Load{InFlight: 1, Slots: 6}}
+	refusal := Outcome{Priority: lookups.Priority, Elapsed: time.Millisecond, Refused: true, Load: &Load{InFlight: 1, Slots: 6}}
+	busy := Outcome{Priority: lookups.Priority, Elapsed: 60 * time.Millisecond, Load: &Load{InFlight: 6, Slots: 6, Queued: 12}}
+	slow := Outcome{Priority: lookups.Priority, Elapsed: 200 * time.Millisecond, Load: &Load{Slots: 6}}
+	for name, c := range map[string]struct {
+		outcome  Outcome
+		age      time.Duration
+		wait     time.Duration
+		least    int
+		most     int
+		observed bool
+	}{
+		"equal":                      {answer, time.Hour, 0, 30, 70, true},
+		"fails fast":                 {failure, time.Hour, 0, 0, 0, true},
+		"failed long ago":            {failure, time.Hour, time.Minute, 40, 60, false},
+		"refused":                    {refusal, time.Hour, 0, 0, 0, true},
+		"refused long ago":           {refusal, time.Hour, 10 * time.Second, 40, 60, false},
+		"reported a queue":           {busy, time.Hour, 0, 0, 0, true},
+		"reported it long ago":       {busy, time.Hour, 10 * time.Second, 45, 55, false},
+		"slow though idle":           {slow, time.Hour, 0, 0, 0, true},
+		"slow long ago":              {slow, time.Hour, time.Minute, 40, 60, false},
+		"calls in flight count":      {answer, time.Hour, 0, 45, 55, false},
+		"cold, with calls in flight": {answer, 0, 0, 1, 25, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			balancer, err := NewBalancer(DefaultConfig())
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := start
+			records := []member.Record{
+				serverRecord("a1", "a", "a-1", now.Add(-c.age)), serverRecord("a2", "a", "a-1", now.Add(-time.Hour)),
+			}
+			view := member.NewView(member.Record{Region: "a", FailureDomain: "a-1"}, records, nil)
+			choose := func(random uint64) string {
+				record, _ := balancer.Choose(view, nil, Request{Target: lookups, Now: now, Random: random})
+				return record.ID
+			}
+			choose(0)
+			for range 20 {
+				balancer.Observe("a1", now, c.outcome)
+				balancer.Observe("a2", now, answer)
+			}
+			now = now.Add(c.wait)
+			random := rand.New(rand.NewPCG(1, 1))
+			count := 0
+			for range 100 {
+				id := choose(random.Uint64())
+				if id == "a1" {
+					count++
+				}
+				if c.observed {
+					balancer.Observe(id, now, Outcome{})
+				}
+			}
+			if count < c.least || count > c.most {
+				t.Errorf("a1 got %d of 100 calls, want %d to %d", count, c.least, c.most)
+			}
+		})
+	}
+}
+
+// TestOtherRegion guards against local calls that miss their objective although
+// the other region has room, and against crossing the link in vain.
+func TestOtherRegion(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	full := Outcome{Priority: lookups.Priority, Elapsed: 90 * time.Millisecond, Load: &Load{InFlight: 6, Slots: 6, Queued: 20}}
+	records := []member.Record{
+		serverRecord("a1", "a", "a-1", now.Add(-time.Hour)), serverRecord("b1", "b", "b-1", now.Add(-time.Hour)),
+	}
+	view := member.NewView(records[0], records, nil)
+	for want, busy := range map[string][]string{"a1": {"a1", "b1"}, "b1": {"a1"}} {
+		balancer, err := NewBalancer(DefaultConfig())
+		if err != nil {
+			t.Fatal(err)
+		}
+		choose := func() string {
+			record, _ := balancer.Choose(view, nil, Request{Target: lookups, Now: now})
+			return record.ID
+		}
+		if first := choose(); first != "a1" {
+			t.Errorf("the first call went to %s", first)
+		}
+		for _, id := range busy {
+			balancer.Observe(id, now, full)
+		}
+		if got := choose(); got != want {
+			t.Errorf("with %v busy the call went to %s, want %s", busy, got, want)
+		}
+	}
+}
+
+// TestConcurrentCalls guards against calls that stay counted in flight, and,
+// under the race detector, against unsynchronised state.
+func TestConcurrentCalls(t *testing.T) {
+	balancer, err := NewBalancer(DefaultConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	start := time.Unix(1e9, 0)
+	var callers sync.WaitGroup
+	for caller := range 8 {
+		callers.Go(func() {
+			random := rand.New(rand.NewPCG(1, uint64(caller)))
+			for i := range 500 {
+				now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+				var records []member.Record
+				for n := range 4 {
+					records = append(records, serverRecord(fmt.Sprint("host", (n+i/100)%8), "a", "a-1", start))
+				}
+				record, _ := balancer.Choose(member.NewView(records[0], records, nil), nil, Request{Target: lookups, Now: now, Random: random.Uint64()})
+				balancer.Observe(record.ID, now, Outcome{Elapsed: time.Millisecond, Load: &Load{InFlight: 1, Slots: 6}})
+			}
+		})
+	}
+	callers.Wait()
+	for id, server := range *balancer.servers.current.Load() {
+		if server.inFlight.Load() != 0 {
+			t.Errorf("%d calls of %s stay in flight", server.inFlight.Load(), id)
+		}
+	}
+}
+
+// BenchmarkChoose measures one choice among the servers of a large service.
+func BenchmarkChoose(b *testing.B) {
+	balancer, err := NewBalancer(DefaultConfig())
+	if err != nil {
+		b.Fatal(err)
+	}
+	now := time.Unix(1e9, 0)
+	var records []member.Record
+	for n := range 24 {
+		records = append(records, serverRecord(fmt.Sprint("host", n), "a", "a-1", now.Add(-time.Hour)))
+	}
+	view := member.NewView(records[0], records, nil)
+	load := &Load{InFlight: 3, Slots: 6}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		random := rand.New(rand.NewPCG(1, 1))
+		for pb.Next() {
+			record, _ := balancer.Choose(view, nil, Request{Target: lookups, Now: now, Random: random.Uint64()})
+			balancer.Observe(record.ID, now, Outcome{Elapsed: time.Millisecond, Load: load})
+		}
+	})
+}
+
 // TestTableIsBounded guards against state that grows with every host that was
 // ever part of the fleet, and against calls refused because of the bound.
 func TestTableIsBounded(t *testing.T) {
--- a/internal/route/decaying.go
+++ b/internal/route/decaying.go
@@ -22,6 +22,9 @@
 // faded returns the value after exponential decay with a time constant.
 func (d *decaying) faded(now time.Time, constant time.Duration) float64 {
 	value, age, _ := d.get(now)
+	if value == 0 {
+		return 0
+	}
 	return value * fade(age, constant)
 }
 
@@ -45,6 +48,9 @@
 
 // fade returns the weight that a value of the given age keeps.
 func fade(age, constant time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
 	return math.Exp(-float64(age) / float64(constant))
 }
 
--- a/internal/route/server.go
+++ b/internal/route/server.go
@@ -124,17 +124,19 @@
 // longer than expected, so that a server that fails fast does not look fast.
 func (s *server) learnService(now time.Time, outcome Outcome) {
 	elapsed := outcome.Elapsed - time.Duration(s.roundTrip.Load())
-	if outcome.Elapsed <= 0 {
+	index := classIndex(outcome.Priority)
+	_, _, known := s.service[index].get(now)
+	if outcome.Elapsed <= 0 || (outcome.Failed && !known) {
 		return
 	}
 	sample := max(0, elapsed.Seconds()) / waitingRounds(outcome.Load)
-	s.service[classIndex(outcome.Priority)].update(now, func(value float64, _ time.Duration, set bool) float64 {
-		if outcome.Failed && sample < value {
-			return value
-		}
+	s.service[index].update(now, func(value float64, _ time.Duration, set bool) float64 {
 		if !set {
 			return sample
 		}
+		if outcome.Failed && sample < value {
+			return value
+		}
 		return value + serviceWeight*(sample-value)
 	})
 }
