call: let a claimed order run to its end when its caller is gone

Cause: when the caller or the front was lost while an order ran, the gate cancelled the order at the server. Its outcome was then unknown, its claim forbade another run, and no answer was kept for the repeat, so the order was lost for its caller. Now a claimed call that was handed over ends only by its deadline, and its answer is kept even if nobody reads it. Idempotent calls are cancelled as before.

--- a/internal/call/gate.go
+++ b/internal/call/gate.go
@@ -149,6 +149,9 @@
 	if ctx.Err() != nil {
 		return nil, g.refuseAdmission(ctx, ctx.Err())
 	}
+	if r.once {
+		ctx = detach(ctx, call)
+	}
 	address := g.deps.Server.Address()
 	out := &outgoing{method: r.method, uri: r.uri, host: r.service, header: r.header, body: r.body, added: g.serverFields(r)}
 	g.deps.Server.Begin()
--- a/internal/call/gate_claim.go
+++ b/internal/call/gate_claim.go
@@ -96,6 +96,19 @@
 	}
 }
 
+// detach returns a context that ends at the deadline but not when the caller is
+// gone. A claimed call that is cancelled at the server would be unknown for ever,
+// and a front that was lost looks like a caller who gave up.
+func detach(ctx context.Context, call *running) context.Context {
+	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), call.request.deadline)
+	end := call.end
+	call.end = func() {
+		cancel()
+		end()
+	}
+	return detached
+}
+
 // keepWhole keeps the answer of a non-idempotent call once it was read to its
 // end.
 func (g *gate) keepWhole(call *running, found *answer) {
@@ -103,11 +116,16 @@
 	found.body = io.TeeReader(found.body, copied)
 	finish := found.finish
 	found.finish = func(whole bool) {
+		if !whole {
+			// The rest is read for the repeat of a caller who has lost this answer.
+			_, err := io.CopyN(io.Discard, found.body, int64(g.config.KeptAnswerBytes)+1)
+			whole = err == io.EOF
+		}
 		if whole {
 			g.keep(call, found, copied)
 		}
-		call.end()
 		finish(whole)
+		call.end()
 	}
 }
 
--- a/internal/call/release_test.go
+++ b/internal/call/release_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -72,3 +73,38 @@
 	time.AfterFunc(100*time.Millisecond, func() { close(finish) })
 	group.Wait()
 }
+
+// TestRepeatAfterBrokenFront guards against an order whose front is lost while it
+// runs and that is then unknown for ever: its repeat gets the answer of the first
+// run.
+func TestRepeatAfterBrokenFront(t *testing.T) {
+	began, finish, runs := make(chan struct{}, 2), make(chan struct{}), 0
+	f := newFleet(t, fleetOptions{nodes: 2, slots: 5, attempts: 3}, func(int) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			runs++
+			began <- struct{}{}
+			<-finish
+			_, _ = w.Write([]byte("sewn"))
+		})
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url("/orders"), strings.NewReader("flag"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = testService
+	request.Header.Set(HeaderKey, "k1")
+	go func() {
+		<-began
+		cancel()
+	}()
+	if _, err := http.DefaultClient.Do(request); err == nil {
+		t.Fatal("a cancelled order was answered")
+	}
+	waitUntil(t, "the front gave up", func() bool { return f.nodes[0].InFlight() == 0 })
+	time.AfterFunc(100*time.Millisecond, func() { close(finish) })
+	response, content := answerTo(t, http.MethodPost, f.url("/orders"), "k1", "flag")
+	if content != "sewn" || runs != 1 {
+		t.Errorf("the repeat was answered with %v %s after %d runs", response.Header, content, runs)
+	}
+}
