--- a/internal/call/fleet_test.go
+++ b/internal/call/fleet_test.go
@@ -138,9 +138,6 @@
 	}
 }
 
-// url returns the address of a path at the front.
-func (f *fleet) url(path string) string { return "http://" + f.addresses[0] + path }
-
 func testSnapshot(t testing.TB, deadline time.Duration) *config.Snapshot {
 	t.Helper()
 	if deadline == 0 {
--- a/internal/call/flow_test.go
+++ b/internal/call/flow_test.go
@@ -1,7 +1,6 @@
 package call
 
 import (
-	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -14,29 +13,6 @@
 	return backend.New(backend.Options{Slots: 100})
 }
 
-// answerTo sends a call of a caller and returns the answer with its body.
-func answerTo(t testing.TB, method, url, key, body string) (*http.Response, string) {
-	t.Helper()
-	request, err := http.NewRequest(method, url, strings.NewReader(body))
-	if err != nil {
-		t.Fatal(err)
-	}
-	request.Host = testService
-	if key != "" {
-		request.Header.Set(HeaderKey, key)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer response.Body.Close()
-	content, err := io.ReadAll(response.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return response, string(content)
-}
-
 // TestOutcomes guards against a wrong code or run state for the usual cases.
 func TestOutcomes(t *testing.T) {
 	f := newFleet(t, fleetOptions{nodes: 2, slots: 10, attempts: 3}, standIn)
@@ -56,13 +32,12 @@
 		{"dot segments", "GET", "/patterns/../orders", "", "", result.NotRun, "60"},
 	}
 	for _, c := range cases {
-		response, content := answerTo(t, c.method, f.url(c.path), c.key, c.body)
-		run, code := response.Header.Get(HeaderRun), response.Header.Get(HeaderResult)
-		if run != string(c.run) || code != c.code || response.Header.Get(HeaderCallID) == "" {
-			t.Errorf("%s: run %q, code %q, headers %v, body %s", c.name, run, code, response.Header, content)
+		got := f.ask(t, ask{method: c.method, path: c.path, key: c.key, body: c.body})
+		if got.run != c.run || got.code != c.code || got.Header.Get(HeaderCallID) == "" {
+			t.Errorf("%s: headers %v, body %s", c.name, got.Header, got.content)
 		}
-		if c.run == result.Ran && !strings.Contains(content, backend.Digest([]byte(c.body))) {
-			t.Errorf("%s: answer %s is not for the body sent", c.name, content)
+		if c.run == result.Ran && !strings.Contains(got.content, backend.Digest([]byte(c.body))) {
+			t.Errorf("%s: answer %s is not for the body sent", c.name, got.content)
 		}
 	}
 }
--- a/internal/call/forms_test.go
+++ b/internal/call/forms_test.go
@@ -58,9 +58,9 @@
 	}
 	for range 2 {
 		for _, c := range cases {
-			response, content := answerTo(t, c.method, f.url(c.path), "", "")
-			if response.StatusCode != c.status || content != c.content {
-				t.Errorf("%s %s: status %d, content %q", c.method, c.path, response.StatusCode, content)
+			response := f.ask(t, ask{method: c.method, path: c.path})
+			if response.StatusCode != c.status || response.content != c.content {
+				t.Errorf("%s %s: status %d, content %q", c.method, c.path, response.StatusCode, response.content)
 			}
 			for name, want := range c.header {
 				if got := response.Header.Get(name); got != want {
@@ -87,15 +87,13 @@
 	f := newFleet(t, fleetOptions{nodes: 1, slots: 5, attempts: 1}, func(int) http.Handler { return server })
 	var group sync.WaitGroup
 	group.Go(func() {
-		if _, content := answerTo(t, http.MethodGet, f.url("/files/slow"), "", ""); content != "first second" {
-			t.Errorf("a call in flight during the drain got %q", content)
+		if got := f.get(t, "/files/slow"); got.content != "first second" {
+			t.Errorf("a call in flight during the drain got %q", got.content)
 		}
 	})
 	<-server.began
 	f.nodes[1].Drain()
-	if code, run := codeOf(t, http.MethodGet, f.url("/patterns/1"), "", nil); code != "57" || run != result.NotRun {
-		t.Errorf("a new call got code %q, run %q", code, run)
-	}
+	expectRefusal(t, f.get(t, "/patterns/1"), result.Draining)
 	time.AfterFunc(50*time.Millisecond, func() { close(server.finish) })
 	group.Wait()
 }
--- a/internal/call/limits_test.go
+++ b/internal/call/limits_test.go
@@ -18,27 +18,12 @@
 	"rosemaryladder.dev/rosemaryladder/internal/standin/caller"
 )
 
-// codeOf sends a call and returns the result code and the run state.
-func codeOf(t *testing.T, method, url, key string, header http.Header) (string, result.RunState) {
+// expectRefusal checks the code of a refusal and the run state that belongs to it.
+func expectRefusal(t *testing.T, got reply, code result.Code) {
 	t.Helper()
-	request, err := http.NewRequest(method, url, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	request.Host = testService
-	for name, values := range header {
-		request.Header[name] = values
-	}
-	if key != "" {
-		request.Header.Set(HeaderKey, key)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		t.Error(err)
-		return "", ""
+	if got.code != fmt.Sprint(int(code)) || got.run != result.RunStateOf(code) {
+		t.Errorf("code %q and run %q instead of %d: %s", got.code, got.run, code, got.content)
 	}
-	response.Body.Close()
-	return response.Header.Get(HeaderResult), result.RunState(response.Header.Get(HeaderRun))
 }
 
 // TestLimits guards against a bound that is not enforced or not counted, and
@@ -49,27 +34,23 @@
 	front := f.nodes[0]
 	front.metrics = newMetrics(scope)
 	front.front.metrics = front.metrics
-	expect := func(what, counter string, code result.Code, header http.Header, path string) {
+	expect := func(what, counter string, code result.Code, header http.Header) {
 		t.Helper()
-		got, run := codeOf(t, http.MethodGet, f.url(path), "", header)
-		if got != fmt.Sprint(int(code)) || run != result.NotRun {
-			t.Errorf("%s: code %q, run %q", what, got, run)
-		}
+		got := f.ask(t, ask{method: http.MethodGet, path: "/patterns", header: header})
+		expectRefusal(t, got, code)
 		if found := scope.Snapshot().Counters()["call."+counter+"+"]; found == nil || found.Value() != 1 {
 			t.Errorf("%s: counter %s is %v", what, counter, found)
 		}
 	}
-	expect("large head", "limit_head", result.BodyTooLarge, http.Header{"X-Big": {strings.Repeat("x", 70<<10)}}, "/patterns")
-	expect("long key", "limit_key", result.BadRequest, http.Header{HeaderKey: {strings.Repeat("k", 129)}}, "/patterns")
+	expect("large head", "limit_head", result.BodyTooLarge, http.Header{"X-Big": {strings.Repeat("x", 70<<10)}})
+	expect("long key", "limit_key", result.BadRequest, http.Header{HeaderKey: {strings.Repeat("k", 129)}})
 	// The caller's IP is not one of a node.
-	expect("forged hop", "untrusted_hop", result.NodeNotReady, http.Header{headerHop: {"id 1 lookup many 1 0"}}, "/patterns")
+	expect("forged hop", "untrusted_hop", result.NodeNotReady, http.Header{headerHop: {"id 1 lookup many 1 0"}})
 	front.inFlight.Add(int64(front.config.Calls))
-	expect("many calls", "limit_calls", result.Overloaded, nil, "/patterns")
+	expect("many calls", "limit_calls", result.Overloaded, nil)
 	front.inFlight.Add(-int64(front.config.Calls))
 	front.Drain()
-	if code, run := codeOf(t, http.MethodGet, f.url("/patterns"), "", nil); code != fmt.Sprint(int(result.Draining)) || run != result.NotRun {
-		t.Errorf("a node that is leaving answered %q, %q", code, run)
-	}
+	expectRefusal(t, f.get(t, "/patterns"), result.Draining)
 }
 
 // TestDeadlines guards against a call that waited in vain and is reported as
@@ -84,14 +65,11 @@
 	})
 	var group sync.WaitGroup
 	group.Go(func() {
-		if code, run := codeOf(t, http.MethodGet, f.url("/patterns/1"), "", nil); code != fmt.Sprint(int(result.DeadlineUnknown)) || run != result.RunUnknown {
-			t.Errorf("a call that was running at its deadline got code %q, run %q", code, run)
-		}
+		expectRefusal(t, f.get(t, "/patterns/1"), result.DeadlineUnknown)
 	})
 	<-began
-	if code, run := codeOf(t, http.MethodGet, f.url("/patterns/2"), "", http.Header{HeaderDeadline: {"50"}}); code != fmt.Sprint(int(result.DeadlineNotRun)) || run != result.NotRun {
-		t.Errorf("a call that was waiting at its deadline got code %q, run %q", code, run)
-	}
+	waiting := ask{method: http.MethodGet, path: "/patterns/2", header: http.Header{HeaderDeadline: {"50"}}}
+	expectRefusal(t, f.ask(t, waiting), result.DeadlineNotRun)
 	group.Wait()
 }
 
@@ -112,9 +90,9 @@
 	server := &countingServer{runs: make(map[string]int)}
 	f := newFleet(t, fleetOptions{nodes: 1, slots: 5, attempts: 3, deadline: 100 * time.Millisecond}, func(int) http.Handler { return server })
 	f.nodes[1].gate.deps.Claimer = slowClaims{f.claims, 120 * time.Millisecond}
-	code, run := codeOf(t, http.MethodPost, f.url("/orders"), "k1", nil)
-	if code != fmt.Sprint(int(result.DeadlineNotRun)) || run != result.NotRun || server.ran("") != 0 {
-		t.Errorf("code %q, run %q, %d runs", code, run, server.ran(""))
+	expectRefusal(t, f.order(t, "k1", "flag"), result.DeadlineNotRun)
+	if server.ran("") != 0 {
+		t.Errorf("the order ran %d times", server.ran(""))
 	}
 	if len(f.claims.claims) != 0 {
 		t.Error("the claim of a call that did not run was not withdrawn")
@@ -138,9 +116,9 @@
 		}
 	}
 	for range 10 {
-		response, content := answerTo(t, http.MethodPost, f.url("/orders"), "k1", "flag")
-		if response.Header.Get(HeaderRun) != string(result.Ran) || !strings.Contains(content, backend.Digest([]byte("flag"))) {
-			t.Errorf("a repeated order was answered with %v %s", response.Header, content)
+		got := f.order(t, "k1", "flag")
+		if got.run != result.Ran || !strings.Contains(got.content, backend.Digest([]byte("flag"))) {
+			t.Errorf("a repeated order was answered with %v %s", got.Header, got.content)
 		}
 	}
 	if load := f.nodes[1].gate.load(); load.InFlight != 0 || load.Slots != 100 {
--- a/internal/call/load_test.go
+++ b/internal/call/load_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"runtime"
 	"strings"
@@ -28,14 +27,14 @@
 	var lines bytes.Buffer
 	logger := telemetry.NewLogger(&lines, telemetry.LogText, logrus.DebugLevel, "test")
 	f := newFleet(t, fleetOptions{nodes: 3, slots: 100, attempts: 3, logger: logger}, standIn)
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workers}}
 	var group sync.WaitGroup
 	for worker := range workers {
 		group.Go(func() {
 			for i := range calls / workers {
 				body := strings.Repeat(fmt.Sprintf("%d/%d ", worker, i), 1+i*7%300)
-				if err := expectDigest(client, f.url("/files/1"), body); err != nil {
-					t.Error(err)
+				got := f.ask(t, ask{method: http.MethodPut, path: "/files/1", body: body})
+				if !strings.Contains(got.content, `"`+backend.Digest([]byte(body))+`"`) {
+					t.Errorf("the answer %s is not for the body sent", got.content)
 					return
 				}
 			}
@@ -47,28 +46,6 @@
 	}
 }
 
-// expectDigest sends a body and checks that the answer is for it.
-func expectDigest(client *http.Client, url, body string) error {
-	request, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
-	if err != nil {
-		return err
-	}
-	request.Host = testService
-	response, err := client.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	content, err := io.ReadAll(response.Body)
-	if err != nil {
-		return err
-	}
-	if !strings.Contains(string(content), `"`+backend.Digest([]byte(body))+`"`) {
-		return fmt.Errorf("the answer %s is not for the body sent", content)
-	}
-	return nil
-}
-
 // TestLargeDownload guards against answers that are collected in memory: 200 MB
 // pass through front and gate while the heap grows by less than 16 MB.
 func TestLargeDownload(t *testing.T) {
@@ -112,16 +89,12 @@
 		})
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, f.url("/patterns/1"), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	request.Host = testService
+	request := f.request(t, ask{method: http.MethodGet, path: "/patterns/1"}).WithContext(ctx)
 	go func() {
 		<-began
 		cancel()
 	}()
-	if _, err := http.DefaultClient.Do(request); err == nil {
+	if _, err := testClient.Do(request); err == nil {
 		t.Error("a cancelled call was answered")
 	}
 	select {
@@ -158,8 +131,7 @@
 	var codes []string
 	for range 2 {
 		// Three attempts reach the server that is alive, wherever they begin.
-		response, _ := answerTo(t, http.MethodPut, f.url("/files/1"), "", "poison")
-		codes = append(codes, response.Header.Get(HeaderResult))
+		codes = append(codes, f.ask(t, ask{method: http.MethodPut, path: "/files/1", body: "poison"}).code)
 	}
 	alive := 0
 	for _, tracker := range f.trackers[1:] {
--- a/internal/call/property_test.go
+++ b/internal/call/property_test.go
@@ -105,7 +105,7 @@
 			drawFault(rt, toGate, "gate")
 			drawFault(rt, toServer, "server")
 			before := server.ran(call.id)
-			run := checkAnswer(rt, caller, f, server, call, before)
+			run := checkAnswer(t, rt, caller, f, server, call, before)
 			seen[run]++
 			allRefused = allRefused && run == string(result.NotRun)
 			if runs := server.ran(call.id); once && runs > 1 {
@@ -145,19 +145,16 @@
 
 // checkAnswer sends the call once, checks what the caller is told and returns the
 // run state.
-func checkAnswer(rt *rapid.T, caller *http.Client, f *fleet, server *countingServer, call testCall, before int) string {
+func checkAnswer(t *testing.T, rt *rapid.T, caller *http.Client, f *fleet, server *countingServer, call testCall, before int) string {
 	method, path := http.MethodPut, "/files"
 	if call.once {
 		method, path = http.MethodPost, "/orders"
 	}
-	request, err := http.NewRequest(method, f.url(path), io.NopCloser(strings.NewReader(call.body)))
-	if err != nil {
-		rt.Fatal(err)
-	}
-	request.Host, request.ContentLength = testService, int64(len(call.body))
+	request := f.request(t, ask{method: method, path: path, key: call.id})
+	request.Body, request.ContentLength = io.NopCloser(strings.NewReader(call.body)), int64(len(call.body))
+	request.GetBody = nil
 	request.Header.Set("X-Test-Id", call.id)
 	request.Header.Set("X-Test-Chunks", strconv.Itoa(call.chunks))
-	request.Header.Set(HeaderKey, call.id)
 	response, err := caller.Do(request)
 	if err != nil {
 		return "" // The caller knows that it has no answer.
--- a/internal/call/release_test.go
+++ b/internal/call/release_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -27,20 +25,14 @@
 func TestRelease(t *testing.T) {
 	server := &countingServer{runs: make(map[string]int), refuse: 1}
 	f := newFleet(t, fleetOptions{nodes: 2, slots: 5, attempts: 3}, func(int) http.Handler { return server })
-	order := func(key string) *http.Response {
-		response, _ := answerTo(t, http.MethodPost, f.url("/orders"), key, "flag")
-		return response
-	}
-	if response := order("k1"); response.Header.Get(HeaderRun) != string(result.Ran) {
-		t.Errorf("an order that one server refused did not run at the other: %v", response.Header)
+	if got := f.order(t, "k1", "flag"); got.run != result.Ran {
+		t.Errorf("an order that one server refused did not run at the other: %v", got.Header)
 	}
 	for _, node := range f.nodes {
 		node.gate.deps.Claimer = stuckClaims{f.claims}
 	}
 	server.refuse = 1
-	if response := order("k2"); response.Header.Get(HeaderResult) != fmt.Sprint(int(result.OutcomeUnknown)) {
-		t.Errorf("an order whose claim stays in force was refused with %v", response.Header)
-	}
+	expectRefusal(t, f.order(t, "k2", "flag"), result.OutcomeUnknown)
 	if server.ran("") != 1 {
 		t.Errorf("the servers ran %d orders instead of 1", server.ran(""))
 	}
@@ -60,9 +52,8 @@
 	})
 	var group sync.WaitGroup
 	order := func() {
-		response, content := answerTo(t, http.MethodPost, f.url("/orders"), "k1", "flag")
-		if content != "sewn" || response.Header.Get(HeaderRun) != string(result.Ran) {
-			t.Errorf("an order was answered with %v %s", response.Header, content)
+		if got := f.order(t, "k1", "flag"); got.content != "sewn" || got.run != result.Ran {
+			t.Errorf("an order was answered with %v %s", got.Header, got.content)
 		}
 	}
 	group.Go(order)
@@ -88,23 +79,17 @@
 		})
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url("/orders"), strings.NewReader("flag"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	request.Host = testService
-	request.Header.Set(HeaderKey, "k1")
+	request := f.request(t, ask{method: http.MethodPost, path: "/orders", key: "k1", body: "flag"}).WithContext(ctx)
 	go func() {
 		<-began
 		cancel()
 	}()
-	if _, err := http.DefaultClient.Do(request); err == nil {
+	if _, err := testClient.Do(request); err == nil {
 		t.Fatal("a cancelled order was answered")
 	}
 	waitUntil(t, "the front gave up", func() bool { return f.nodes[0].InFlight() == 0 })
 	time.AfterFunc(100*time.Millisecond, func() { close(finish) })
-	response, content := answerTo(t, http.MethodPost, f.url("/orders"), "k1", "flag")
-	if content != "sewn" || runs != 1 {
-		t.Errorf("the repeat was answered with %v %s after %d runs", response.Header, content, runs)
+	if got := f.order(t, "k1", "flag"); got.content != "sewn" || runs != 1 {
+		t.Errorf("the repeat was answered with %v %s after %d runs", got.Header, got.content, runs)
 	}
 }
