Ask up to eight owners before a gate writes claims itself

A gate that writes itself reads the whole shard, up to 0.5 MB, and gates of the other region read it across the paid link. With two owners, a failure of half of the store's region leaves a quarter of the shards without an owner until membership declares the nodes dead. With eight it is 1 shard in 256 (computed from independent ranks, not measured).

--- a/internal/claim/conn_pool.go
+++ b/internal/claim/conn_pool.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// maxConns bounds the connections to other nodes: two owners of each shard,
+	// maxConns bounds the connections to other nodes: the owners of each shard,
 	// and some nodes that are asked for kept answers.
-	maxConns = 2*Shards + 16
+	maxConns = ownersTried*Shards + 16
 	// connIdle closes connections that are not used.
 	connIdle = 5 * time.Minute
 )
--- a/internal/claim/owners.go
+++ b/internal/claim/owners.go
@@ -9,9 +9,11 @@
 )
 
 // ownersTried is how many owners a gate asks before it writes to the store
-// itself. The second one keeps the fleet's writes in one place while the first
-// is frozen and not yet declared dead.
-const ownersTried = 2
+// itself, for which it must read the whole shard. When half of the region fails
+// at once and is not yet declared dead, 2 owners of a quarter of the shards are
+// gone, and hundreds of gates would read those shards, half of them across the
+// link between the regions. All 8 owners are gone for 1 shard in 256.
+const ownersTried = 8
 
 // rankedNode is a node with its rank for a shard; the lowest rank owns it.
 type rankedNode struct {
