--- a/internal/relay/scenario_test.go
+++ b/internal/relay/scenario_test.go
@@ -29,6 +29,12 @@
 		t.Errorf("the statistics of both readers: %v, %v", sum, err)
 	}
 
+	for _, region := range []string{"north", "south"} {
+		c.setReader(ReaderCandidates(c.nodes["north-0-00"].view(), region)[1], true)
+	}
+	version = c.change("north-1-03")
+	c.within(inForceLimit, "change with two readers in each region", func() bool { return c.allAt(version) })
+
 	view := c.nodes["north-0-00"].view()
 	for _, domain := range []string{"north-0", "south-1"} {
 		for _, id := range Relays(view, domain) {
