--- a/internal/gossip/exchanger.go
+++ b/internal/gossip/exchanger.go
@@ -103,6 +103,7 @@
 	defer ticker.Stop()
 	cleanup := time.NewTicker(cleanupInterval)
 	defer cleanup.Stop()
+	e.Wake()
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/member/failure.go
+++ b/internal/member/failure.go
@@ -108,7 +108,7 @@
 // arrive while the regions are disconnected. Nothing is forgotten during that
 // time either: the other region must still learn that a node is gone.
 func (t *Table) expire(e *entry, now time.Time) {
-	if e.record.ID == t.id {
+	if e.record.reachable() || e.record.ID == t.id {
 		return
 	}
 	age := now.Sub(e.since)
