--- a/internal/gossip/cluster_test.go
+++ b/internal/gossip/cluster_test.go
@@ -31,6 +31,7 @@
 	listener   *countingListener
 	cancel     context.CancelFunc
 	done       chan struct{}
+	frozen     atomic.Bool
 	version    atomic.Uint64
 	// peerVersion is the highest version that a peer named.
 	peerVersion atomic.Uint64
@@ -91,10 +92,10 @@
 	n := &testNode{
 		table:      table,
 		quarantine: list,
-		server:     grpc.NewServer(gossip.ServerOptions()...),
 		listener:   &countingListener{Listener: listener},
 		done:       make(chan struct{}),
 	}
+	n.server = grpc.NewServer(append(gossip.ServerOptions(), grpc.UnaryInterceptor(n.intercept))...)
 	config := gossip.DefaultConfig()
 	for _, change := range adjust {
 		change(&config)
@@ -130,6 +131,20 @@
 	return n
 }
 
+// intercept leaves calls unanswered while the node is frozen.
+func (n *testNode) intercept(ctx context.Context, request any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (any, error) {
+	if n.frozen.Load() {
+		<-ctx.Done()
+	}
+	return handle(ctx, request)
+}
+
+// freeze stops the node for good while its host still accepts connections.
+func (n *testNode) freeze() {
+	n.frozen.Store(true)
+	n.cancel()
+}
+
 // kill ends the node without a word, like SIGKILL.
 func (n *testNode) kill() {
 	n.cancel()
--- a/internal/gossip/exchanger_test.go
+++ b/internal/gossip/exchanger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,13 +34,8 @@
 	nodes[5].version.Store(7)
 	nodes[5].exchanger.Wake()
 	took = await(t, time.Second, "neighbours see a new digest", func() bool {
-		seen := 0
-		for _, n := range nodes {
-			if n.peerVersion.Load() == 7 {
-				seen++
-			}
-		}
-		return seen >= 3
+		see := func(n *testNode) bool { return n.peerVersion.Load() == 7 }
+		return len(slices.DeleteFunc(slices.Clone(nodes), func(n *testNode) bool { return !see(n) })) >= 3
 	})
 	t.Logf("digest known to 3 neighbours after %s", took)
 
@@ -67,3 +63,30 @@
 	})
 	t.Logf("killed node dead everywhere after %s", took)
 }
+
+// TestLeavingWithFrozenBridges guards against a leaving server that goes on
+// receiving work from the other region because both bridges froze.
+func TestLeavingWithFrozenBridges(t *testing.T) {
+	nodes := startFleet(t, 12)
+	for _, n := range nodes {
+		n.table.SetServer(member.Server{Service: "katalog", State: member.ServerReady}, time.Now())
+	}
+	await(t, 5*time.Second, "all servers are known", func() bool {
+		return all(nodes, func(n *testNode) bool { return len(n.table.View().Servers("katalog")) == len(nodes) })
+	})
+	bridge := func(n *testNode) bool { return n.table.Plan().Bridge && n.table.View().Self.Region == "svealand" }
+	bridges := slices.DeleteFunc(slices.Clone(nodes), func(n *testNode) bool { return !bridge(n) })
+	others := slices.DeleteFunc(slices.Clone(nodes), bridge)
+	leaving := others[slices.IndexFunc(others, func(n *testNode) bool { return n.table.View().Self.Region == "svealand" })]
+	for _, n := range bridges {
+		n.freeze()
+	}
+	leaving.table.SetServer(member.Server{Service: "katalog", State: member.ServerLeaving}, time.Now())
+	took := await(t, 3*time.Second, "the leaving server is known", func() bool {
+		return all(others, func(n *testNode) bool {
+			record, _ := n.table.View().Node(leaving.table.ID())
+			return record.Server.State == member.ServerLeaving
+		})
+	})
+	t.Logf("leaving known in both regions after %s with %d bridges frozen", took, len(bridges))
+}
