Use service times that were observed without a class

Cause: an outcome without a priority was stored in a class of its own that no choice read, so a caller that does not set the priority got no estimates at all. Ruled out: ignoring such outcomes. Figures: the case "slow, class unknown" of TestLearning fails without it. Conclusion: callers should set Outcome.Priority; without it the classes share one service time.

--- a/internal/route/balancer.go
+++ b/internal/route/balancer.go
@@ -78,11 +78,7 @@
 	server := b.servers.track(record.ID)
 	server.renew(record)
 	server.roundTrip.Store(int64(2 * b.latency(&view.Self, record)))
-	service, age, set := server.service[classIndex(request.Target.Priority)].get(request.Now)
-	trust := 0.0
-	if set {
-		trust = fade(age, serviceConstant)
-	}
+	service, trust := server.serviceTime(request.Now, request.Target.Priority)
 	return candidate{
 		record:       record,
 		server:       server,
--- a/internal/route/server.go
+++ b/internal/route/server.go
@@ -69,6 +69,20 @@
 	return s.others.faded(now, reportConstant) + float64(s.inFlight.Load())
 }
 
+// serviceTime returns the measured service time of a class in seconds and its
+// weight, 0 to 1. Calls that were observed without a class stand in for a class
+// that was not measured.
+func (s *server) serviceTime(now time.Time, priority config.Priority) (service, trust float64) {
+	value, age, set := s.service[classIndex(priority)].get(now)
+	if !set {
+		value, age, set = s.service[classIndex("")].get(now)
+	}
+	if !set {
+		return 0, 0
+	}
+	return value, fade(age, serviceConstant)
+}
+
 // observe learns from a call that this node sent.
 func (s *server) observe(now time.Time, outcome Outcome) {
 	own := s.finish()
