Choose a starting server only when no other is left

Cause: a server that is starting refuses its calls, and each refusal costs an attempt of the retry budget.

--- a/internal/route/balancer.go
+++ b/internal/route/balancer.go
@@ -56,21 +56,32 @@
 func (b *Balancer) Untracked() uint64 { return b.servers.untracked.Load() }
 
 // collect appends the servers that may get the call, those of this node's
-// region first.
+// region first. Servers that are starting are the last resort.
 func (b *Balancer) collect(into []candidate, view *member.View, stops []config.Stop, request *Request) []candidate {
+	into = b.collectState(into, member.ServerReady, view, stops, request)
+	if len(into) == 0 {
+		into = b.collectState(into, member.ServerStarting, view, stops, request)
+	}
+	common := commonService(into)
+	for i := range into {
+		into[i].setEstimate(request.Now, common, request.Target.Latency)
+	}
+	return into
+}
+
+func (b *Balancer) collectState(into []candidate, state member.ServerState, view *member.View, stops []config.Stop, request *Request) []candidate {
 	records := view.Servers(request.Target.Service)
 	for _, local := range []bool{true, false} {
 		for i := range records {
 			record := &records[i]
-			if (record.Region == view.Self.Region) == local && eligible(view, stops, request, record) {
+			if record.Server.State != state || (record.Region == view.Self.Region) != local {
+				continue
+			}
+			if eligible(view, stops, request, record) {
 				into = append(into, b.candidate(view, request, record))
 			}
 		}
 	}
-	common := commonService(into)
-	for i := range into {
-		into[i].setEstimate(request.Now, common, request.Target.Latency)
-	}
 	return into
 }
 
--- a/internal/route/balancer_test.go
+++ b/internal/route/balancer_test.go
@@ -30,8 +30,9 @@
 	old := now.Add(-time.Hour)
 	records := []member.Record{
 		serverRecord("a1", "a", "a-1", old), serverRecord("a2", "a", "a-2", old),
-		serverRecord("b1", "b", "b-1", old),
+		serverRecord("b1", "b", "b-1", old), serverRecord("a3", "a", "a-2", old),
 	}
+	records[3].Server.State = member.ServerStarting
 	stop := config.Stop{Scope: config.StopScope{FailureDomain: "a-1"}, At: now}
 	for name, c := range map[string]struct {
 		at          time.Time
@@ -39,10 +40,11 @@
 		excluded    []string
 		want        string
 	}{
-		"the planned stop has begun":   {at: now, want: "a2"},
-		"the tried node is left out":   {at: now.Add(-time.Second), excluded: []string{"a2"}, want: "a1"},
-		"the other region is the last": {at: now, excluded: []string{"a2"}, want: "b1"},
-		"the other region is cut off":  {at: now, excluded: []string{"a2"}, unreachable: []string{"b"}, want: ""},
+		"the planned stop has begun":    {at: now, want: "a2"},
+		"the tried node is left out":    {at: now.Add(-time.Second), excluded: []string{"a2"}, want: "a1"},
+		"the other region is the last":  {at: now, excluded: []string{"a2"}, want: "b1"},
+		"a starting server is the last": {at: now, excluded: []string{"a2", "b1"}, want: "a3"},
+		"the other region is cut off":   {at: now, excluded: []string{"a2", "a3"}, unreachable: []string{"b"}, want: ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			balancer, err := NewBalancer(DefaultConfig())
