--- a/internal/route/balancer_test.go
+++ b/internal/route/balancer_test.go
@@ -30,8 +30,9 @@
 	old := now.Add(-time.Hour)
 	records := []member.Record{
 		serverRecord("a1", "a", "a-1", old), serverRecord("a2", "a", "a-2", old),
-		serverRecord("b1", "b", "b-1", old),
+		serverRecord("b1", "b", "b-1", old), serverRecord("a3", "a", "a-2", old),
 	}
+	records[3].Server.State = member.ServerStarting
 	stop := config.Stop{Scope: config.StopScope{FailureDomain: "a-1"}, At: now}
 	for name, c := range map[string]struct {
 		at          time.Time
@@ -39,10 +40,11 @@
 		excluded    []string
 		want        string
 	}{
-		"the planned stop has begun":   {at: now, want: "a2"},
-		"the tried node is left out":   {at: now.Add(-time.Second), excluded: []string{"a2"}, want: "a1"},
-		"the other region is the last": {at: now, excluded: []string{"a2"}, want: "b1"},
-		"the other region is cut off":  {at: now, excluded: []string{"a2"}, unreachable: []string{"b"}, want: ""},
+		"the planned stop has begun":    {at: now, want: "a2"},
+		"the tried node is left out":    {at: now.Add(-time.Second), excluded: []string{"a2"}, want: "a1"},
+		"the other region is the last":  {at: now, excluded: []string{"a2"}, want: "b1"},
+		"a starting server is the last": {at: now, excluded: []string{"a2", "b1"}, want: "a3"},
+		"the other region is cut off":   {at: now, excluded: []string{"a2", "a3"}, unreachable: []string{"b"}, want: ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			balancer, err := NewBalancer(DefaultConfig())
@@ -71,6 +73,8 @@
 	refusal := Outcome{Priority: lookups.Priority, Elapsed: time.Millisecond, Refused: true, Load: &Load{InFlight: 1, Slots: 6}}
 	busy := Outcome{Priority: lookups.Priority, Elapsed: 60 * time.Millisecond, Load: &Load{InFlight: 6, Slots: 6, Queued: 12}}
 	slow := Outcome{Priority: lookups.Priority, Elapsed: 200 * time.Millisecond, Load: &Load{Slots: 6}}
+	unclassified := slow
+	unclassified.Priority = ""
 	for name, c := range map[string]struct {
 		outcome  Outcome
 		age      time.Duration
@@ -88,6 +92,7 @@
 		"reported it long ago":       {busy, time.Hour, 10 * time.Second, 45, 55, false},
 		"slow though idle":           {slow, time.Hour, 0, 0, 0, true},
 		"slow long ago":              {slow, time.Hour, time.Minute, 40, 60, false},
+		"slow, class unknown":        {unclassified, time.Hour, 0, 0, 0, true},
 		"calls in flight count":      {answer, time.Hour, 0, 45, 55, false},
 		"cold, with calls in flight": {answer, 0, 0, 1, 25, false},
 	} {
