call: test forged headers, planned stops and calls beside a crash

Mutations showed three gaps: a leaving server that the gate ignored, a server that sends the headers of nodes, and innocent calls that were running beside a crash were not noticed. Each test now fails with its mechanism off.

--- a/internal/call/fleet_test.go
+++ b/internal/call/fleet_test.go
@@ -38,7 +38,7 @@
 type fleet struct {
 	nodes      []*Node
 	trackers   []*drain.Tracker
-	servers    []net.Listener
+	servers    []*http.Server
 	addresses  []string
 	views      []*atomic.Pointer[member.View]
 	claims     *fakeClaims
@@ -131,7 +131,7 @@
 	server := &http.Server{Handler: handler}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
-	f.servers = append(f.servers, listener)
+	f.servers = append(f.servers, server)
 	err = f.trackers[i].Announce(drain.Announcement{Service: testService, Address: listener.Addr().String(), State: "ready", Slots: options.slots, Connections: 600})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/call/forms_test.go
+++ b/internal/call/forms_test.go
@@ -35,12 +35,14 @@
 		w.Header().Set("Connection", "X-Private")
 		w.Header().Set("X-Private", "1")
 		w.Header().Set(HeaderCallID, "forged")
+		w.Header().Set(HeaderResult, "50")
+		w.Header().Set(HeaderRun, string(result.NotRun))
 		_, _ = io.WriteString(w, "content")
 	}
 }
 
 // TestAnswerForms guards against answers that hang, lose a trailer or leak
-// headers, and connections that are left with a rest of the last answer. Each
+// headers, servers that forge the headers of nodes, and connections that are left with a rest of the last answer. Each
 // form is used twice on the same connections.
 func TestAnswerForms(t *testing.T) {
 	f := newFleet(t, fleetOptions{nodes: 1, slots: 5, attempts: 1}, func(int) http.Handler { return &formsServer{} })
@@ -59,8 +61,8 @@
 	for range 2 {
 		for _, c := range cases {
 			response := f.ask(t, ask{method: c.method, path: c.path})
-			if response.StatusCode != c.status || response.content != c.content {
-				t.Errorf("%s %s: status %d, content %q", c.method, c.path, response.StatusCode, response.content)
+			if response.StatusCode != c.status || response.content != c.content || response.run != result.Ran || response.code != "" {
+				t.Errorf("%s %s: status %d, headers %v, content %q", c.method, c.path, response.StatusCode, response.Header, response.content)
 			}
 			for name, want := range c.header {
 				if got := response.Header.Get(name); got != want {
@@ -92,6 +94,9 @@
 		}
 	})
 	<-server.began
+	// As a planned stop does.
+	f.trackers[1].StopAll()
+	expectRefusal(t, f.get(t, "/patterns/1"), result.Draining)
 	f.nodes[1].Drain()
 	expectRefusal(t, f.get(t, "/patterns/1"), result.Draining)
 	time.AfterFunc(50*time.Millisecond, func() { close(server.finish) })
--- a/internal/call/load_test.go
+++ b/internal/call/load_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"rosemaryladder.dev/rosemaryladder/internal/drain"
 	"rosemaryladder.dev/rosemaryladder/internal/event"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 	"rosemaryladder.dev/rosemaryladder/internal/standin/backend"
@@ -120,19 +122,32 @@
 }
 
 // TestCrashingCall guards against a call that takes down one server after the
-// other when its caller repeats it, and against other calls being blamed.
+// other when its caller repeats it, and against other calls being blamed that
+// were running beside it.
 func TestCrashingCall(t *testing.T) {
 	var f *fleet
-	f = newFleet(t, fleetOptions{nodes: 3, slots: 10, attempts: 3}, func(node int) http.Handler {
-		server := backend.New(backend.Options{Slots: 10, Behaviour: backend.Behaviour{CrashBody: "poison"}})
+	f = newFleet(t, fleetOptions{nodes: 3, slots: 20, attempts: 3}, func(node int) http.Handler {
+		server := backend.New(backend.Options{Slots: 20, Behaviour: backend.Behaviour{
+			CrashBody: "poison", SlowBody: "slow", SlowTime: 100 * time.Millisecond,
+		}})
 		server.Crash = func() { _ = f.servers[node-1].Close() }
 		return server
 	})
-	var codes []string
-	for range 2 {
-		// Three attempts reach the server that is alive, wherever they begin.
-		codes = append(codes, f.ask(t, ask{method: http.MethodPut, path: "/files/1", body: "poison"}).code)
-	}
+	poison := ask{method: http.MethodPut, path: "/files/1", body: "poison"}
+	slow := ask{method: http.MethodPut, path: "/files/1", body: "slow"}
+	innocent := (&body{kept: []byte("slow"), length: 4}).fingerprint(slow.method, slow.path)
+	waitUntil(t, "each server has answered the slow call", func() bool {
+		f.ask(t, slow)
+		return !slices.ContainsFunc(f.nodes[1:], func(n *Node) bool { return !n.gate.answered.has(innocent) })
+	})
+	var group sync.WaitGroup
+	waitUntil(t, "slow calls run on each server", func() bool {
+		group.Go(func() { f.ask(t, slow) })
+		return !slices.ContainsFunc(f.trackers[1:], func(tracker *drain.Tracker) bool { return tracker.InFlight() == 0 })
+	})
+	// Three attempts reach the server that is alive, wherever they begin.
+	codes := []string{f.ask(t, poison).code, f.ask(t, poison).code}
+	group.Wait()
 	alive := 0
 	for _, tracker := range f.trackers[1:] {
 		if tracker.Address() != "" {
@@ -146,7 +161,7 @@
 		t.Errorf("blamed fingerprints: %v", f.quarantine.crashed)
 	}
 	events := f.events.Select(event.Query{Kind: event.KindRefusal})
-	if len(events) == 0 || events[0].Code != result.Quarantined || events[0].Subject == "" {
+	if !slices.ContainsFunc(events, func(e event.Event) bool { return e.Code == result.Quarantined && e.Subject != "" }) {
 		t.Errorf("the refusal was not recorded: %+v", events)
 	}
 }
