--- a/internal/gossip/cluster_test.go
+++ b/internal/gossip/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -63,7 +64,7 @@
 	return n, err
 }
 
-func startNode(t testing.TB, index int, seeds []string, client store.Client) *testNode {
+func startNode(t testing.TB, index int, seeds []string, client store.Client, adjust ...func(*gossip.Config)) *testNode {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -94,7 +95,11 @@
 		listener:   &countingListener{Listener: listener},
 		done:       make(chan struct{}),
 	}
-	n.exchanger, err = gossip.New(gossip.DefaultConfig(), gossip.Dependencies{
+	config := gossip.DefaultConfig()
+	for _, change := range adjust {
+		change(&config)
+	}
+	n.exchanger, err = gossip.New(config, gossip.Dependencies{
 		Table:        table,
 		Quarantine:   list,
 		Dialer:       dial.Dialer{LocalIP: "127.0.0.1"},
@@ -158,12 +163,7 @@
 }
 
 func all(nodes []*testNode, holds func(*testNode) bool) bool {
-	for _, n := range nodes {
-		if !holds(n) {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(nodes, func(n *testNode) bool { return !holds(n) })
 }
 
 // await polls until the condition holds and returns how long that took.
--- a/internal/gossip/store_test.go
+++ b/internal/gossip/store_test.go
@@ -7,11 +7,14 @@
 	"testing"
 	"time"
 
+	"rosemaryladder.dev/rosemaryladder/internal/gossip"
 	"rosemaryladder.dev/rosemaryladder/internal/store"
 )
 
-// memoryStore is a store in memory. It counts the calls and can be down.
+// memoryStore is a store in memory. It counts the calls and can be down. The
+// methods that the exchange does not use are missing.
 type memoryStore struct {
+	store.Client
 	calls atomic.Int64
 	down  atomic.Bool
 
@@ -64,16 +67,6 @@
 
 func (s *memoryStore) KeepAlive(context.Context, store.LeaseID) error { return s.begin() }
 
-func (s *memoryStore) Revoke(context.Context, store.LeaseID) error { return s.begin() }
-
-func (s *memoryStore) GetNewer(ctx context.Context, key string, _ store.Revision) (store.Value, error) {
-	return s.Get(ctx, key)
-}
-
-func (s *memoryStore) Watch(ctx context.Context, key string, _ store.Revision) (store.Value, error) {
-	return s.Get(ctx, key)
-}
-
 // TestJoinThroughStore guards against nodes without seeds in their settings that
 // start together and stay apart, within a domain or between domains, and against
 // a herd that loads the store.
@@ -98,3 +91,28 @@
 	late := startNode(t, size, nil, shared)
 	await(t, 10*time.Second, "a late node knows all others", func() bool { return alive(late) == size+1 })
 }
+
+// TestDomainsFindEachOther guards against parts of a fleet that each joined
+// through their own seeds and never learn of the other part.
+func TestDomainsFindEachOther(t *testing.T) {
+	shared := newMemoryStore()
+	shared.down.Store(true)
+	sooner := func(config *gossip.Config) { config.RejoinInterval = 400 * time.Millisecond }
+	var nodes []*testNode
+	for _, first := range []int{0, 3} {
+		begin := startNode(t, first, nil, shared, sooner)
+		nodes = append(nodes, begin)
+		for _, index := range []int{first + 4, first + 8} {
+			nodes = append(nodes, startNode(t, index, []string{begin.address()}, shared, sooner))
+		}
+	}
+	await(t, 10*time.Second, "each part knows itself", func() bool {
+		return all(nodes, func(n *testNode) bool { return alive(n) == len(nodes)/2 })
+	})
+	// The first nodes of both parts have now stopped looking for seeds.
+	time.Sleep(2 * time.Second)
+	shared.down.Store(false)
+	await(t, 10*time.Second, "both parts know each other", func() bool {
+		return all(nodes, func(n *testNode) bool { return alive(n) == len(nodes) })
+	})
+}
