--- a/internal/standin/scenario/calls_test.go
+++ b/internal/standin/scenario/calls_test.go
@@ -61,7 +61,7 @@
 
 func (r *run) startCallers(ts *testscript.TestScript, name, region, duration string, classes []string) {
 	args := []string{"--duration", duration, "--list-orders", "--seed", fmt.Sprint(len(r.callersRunning) + 1), "--timeout", "8s"}
-	for _, host := range r.hosts(ts, region) {
+	for _, host := range r.hostList(ts, region) {
 		args = append(args, "--node", host.CallAddress())
 	}
 	for _, class := range classes {
--- /dev/null
+++ b/internal/standin/scenario/document_test.go
@@ -0,0 +1,84 @@
+package scenario
+
+import (
+	"bytes"
+	"strconv"
+	"time"
+
+	"github.com/klauspost/compress/zstd"
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/uber-go/tally/v4"
+
+	"rosemaryladder.dev/rosemaryladder/internal/config"
+	"rosemaryladder.dev/rosemaryladder/internal/dial"
+	"rosemaryladder.dev/rosemaryladder/internal/store"
+)
+
+// document: document unknown-field|dangling|garbage|good writes a document with
+// the next version to the store, past the check of the operators' tool.
+func (r *run) document(ts *testscript.TestScript, _ bool, args []string) {
+	client, err := store.NewHTTP(store.Options{Address: r.fleet.StoreAddress(), Timeout: time.Second}, dial.Dialer{}, tally.NoopScope)
+	ts.Check(err)
+	defer client.Close()
+	value, err := client.Get(r.ctx, config.StoreKey)
+	ts.Check(err)
+	if r.goodDocument == nil {
+		r.goodDocument, r.nextVersion = value.Data, config.VersionOf(value.Data)
+	}
+	r.nextVersion++
+	data := r.damaged(ts, args[0])
+	_, err = client.CompareAndSwap(r.ctx, config.StoreKey, value.Revision, data, 0)
+	ts.Check(err)
+}
+
+// damaged returns the last good document with the next version and a fault.
+func (r *run) damaged(ts *testscript.TestScript, fault string) []byte {
+	if fault == "garbage" {
+		return []byte("no document")
+	}
+	document, err := config.DecodeDocument(r.goodDocument)
+	ts.Check(err)
+	document.Version = r.nextVersion
+	document.Changes = []config.AppliedChange{{ID: config.NewChangeID(), Version: r.nextVersion}}
+	if fault == "dangling" {
+		document.Stops = append(document.Stops, config.Stop{
+			ID: "dangling", Scope: config.StopScope{Host: "h", Service: "no-such-service"}, At: time.Unix(2e9, 0).UTC(), Grace: time.Second, Reason: "test",
+		})
+	}
+	encoded, err := document.Encode()
+	ts.Check(err)
+	if fault != "unknown-field" {
+		return encoded
+	}
+	decoder, err := zstd.NewReader(nil)
+	ts.Check(err)
+	defer decoder.Close()
+	plain, err := decoder.DecodeAll(encoded, nil)
+	ts.Check(err)
+	encoder, err := zstd.NewWriter(nil)
+	ts.Check(err)
+	defer encoder.Close()
+	return encoder.EncodeAll(bytes.Replace(plain, []byte(`{"version"`), []byte(`{"surprise":1,"version"`), 1), nil)
+}
+
+// silent: silent HOST AFTER FOR fails when the backend server of the host gets
+// work in the time FOR that begins AFTER now.
+func (r *run) silent(ts *testscript.TestScript, _ bool, args []string) {
+	after, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	length, err := time.ParseDuration(args[2])
+	ts.Check(err)
+	host := r.hosts(ts, args[0])[0]
+	time.Sleep(after)
+	before, err := host.Runs(r.ctx)
+	ts.Check(err)
+	time.Sleep(length)
+	later, err := host.Runs(r.ctx)
+	ts.Check(err)
+	if len(later) != len(before) {
+		ts.Fatalf("%s got %s calls later than %s after it began to leave", host.Name, strconv.Itoa(len(later)-len(before)), after)
+	}
+	if len(before) == 0 {
+		ts.Fatalf("%s never got a call", host.Name)
+	}
+}
--- a/internal/standin/scenario/run_test.go
+++ b/internal/standin/scenario/run_test.go
@@ -33,6 +33,11 @@
 	// stopped holds the hosts whose node was killed, frozen or terminated.
 	stopped map[string]bool
 
+	// goodDocument is the last document that the tool made; nextVersion counts the
+	// versions written past the tool.
+	goodDocument []byte
+	nextVersion  uint64
+
 	mu sync.Mutex
 	// regressions holds nodes that were seen to go back to an older version.
 	regressions []string
--- a/internal/standin/scenario/scenario_test.go
+++ b/internal/standin/scenario/scenario_test.go
@@ -60,6 +60,8 @@
 			"watch":        withRun((*run).watchVersions),
 			"converged":    withRun((*run).converged),
 			"callers":      withRun((*run).callers),
+			"document":     withRun((*run).document),
+			"silent":       withRun((*run).silent),
 			"behave":       withRun((*run).behave),
 			"poison":       withRun((*run).poison),
 			"servers-lost": withRun((*run).serversLost),
