Pass over frozen bridges quickly

With the bridges of both regions frozen at once, a leaving server must still be known in the other region within 3 s. The first exchanges with another region now have 0.5 s each and follow one another at once; later ones have 4 s, so that all records can cross a link that other traffic fills.

--- a/internal/gossip/config.go
+++ b/internal/gossip/config.go
@@ -17,8 +17,14 @@
 	PropagationDelay time.Duration
 	// TickInterval is the time between two checks of the membership timeouts.
 	TickInterval time.Duration
-	// ExchangeTimeout bounds one exchange.
+	// ExchangeTimeout bounds one exchange within the region.
 	ExchangeTimeout time.Duration
+	// BridgeTimeout bounds the first exchanges with another region after a failure,
+	// so that frozen bridges are passed over quickly.
+	BridgeTimeout time.Duration
+	// SlowBridgeTimeout bounds the later ones. It lets all records of a region
+	// cross a link that other traffic fills.
+	SlowBridgeTimeout time.Duration
 	// MaxConnections bounds the connections to other nodes that are kept open.
 	MaxConnections int
 	// ConnectionIdle is how long an unused connection is kept.
@@ -54,6 +60,8 @@
 		PropagationDelay:     20 * time.Millisecond,
 		TickInterval:         100 * time.Millisecond,
 		ExchangeTimeout:      time.Second,
+		BridgeTimeout:        500 * time.Millisecond,
+		SlowBridgeTimeout:    4 * time.Second,
 		MaxConnections:       32,
 		ConnectionIdle:       30 * time.Second,
 		MaxMessageBytes:      1 << 20,
@@ -78,6 +86,8 @@
 		{"PropagationDelay", c.PropagationDelay},
 		{"TickInterval", c.TickInterval},
 		{"ExchangeTimeout", c.ExchangeTimeout},
+		{"BridgeTimeout", c.BridgeTimeout},
+		{"SlowBridgeTimeout", c.SlowBridgeTimeout},
 		{"ConnectionIdle", c.ConnectionIdle},
 		{"FullInterval", c.FullInterval},
 		{"StoreJitter", c.StoreJitter},
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/controlpb"
 	"rosemaryladder.dev/rosemaryladder/internal/member"
 )
 
 // exchangeWith exchanges records with a known node.
-func (e *Exchanger) exchangeWith(ctx context.Context, node member.Record, full bool) error {
+func (e *Exchanger) exchangeWith(ctx context.Context, node member.Record, full bool, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	address := node.ControlAddress()
 	reply, refused, err := e.send(ctx, address, e.compose(node.ID, full))
 	if err != nil {
@@ -30,6 +33,8 @@
 
 // introduceTo exchanges all records with the unknown node at an address.
 func (e *Exchanger) introduceTo(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, e.config.ExchangeTimeout)
+	defer cancel()
 	reply, _, err := e.send(ctx, address, e.introduction())
 	if err != nil {
 		e.pool.discard(address)
@@ -42,8 +47,6 @@
 // call sends one message and returns the reply, and whether the node's host
 // refused the connection.
 func (e *Exchanger) call(ctx context.Context, address string, message *controlpb.Gossip) (*controlpb.Gossip, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, e.config.ExchangeTimeout)
-	defer cancel()
 	conn, err := e.pool.acquire(address)
 	if err != nil {
 		return nil, false, err
--- a/internal/gossip/exchanger.go
+++ b/internal/gossip/exchanger.go
@@ -132,7 +132,7 @@
 	}
 	var group sync.WaitGroup
 	for _, node := range targets {
-		group.Go(func() { _ = e.exchangeWith(ctx, node, false) })
+		group.Go(func() { _ = e.exchangeWith(ctx, node, false, e.config.ExchangeTimeout) })
 	}
 	group.Wait()
 }
--- a/internal/gossip/exchanger_test.go
+++ b/internal/gossip/exchanger_test.go
@@ -65,7 +65,7 @@
 }
 
 // TestLeavingWithFrozenBridges guards against a leaving server that goes on
-// receiving work from the other region because both bridges froze.
+// receiving work from the other region because all bridges of both regions froze.
 func TestLeavingWithFrozenBridges(t *testing.T) {
 	nodes := startFleet(t, 12)
 	for _, n := range nodes {
@@ -74,7 +74,7 @@
 	await(t, 5*time.Second, "all servers are known", func() bool {
 		return all(nodes, func(n *testNode) bool { return len(n.table.View().Servers("katalog")) == len(nodes) })
 	})
-	bridge := func(n *testNode) bool { return n.table.Plan().Bridge && n.table.View().Self.Region == "svealand" }
+	bridge := func(n *testNode) bool { return n.table.Plan().Bridge }
 	bridges := slices.DeleteFunc(slices.Clone(nodes), func(n *testNode) bool { return !bridge(n) })
 	others := slices.DeleteFunc(slices.Clone(nodes), bridge)
 	leaving := others[slices.IndexFunc(others, func(n *testNode) bool { return n.table.View().Self.Region == "svealand" })]
--- a/internal/gossip/loop.go
+++ b/internal/gossip/loop.go
@@ -7,6 +7,10 @@
 	"rosemaryladder.dev/rosemaryladder/internal/member"
 )
 
+// quickBridgeAttempts is the number of nodes of another region that are tried one
+// right after the other: both bridges that froze, and one that replaced them.
+const quickBridgeAttempts = 3
+
 // loop exchanges records with one neighbour, or with one node of another region.
 type loop struct {
 	exchanger *Exchanger
@@ -16,6 +20,10 @@
 	wake     chan struct{}
 	cancel   context.CancelFunc
 	failures int
+	// crossing is set for a loop to another region.
+	crossing bool
+	// inRow counts the failures since the last success.
+	inRow int
 	// address is where the last exchange went.
 	address string
 }
@@ -80,8 +88,27 @@
 
 func (l *loop) exchange(ctx context.Context, node member.Record, full bool) {
 	l.address = node.ControlAddress()
-	if err := l.exchanger.exchangeWith(ctx, node, full); err != nil {
-		l.failures++
+	if l.exchanger.exchangeWith(ctx, node, full, l.timeout()) == nil {
+		l.inRow = 0
+		return
+	}
+	l.failures++
+	l.inRow++
+	if l.crossing && l.inRow < quickBridgeAttempts {
+		l.notify()
+	}
+}
+
+// timeout returns the time that the next exchange may take.
+func (l *loop) timeout() time.Duration {
+	config := l.exchanger.config
+	switch {
+	case !l.crossing:
+		return config.ExchangeTimeout
+	case l.inRow < quickBridgeAttempts:
+		return config.BridgeTimeout
+	default:
+		return config.SlowBridgeTimeout
 	}
 }
 
--- a/internal/gossip/loops.go
+++ b/internal/gossip/loops.go
@@ -2,11 +2,18 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 
 	"rosemaryladder.dev/rosemaryladder/internal/member"
 )
 
+// Prefixes of the keys of loops.
+const (
+	nodeKey   = "node "
+	regionKey = "region "
+)
+
 // loops runs one loop for each neighbour and, on a bridge, for each other region.
 type loops struct {
 	exchanger *Exchanger
@@ -41,6 +48,7 @@
 func (l *loops) start(ctx context.Context, key string, target func(int) (member.Record, bool)) {
 	ctx, cancel := context.WithCancel(ctx)
 	started := &loop{exchanger: l.exchanger, target: target, wake: make(chan struct{}, 1), cancel: cancel}
+	started.crossing = strings.HasPrefix(key, regionKey)
 	l.running[key] = started
 	started.notify()
 	l.group.Go(func() { started.run(ctx) })
@@ -51,10 +59,10 @@
 func (l *loops) wanted(plan *member.Plan) map[string]func(int) (member.Record, bool) {
 	wanted := make(map[string]func(int) (member.Record, bool))
 	for _, node := range plan.Neighbours {
-		wanted["node "+node.ID+" "+node.ControlAddress()] = func(int) (member.Record, bool) { return node, true }
+		wanted[nodeKey+node.ID+" "+node.ControlAddress()] = func(int) (member.Record, bool) { return node, true }
 	}
 	for region := range plan.Regions {
-		wanted["region "+region] = func(failures int) (member.Record, bool) {
+		wanted[regionKey+region] = func(failures int) (member.Record, bool) {
 			return l.bridgeTarget(region, failures)
 		}
 	}
--- a/internal/gossip/seeder.go
+++ b/internal/gossip/seeder.go
@@ -127,7 +127,7 @@
 	}
 	choice := int(s.exchanger.deps.Random() * float64(len(gone)+len(unknown)))
 	if choice < len(gone) {
-		if s.exchanger.exchangeWith(ctx, gone[choice], false) != nil {
+		if s.exchanger.exchangeWith(ctx, gone[choice], false, s.exchanger.config.ExchangeTimeout) != nil {
 			s.exchanger.pool.discard(gone[choice].ControlAddress())
 		}
 		return
--- a/internal/gossip/simulation_test.go
+++ b/internal/gossip/simulation_test.go
@@ -165,11 +165,11 @@
 	ctx := context.Background()
 	plan := p.table().Plan()
 	for _, node := range plan.Neighbours {
-		_ = p.exchanger.exchangeWith(ctx, node, p.exchanger.needsFull(node.ID))
+		_ = p.exchanger.exchangeWith(ctx, node, p.exchanger.needsFull(node.ID), time.Second)
 	}
 	for region := range plan.Regions {
 		node, found := p.exchanger.loops.bridgeTarget(region, p.failures[region])
-		if found && p.exchanger.exchangeWith(ctx, node, p.exchanger.needsFull(node.ID)) != nil {
+		if found && p.exchanger.exchangeWith(ctx, node, p.exchanger.needsFull(node.ID), time.Second) != nil {
 			p.failures[region]++
 		}
 	}
