--- a/internal/gossip/loop.go
+++ b/internal/gossip/loop.go
@@ -7,19 +7,25 @@
 	"rosemaryladder.dev/rosemaryladder/internal/member"
 )
 
+// quickBridgeAttempts is the number of nodes of another region that are tried one
+// right after the other: both bridges that froze, and one that replaced them.
+const quickBridgeAttempts = 3
+
 // loop exchanges records with one neighbour, or with one node of another region.
 type loop struct {
 	exchanger *Exchanger
 	// target returns the node to exchange with after a number of failures.
 	target func(failures int) (member.Record, bool)
-	// quietDigest is set when a changed configuration digest alone is no reason to
-	// exchange before the interval. Between regions the relay tree carries the
-	// version; an exchange for it would cost as many bytes as the delta.
-	quietDigest bool
 	// wake holds a token while there may be news.
 	wake     chan struct{}
 	cancel   context.CancelFunc
 	failures int
+	// crossing is set for a loop to another region. There a changed configuration
+	// digest alone is no reason to exchange before the interval: the relay tree
+	// carries the version, and an exchange would cost as many bytes as the delta.
+	crossing bool
+	// inRow counts the failures since the last success.
+	inRow int
 	// address is where the last exchange went.
 	address string
 }
@@ -75,7 +81,7 @@
 // triggered exchanges when there is news. It reports whether it did.
 func (l *loop) triggered(ctx context.Context) bool {
 	node, found := l.target(l.failures)
-	if !found || !l.exchanger.hasNews(node.ID, !l.quietDigest) {
+	if !found || !l.exchanger.hasNews(node.ID, !l.crossing) {
 		return false
 	}
 	l.exchange(ctx, node, false)
@@ -84,8 +90,27 @@
 
 func (l *loop) exchange(ctx context.Context, node member.Record, full bool) {
 	l.address = node.ControlAddress()
-	if err := l.exchanger.exchangeWith(ctx, node, full); err != nil {
-		l.failures++
+	if l.exchanger.exchangeWith(ctx, node, full, l.timeout()) == nil {
+		l.inRow = 0
+		return
+	}
+	l.failures++
+	l.inRow++
+	if l.crossing && l.inRow < quickBridgeAttempts {
+		l.notify()
+	}
+}
+
+// timeout returns the time that the next exchange may take.
+func (l *loop) timeout() time.Duration {
+	config := l.exchanger.config
+	switch {
+	case !l.crossing:
+		return config.ExchangeTimeout
+	case l.inRow < quickBridgeAttempts:
+		return config.BridgeTimeout
+	default:
+		return config.SlowBridgeTimeout
 	}
 }
 
