--- a/internal/route/balancer.go
+++ b/internal/route/balancer.go
@@ -94,7 +94,7 @@
 		record:       record,
 		server:       server,
 		load:         server.load(request.Now),
-		slots:        usableSlots(record, server.slots.Load(), request.Now),
+		slots:        usableSlots(record, server, request.Now),
 		service:      service,
 		serviceTrust: trust,
 	}
--- a/internal/route/balancer_test.go
+++ b/internal/route/balancer_test.go
@@ -73,6 +73,7 @@
 	refusal := Outcome{Priority: lookups.Priority, Elapsed: time.Millisecond, Refused: true, Load: &Load{InFlight: 1, Slots: 6}}
 	busy := Outcome{Priority: lookups.Priority, Elapsed: 60 * time.Millisecond, Load: &Load{InFlight: 6, Slots: 6, Queued: 12}}
 	slow := Outcome{Priority: lookups.Priority, Elapsed: 200 * time.Millisecond, Load: &Load{Slots: 6}}
+	reduced := Outcome{Priority: lookups.Priority, Elapsed: 20 * time.Millisecond, Load: &Load{InFlight: 1, Slots: 1}}
 	unclassified := slow
 	unclassified.Priority = ""
 	for name, c := range map[string]struct {
@@ -92,6 +93,8 @@
 		"reported it long ago":       {busy, time.Hour, 10 * time.Second, 45, 55, false},
 		"slow though idle":           {slow, time.Hour, 0, 0, 0, true},
 		"slow long ago":              {slow, time.Hour, time.Minute, 40, 60, false},
+		"few slots":                  {reduced, time.Hour, 0, 1, 25, false},
+		"few slots long ago":         {reduced, time.Hour, 10 * time.Second, 45, 55, false},
 		"slow, class unknown":        {unclassified, time.Hour, 0, 0, 0, true},
 		"calls in flight count":      {answer, time.Hour, 0, 45, 55, false},
 		"cold, with calls in flight": {answer, 0, 0, 1, 25, false},
--- a/internal/route/candidate.go
+++ b/internal/route/candidate.go
@@ -43,20 +43,22 @@
 	c.estimate = (waiting+1)*service + network + failureCost*failures*objective.Seconds()
 }
 
-// usableSlots returns the slots of a server, fewer while it is new.
-func usableSlots(record *member.Record, reported int64, now time.Time) float64 {
-	slots := float64(max(1, record.Server.Slots))
-	if reported > 0 {
-		slots = min(slots, float64(reported))
-	}
+// usableSlots returns the slots of a server: those that it announced, fewer while
+// it is new and when its node reported fewer lately.
+func usableSlots(record *member.Record, server *server, now time.Time) float64 {
 	if record.Server.State == member.ServerStarting {
 		return 1
 	}
+	announced := max(1, float64(record.Server.Slots))
+	slots := announced
+	if reported, age, set := server.slots.get(now); set && reported < slots {
+		slots += (max(1, reported) - slots) * fade(age, reportConstant)
+	}
 	age := max(0, now.Sub(record.Server.Since))
 	if age >= rampDuration {
 		return slots
 	}
-	return min(slots, 1+(float64(record.Server.Slots)-1)*age.Seconds()/rampDuration.Seconds())
+	return min(slots, 1+(announced-1)*age.Seconds()/rampDuration.Seconds())
 }
 
 // commonService returns the mean measured service time of the candidates.
--- a/internal/route/server.go
+++ b/internal/route/server.go
@@ -37,8 +37,8 @@
 	// others is the number of calls of other nodes, running and waiting, by the
 	// last report.
 	others decaying
-	// slots is the last reported number of slots; 0 when there was no report.
-	slots atomic.Int64
+	// slots is the last reported number of usable slots.
+	slots decaying
 	// failures is the share of failed calls.
 	failures decaying
 	// service holds service times in seconds by class.
@@ -57,7 +57,7 @@
 		return
 	}
 	s.others.clear()
-	s.slots.Store(0)
+	s.slots.clear()
 	s.failures.clear()
 	for i := range s.service {
 		s.service[i].clear()
@@ -114,13 +114,14 @@
 	if load == nil {
 		return
 	}
-	s.slots.Store(int64(load.Slots))
+	s.slots.set(now, float64(load.Slots))
 	s.others.set(now, float64(max(0, int64(load.InFlight+load.Queued)-1-own)))
 }
 
 // learnRefusal counts a refusal as a full queue, whatever the report said.
 func (s *server) learnRefusal(now time.Time) {
-	full := float64(refusedRounds * max(1, s.slots.Load()))
+	slots, _, _ := s.slots.get(now)
+	full := refusedRounds * max(1, slots)
 	s.others.update(now, func(value float64, _ time.Duration, _ bool) float64 { return max(value, full) })
 }
 
