Refuse the waiting calls when the server is gone

Cause: with no slots left, waiting calls kept waiting until their deadline instead of being tried at another server. Figures: TestColdAndRefusingServer fails without it. Ruled out: the code draining, which is free of the retry budget and belongs to a server that leaves in an orderly way. Conclusion: they are refused with no-server.

--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -55,10 +55,14 @@
 }
 
 // Resize changes the slots and connections without a new ramp. Running calls
-// are kept when they exceed the new number.
+// are kept when they exceed the new number. Without slots the waiting calls are
+// refused.
 func (q *Queue) Resize(now time.Time, slots, connections int) {
 	q.limit.capacity.Slots = slots
 	q.limit.capacity.Connections = connections
+	if q.limit.at(now) == 0 {
+		q.refuseAllWaiting(errNoServer)
+	}
 	q.Dispatch(now)
 }
 
@@ -117,12 +121,8 @@
 // Drain refuses the waiting calls and all new ones; running calls finish.
 func (q *Queue) Drain() {
 	q.draining = true
-	for _, waiting := range q.waiting {
-		for _, ticket := range slices.Clone(waiting) {
-			q.refuseTicket(ticket, errDraining)
-			q.counts.Draining++
-		}
-	}
+	q.counts.Draining += uint64(q.Waiting())
+	q.refuseAllWaiting(errDraining)
 }
 
 // Dispatch starts waiting calls while slots are free. It must be called when
@@ -186,6 +186,14 @@
 	ticket.state = ticketDone
 }
 
+func (q *Queue) refuseAllWaiting(err error) {
+	for _, waiting := range q.waiting {
+		for _, ticket := range slices.Clone(waiting) {
+			q.refuseTicket(ticket, err)
+		}
+	}
+}
+
 func (q *Queue) refuseTicket(ticket *Ticket, err error) {
 	q.remove(ticket)
 	ticket.request.Decided(err)
