Test refusals by deadline and the bounds of the queue

Cause: the refusal by estimated wait and the order of shedding had no test. Figures: TestRefusals fails without the deadline check, without the bound of the queue or of the downloads, and when an order does not displace a download.

--- a/internal/admit/queue_test.go
+++ b/internal/admit/queue_test.go
@@ -179,3 +179,47 @@
 		t.Fatalf("%d of %d waiters ended, %d still wait", decided, m.waiters, m.queue.Waiting())
 	}
 }
+
+// TestRefusals guards against a call that waits although it cannot be answered
+// in time, and against downloads that keep an order out of a full queue.
+func TestRefusals(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	queue := NewQueue()
+	queue.Open(now.Add(-time.Hour), Capacity{Slots: 1, Connections: 130, ReadySince: now.Add(-time.Hour)})
+	displaced := 0
+	offer := func(priority config.Priority, deadline time.Duration) result.Code {
+		_, err := queue.Offer(now, Request{Priority: priority, Deadline: now.Add(deadline), Decided: func(err error) {
+			if result.CodeOf(err) == result.Overloaded {
+				displaced++
+			}
+		}})
+		return result.CodeOf(err)
+	}
+	first, _ := queue.Offer(now, Request{Priority: config.PriorityOrder})
+	now = now.Add(100 * time.Millisecond)
+	queue.Finish(now, first)
+	for i, c := range []struct {
+		priority config.Priority
+		deadline time.Duration
+		want     result.Code
+	}{
+		{config.PriorityOrder, time.Second, result.OK},
+		{config.PriorityDownload, time.Second, result.OK},
+		{config.PriorityDownload, time.Second, result.OK},
+		{config.PriorityDownload, time.Second, result.Overloaded},
+		{config.PriorityOrder, 99 * time.Millisecond, result.Overloaded},
+		{config.PriorityOrder, 150 * time.Millisecond, result.OK},
+		{config.PriorityOrder, 150 * time.Millisecond, result.Overloaded},
+		{config.PriorityOrder, 250 * time.Millisecond, result.OK},
+		{config.PriorityOrder, time.Second, result.OK},
+		{config.PriorityOrder, time.Second, result.OK},
+		{config.PriorityOrder, time.Second, result.Overloaded},
+	} {
+		if got := offer(c.priority, c.deadline); got != c.want {
+			t.Errorf("call %d (%s within %s): %s", i, c.priority, c.deadline, result.Describe(got).Name)
+		}
+	}
+	if displaced != 2 {
+		t.Errorf("%d downloads left the queue for orders, want 2", displaced)
+	}
+}
