--- a/internal/claim/config.go
+++ b/internal/claim/config.go
@@ -17,7 +17,7 @@
 	// DefaultWriteBurst is the number of writes of a shard that need not wait.
 	DefaultWriteBurst = 20
 	// DefaultSealRecords is the number of records above which a head is sealed.
-	DefaultSealRecords = 4096
+	DefaultSealRecords = 1024
 	// DefaultSealBytes leaves room in the store's 1 MB for a batch and for
 	// retries of a seal that failed.
 	DefaultSealBytes = 512 << 10
