call: free the slot before the probe for a crashed server

Cause: the probe of a server whose connection broke takes up to 80 ms, and the call held its slot meanwhile, although the server was not running it any more. A server that breaks connections but lives lost capacity.

--- a/internal/call/gate.go
+++ b/internal/call/gate.go
@@ -109,9 +109,14 @@
 		release()
 		return nil, refused
 	}
-	found, refused := g.handOver(ctx, call)
+	address := g.deps.Server.Address()
+	found, refused := g.handOver(ctx, call, address)
 	if refused != nil {
+		// The probe takes long enough that it must not hold the slot.
 		release()
+		if refused.broken {
+			g.probe(call, address)
+		}
 	}
 	return found, refused
 }
@@ -144,7 +149,7 @@
 }
 
 // handOver sends the call to the server and reads the head of the answer.
-func (g *gate) handOver(ctx context.Context, call *running) (*answer, *refusal) {
+func (g *gate) handOver(ctx context.Context, call *running, address string) (*answer, *refusal) {
 	r := call.request
 	if ctx.Err() != nil {
 		return nil, g.refuseAdmission(ctx, ctx.Err())
@@ -152,13 +157,12 @@
 	if r.once {
 		ctx = detach(ctx, call)
 	}
-	address := g.deps.Server.Address()
 	out := &outgoing{method: r.method, uri: r.uri, host: r.service, header: r.header, body: r.body, added: g.serverFields(r)}
 	g.deps.Server.Begin()
 	e, failed := g.client.do(ctx, address, out)
 	if failed != nil {
 		g.deps.Server.Done()
-		return nil, g.refuseExchange(ctx, call, address, failed)
+		return nil, g.refuseExchange(ctx, address, failed)
 	}
 	found, refused := g.acceptAnswer(ctx, call, e)
 	if refused != nil {
@@ -216,7 +220,7 @@
 
 // refuseExchange states what is known of a call whose exchange with the server
 // failed before the head of the answer.
-func (g *gate) refuseExchange(ctx context.Context, call *running, address string, failed *exchangeError) *refusal {
+func (g *gate) refuseExchange(ctx context.Context, address string, failed *exchangeError) *refusal {
 	if !failed.begun {
 		return g.refuseUnsent(ctx, address, failed.cause)
 	}
@@ -229,8 +233,9 @@
 		g.metrics.limitHead.Inc(1)
 		return refuse(result.OutcomeUnknown, "the answer of the backend server: "+failed.cause.Error())
 	default:
-		g.probe(call, address)
-		return refuse(result.OutcomeUnknown, "the connection to the backend server broke: "+failed.cause.Error())
+		refused := refuse(result.OutcomeUnknown, "the connection to the backend server broke: "+failed.cause.Error())
+		refused.broken = true
+		return refused
 	}
 }
 
--- a/internal/call/pool.go
+++ b/internal/call/pool.go
@@ -83,7 +83,8 @@
 // refuses reports whether the address refuses new connections. It asks more than
 // once, because a process that ends closes its sockets one by one and its
 // listener may be among the last. The broken connection that leads here was
-// dropped, so the bound of connections holds.
+// dropped, so the bound of connections is exceeded, by one, only when another
+// call has taken its place.
 func (p *pool) refuses(ctx context.Context) bool {
 	for range probes {
 		raw, err := p.dial(ctx, "tcp", p.address)
--- a/internal/call/refusal.go
+++ b/internal/call/refusal.go
@@ -21,6 +21,8 @@
 	fingerprint uint64
 	// load is the load that a gate stated; nil without one.
 	load *route.Load
+	// broken is set when the connection to the backend server broke.
+	broken bool
 	// cancelled is set when the caller gave up.
 	cancelled bool
 }
