--- a/internal/gossip/cluster_test.go
+++ b/internal/gossip/cluster_test.go
@@ -167,6 +167,17 @@
 	return nodes
 }
 
+// announce makes every node announce a server and waits until all are known.
+func announce(t testing.TB, nodes []*testNode) {
+	t.Helper()
+	for _, n := range nodes {
+		n.table.SetServer(member.Server{Service: "katalog", State: member.ServerReady, Slots: 9, Connections: 120}, time.Now())
+	}
+	await(t, 5*time.Second, "all servers are known", func() bool {
+		return all(nodes, func(n *testNode) bool { return len(n.table.View().Servers("katalog")) == len(nodes) })
+	})
+}
+
 func alive(n *testNode) int {
 	count := 0
 	for _, record := range n.table.View().Nodes() {
