--- a/internal/gossip/store_test.go
+++ b/internal/gossip/store_test.go
@@ -88,6 +88,8 @@
 	if calls > 12*size {
 		t.Errorf("%d calls to the store, want at most 12 for each node", calls)
 	}
+	late := startNode(t, size, nil, shared)
+	await(t, 10*time.Second, "a late node knows all others", func() bool { return alive(late) == size+1 })
 }
 
 // TestDomainsFindEachOther guards against parts of a fleet that each joined
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -118,10 +118,9 @@
 	It("notices a cut link although its neighbours report contacts", func() {
 		a := newTable(DefaultConfig(), "a", record("x", "gotaland"))
 		b := newTable(DefaultConfig(), "b", record("x", "gotaland"))
-		const travel = 45 * time.Millisecond
 		pass(a, start, 10*time.Second, func(now time.Time) {
-			b.MergeContacts(a.Contacts(now), now.Add(travel))
-			a.MergeContacts(b.Contacts(now.Add(travel)), now.Add(2*travel))
+			b.MergeContacts(a.Contacts(now), now.Add(45*time.Millisecond))
+			a.MergeContacts(b.Contacts(now.Add(45*time.Millisecond)), now.Add(90*time.Millisecond))
 		})
 		Expect(a.View().RegionReachable("gotaland")).To(BeFalse())
 	})
