--- a/cmd/rosemaryladderd/main.go
+++ b/cmd/rosemaryladderd/main.go
@@ -30,6 +30,9 @@
 	return "rosemaryladderd serves calls and keeps the configuration on one host."
 }
 
+// Version is printed by --version.
+func (arguments) Version() string { return telemetry.Version("rosemaryladderd") }
+
 // Epilogue is printed below the help.
 func (arguments) Epilogue() string {
 	return "Example: rosemaryladderd --check /etc/rosemaryladder/node.ini"
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -6,6 +6,8 @@
 	"os"
 	"slices"
 	"strings"
+
+	"rosemaryladder.dev/rosemaryladder/internal/telemetry"
 )
 
 // command runs one stand-in with its arguments.
@@ -15,6 +17,10 @@
 var commands = map[string]command{}
 
 func main() {
+	if len(os.Args) == 2 && os.Args[1] == "--version" {
+		fmt.Println(telemetry.Version("standin"))
+		return
+	}
 	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin", strings.Join(names(), "|"), "[arguments]")
 		os.Exit(2)
--- a/internal/call/accept.go
+++ b/internal/call/accept.go
@@ -20,7 +20,8 @@
 	maxDepth = 64
 )
 
-// accept checks a caller's call and reads its body.
+// accept checks a caller's call and reads its body. With a refusal the call is
+// nil when no target matched.
 func (f *front) accept(w http.ResponseWriter, r *http.Request, id string) (*fronted, *refusal) {
 	now := f.deps.Now()
 	call := &fronted{snapshot: f.deps.Snapshots.Load(), view: f.deps.View(), started: now}
@@ -41,7 +42,7 @@
 		key: r.Header.Get(HeaderKey), once: !target.Idempotent, priority: target.Priority,
 	}
 	if refused := f.checkHeaders(call, r, now); refused != nil {
-		return nil, refused
+		return call, refused
 	}
 	read, refused := readRequestBody(w, r, call.request.deadline, call.request.once, f.config, f.metrics)
 	call.request.body = read
--- a/internal/call/front.go
+++ b/internal/call/front.go
@@ -39,11 +39,19 @@
 	unknown bool
 }
 
+// targetName returns the name of the target, or nothing when none matched.
+func (c *fronted) targetName() string {
+	if c == nil || c.target == nil {
+		return ""
+	}
+	return c.target.Name
+}
+
 // serve answers one call.
 func (f *front) serve(w http.ResponseWriter, r *http.Request, id string) {
 	call, refused := f.accept(w, r, id)
 	if refused != nil {
-		f.refuse(w, id, "", refused)
+		f.refuse(w, id, call.targetName(), refused)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), call.request.deadline.Add(f.config.AnswerGrace))
--- a/internal/cli/args.go
+++ b/internal/cli/args.go
@@ -4,7 +4,11 @@
 // It owns no state. Every failure ends with the result code as exit status.
 package cli
 
-import "time"
+import (
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/telemetry"
+)
 
 // Output selects the form of the output.
 type Output string
@@ -23,7 +27,7 @@
 	Explain *ExplainArgs `arg:"subcommand:explain" help:"explain a host, a target, a call, a change or repairs"`
 	Report  *ReportArgs  `arg:"subcommand:report" help:"report how targets are met"`
 
-	Node    []string      `arg:"--node,env:ROSEMARYLADDER_NODE" help:"operator addresses of nodes, tried in order" placeholder:"IP:PORT"`
+	Node    []string      `arg:"--node,separate" help:"operator address of a node; repeat it for more nodes, which are tried in order [env: ROSEMARYLADDER_NODE, separated by commas]" placeholder:"IP:PORT"`
 	Output  Output        `arg:"--output" default:"table" help:"table or json"`
 	Timeout time.Duration `arg:"--timeout" default:"10s" help:"limit of one request"`
 }
@@ -35,9 +39,12 @@
 
 // Epilogue is printed below the help.
 func (Args) Epilogue() string {
-	return "The exit status is a result code; docs/RESULT-CODES.md lists them.\nExample: rosemaryladder target apply -f targets.ini --wait 5s --node 127.20.1.1:7003"
+	return "The exit status is a result code; docs/RESULT-CODES.md lists them."
 }
 
+// Version is printed by --version.
+func (Args) Version() string { return telemetry.Version(program) }
+
 // TargetArgs select a verb on targets.
 type TargetArgs struct {
 	Apply  *TargetApplyArgs  `arg:"subcommand:apply" help:"declare or revise the targets of a file, all or none"`
@@ -105,7 +112,7 @@
 // StatusArgs are the arguments of status.
 type StatusArgs struct {
 	Wait    time.Duration `arg:"--wait" help:"wait until every node has the accepted version in force, at most this long" placeholder:"DURATION"`
-	Members bool          `arg:"--members" help:"list the nodes"`
+	Members bool          `arg:"--members" help:"list the nodes instead"`
 }
 
 // ExplainArgs select what to explain.
--- a/internal/cli/command.go
+++ b/internal/cli/command.go
@@ -2,6 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
+	"net"
+	"slices"
+	"strings"
 	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/operator"
@@ -16,7 +21,27 @@
 
 // run dispatches to the verb.
 func (c *command) run(ctx context.Context, verb string) error {
-	verbs := map[string]func(context.Context) error{
+	verbs := c.verbs()
+	run, found := verbs[verb]
+	if !found {
+		return incomplete(verb, slices.Sorted(maps.Keys(verbs)))
+	}
+	if c.args.Output != OutputTable && c.args.Output != OutputJSON {
+		return result.Errorf(result.Usage, "--output %q must be table or json", c.args.Output)
+	}
+	if len(c.args.Node) == 0 {
+		return result.Errorf(result.Usage, "--node or %s must name the operator address of a node", nodeVariable)
+	}
+	for _, address := range c.args.Node {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return result.Errorf(result.Usage, "--node %q must be an IP and a port", address)
+		}
+	}
+	return run(ctx)
+}
+
+func (c *command) verbs() map[string]func(context.Context) error {
+	return map[string]func(context.Context) error{
 		"target apply":    c.targetApply,
 		"target list":     c.targetList,
 		"target show":     c.targetShow,
@@ -32,30 +57,36 @@
 		"explain repairs": c.explainRepairs,
 		"report burn":     c.reportBurn,
 	}
-	run, found := verbs[verb]
-	if !found {
-		return result.Errorf(result.Usage, "%q is not a complete command", program+" "+verb)
-	}
-	if c.args.Output != OutputTable && c.args.Output != OutputJSON {
-		return result.Errorf(result.Usage, "--output %q must be table or json", c.args.Output)
-	}
-	if len(c.args.Node) == 0 {
-		return result.Errorf(result.Usage, "--node or ROSEMARYLADDER_NODE must name the operator address of a node")
+}
+
+// incomplete returns the error of a command line without a verb. It names the
+// verbs that may follow.
+func incomplete(verb string, verbs []string) error {
+	var following []string
+	for _, name := range verbs {
+		rest, found := strings.CutPrefix(name, verb)
+		if words := strings.Fields(rest); found && len(words) > 0 && !slices.Contains(following, words[0]) {
+			following = append(following, words[0])
+		}
 	}
-	return run(ctx)
+	return result.Errorf(result.Usage, "%s must be followed by one of: %s", strings.TrimSpace(program+" "+verb), strings.Join(following, ", "))
 }
 
 // ask asks the nodes in order until one answers.
 func ask[T any](ctx context.Context, c *command, question func(context.Context, *operator.Client) (T, error)) (T, error) {
-	var value T
-	var err error
+	var failures []error
 	for _, address := range c.args.Node {
-		value, err = askOne(ctx, address, c.args.Timeout, question)
+		value, err := askOne(ctx, address, c.args.Timeout, question)
 		if result.CodeOf(err) != result.NodeUnreachable {
 			return value, err
 		}
+		failures = append(failures, err)
+	}
+	var none T
+	if len(failures) == 1 {
+		return none, failures[0]
 	}
-	return value, err
+	return none, result.Wrap(errors.Join(failures...), result.NodeUnreachable, "none of %d nodes answered", len(failures))
 }
 
 func askOne[T any](ctx context.Context, address string, timeout time.Duration, question func(context.Context, *operator.Client) (T, error)) (T, error) {
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -10,118 +12,91 @@
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
-// hostEventLimit is the number of events shown for a host.
-const hostEventLimit = 10
+// timeFormat shows milliseconds, which order the events of one incident.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
 
-// HostExplanation is the output of explain host.
-type HostExplanation struct {
-	Report operator.HostReport `json:"report"`
-	Events []event.Event       `json:"events"`
+// Observation is an event together with the nodes that recorded it.
+type Observation struct {
+	event.Event
+	// Nodes are the nodes that recorded the same; Event holds the newest.
+	Nodes []string `json:"nodes"`
 }
 
-func (c *command) explainHost(ctx context.Context) error {
-	name := c.args.Explain.Host.Name
-	report, err := ask(ctx, c, func(ctx context.Context, client *operator.Client) (operator.HostReport, error) {
-		return client.Host(ctx, name)
-	})
-	if err != nil {
-		return err
-	}
-	reply, err := c.askEvents(ctx, operator.EventQuery{Fleet: true})
-	if err != nil {
-		return err
-	}
-	explanation := HostExplanation{Report: report, Events: aboutHost(reply.Events, name)}
-	return c.print(explanation, func() { c.printHost(explanation) })
-}
+// sameEventSpan is how far apart nodes may record the same change of state.
+const sameEventSpan = 10 * time.Second
 
-// aboutHost selects the events that the host recorded or that name it.
-func aboutHost(events []event.Event, host string) []event.Event {
-	var selected []event.Event
-	for _, event := range events {
-		if len(selected) < hostEventLimit && (event.Node == host || event.Subject == host) {
-			selected = append(selected, event)
+// condense joins what several nodes recorded of one change of state. The events
+// are ordered newest first.
+func condense(events []event.Event) []Observation {
+	observations := []Observation{}
+	for _, found := range events {
+		i := slices.IndexFunc(observations, func(o Observation) bool { return o.covers(found) })
+		if i < 0 {
+			observations = append(observations, Observation{Event: found, Nodes: []string{found.Node}})
+			continue
 		}
+		observations[i].Nodes = append(observations[i].Nodes, found.Node)
 	}
-	return selected
+	return observations
 }
 
-func (c *command) printHost(explanation HostExplanation) {
-	report := explanation.Report
-	c.line("%s in %s (%s) is a %s and has version %d in force", report.Host, report.FailureDomain, report.Region, report.Role, report.Version)
-	if report.Parent != "" {
-		c.line("its configuration comes from %s", report.Parent)
-	}
-	if !report.Ready {
-		c.line("it refuses calls: %s", report.ReadyReason)
-	}
-	if report.Rejection != nil {
-		c.line("it rejected version %d: %s", report.Rejection.Version, report.Rejection.Reason)
-	}
-	c.line("backend server %s is %s: %d of %d slots in use, %d calls queued", report.Service, report.Server, report.InFlight, report.Slots, report.Queued)
-	if len(report.Quarantined) > 0 {
-		c.line("quarantined calls: %s", strings.Join(report.Quarantined, ", "))
-	}
-	c.printEvents(explanation.Events)
+// covers reports whether another node recorded the same as the observation.
+func (o Observation) covers(other event.Event) bool {
+	return o.Kind == other.Kind && o.Subject == other.Subject && o.Message == other.Message &&
+		o.At.Sub(other.At) < sameEventSpan && !slices.Contains(o.Nodes, other.Node)
 }
 
-func (c *command) explainCall(ctx context.Context) error {
-	id := c.args.Explain.Call.Name
-	reply, err := c.askEvents(ctx, operator.EventQuery{Subject: id, Fleet: true})
-	if err != nil {
-		return err
+func (c *command) askEvents(ctx context.Context, query operator.EventQuery) (operator.EventReply, error) {
+	return ask(ctx, c, func(ctx context.Context, client *operator.Client) (operator.EventReply, error) {
+		return client.Events(ctx, query)
+	})
+}
+
+// printObservations writes events as a table, newest first.
+func (c *command) printObservations(observations []Observation) {
+	if len(observations) == 0 {
+		c.line("no events are kept")
+		return
 	}
-	if len(reply.Events) == 0 {
-		return result.Errorf(result.NotFound, "no event of call %q is kept; only refused and failed calls leave one, and old ones are overwritten%s", id, unasked(reply))
+	var rows [][]string
+	for _, o := range observations {
+		rows = append(rows, []string{o.At.UTC().Format(timeFormat), string(o.Kind), o.Subject, o.Message + codeText(o.Code), nodesText(o.Nodes)})
 	}
-	return c.print(reply, func() { c.printEvents(reply.Events) })
+	c.table([]string{"TIME", "KIND", "SUBJECT", "WHAT", "SEEN BY"}, rows)
 }
 
-// unasked names the hosts whose events are missing.
-func unasked(reply operator.EventReply) string {
-	if len(reply.Unreachable) == 0 {
+// codeText names a result code after a message; nothing for an event without.
+func codeText(code result.Code) string {
+	if code == result.OK {
 		return ""
 	}
-	return "; these hosts did not answer: " + strings.Join(reply.Unreachable, ", ")
+	return fmt.Sprintf(" [%d %s]", code, result.Describe(code).Name)
 }
 
-func (c *command) explainChange(ctx context.Context) error {
-	state, err := ask(ctx, c, func(ctx context.Context, client *operator.Client) (operator.ChangeState, error) {
-		return client.ChangeState(ctx, c.args.Explain.Change.Name)
-	})
-	if err != nil {
-		return err
-	}
-	return c.print(state, func() {
-		if state.Accepted {
-			c.line("change %s was accepted as version %d", state.ChangeID, state.Version)
-			return
-		}
-		c.line("change %s is not among the changes that the configuration remembers: it was not accepted, or long ago", state.ChangeID)
-	})
-}
+// maxNodesShown bounds the nodes that a table names.
+const maxNodesShown = 2
 
-func (c *command) explainRepairs(ctx context.Context) error {
-	reply, err := c.askEvents(ctx, operator.EventQuery{Kind: event.KindRepair, Limit: c.args.Explain.Repairs.Limit, Fleet: true})
-	if err != nil {
-		return err
+func nodesText(nodes []string) string {
+	if len(nodes) > maxNodesShown {
+		return fmt.Sprintf("%s and %d more", nodes[0], len(nodes)-1)
 	}
-	return c.print(reply, func() {
-		c.printEvents(reply.Events)
-		if text := unasked(reply); text != "" {
-			c.line("%s", strings.TrimPrefix(text, "; "))
-		}
-	})
+	return strings.Join(nodes, ", ")
 }
 
-func (c *command) askEvents(ctx context.Context, query operator.EventQuery) (operator.EventReply, error) {
-	return ask(ctx, c, func(ctx context.Context, client *operator.Client) (operator.EventReply, error) {
-		return client.Events(ctx, query)
-	})
+// unasked names the hosts whose events are missing.
+func unasked(unreachable []string) string {
+	if len(unreachable) == 0 {
+		return ""
+	}
+	return "these hosts did not answer: " + strings.Join(unreachable, ", ")
 }
 
-func (c *command) printEvents(events []event.Event) {
-	for _, event := range events {
-		c.line("%s  %-16s %-11s %s: %s", event.At.Format(time.RFC3339Nano), event.Node, event.Kind, event.Subject, event.Message)
+// printMissing says what an answer does not cover.
+func (c *command) printMissing(reply operator.EventReply) {
+	if reply.Truncated {
+		c.line("older events are left out")
+	}
+	if text := unasked(reply.Unreachable); text != "" {
+		c.line("%s", text)
 	}
 }
--- a/internal/cli/explain_print.go
+++ b/internal/cli/explain_print.go
@@ -1,10 +1,11 @@
 package cli
 
 import (
+	"slices"
+	"strconv"
 	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/burn"
-	"rosemaryladder.dev/rosemaryladder/internal/config"
 	"rosemaryladder.dev/rosemaryladder/internal/event"
 	"rosemaryladder.dev/rosemaryladder/internal/operator"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
@@ -32,51 +33,79 @@
 	return servers
 }
 
-// refusalsOf selects the refusals of one target's calls.
-func refusalsOf(events []event.Event, target config.Target) []event.Event {
-	var refusals []event.Event
-	for _, event := range events {
-		if event.Target == target.Name {
-			refusals = append(refusals, event)
-		}
+// countCodes counts refusals by result code.
+func countCodes(refusals []event.Event) map[result.Code]int {
+	counts := make(map[result.Code]int)
+	for _, refusal := range refusals {
+		counts[refusal.Code]++
 	}
-	return refusals
+	return counts
 }
 
 // printTarget says how the target is met and what stands in its way.
 func (c *command) printTarget(explanation TargetExplanation) {
 	target := explanation.Target
 	c.line("%s of %s: %s within %s, %s succeed", target.Name, target.Service, formatPercent(target.LatencyPercent), target.Latency, formatPercent(target.SuccessPercent))
-	for _, row := range explanation.Burn {
-		c.line("%s: %s", row.Region, row.Success.Describe())
-		c.line("%s: %s", row.Region, row.Latency.Describe())
+	c.printBurn(explanation.Burn)
+	c.printServers(explanation.Servers)
+	c.printRefusals(explanation)
+	if text := unasked(explanation.Unreachable); text != "" {
+		c.line("%s", text)
+	}
+}
+
+// printBurn writes what was achieved by region.
+func (c *command) printBurn(reports []burn.TargetReport) {
+	if len(reports) == 0 {
+		c.line("no calls in the last 6 h")
+		return
 	}
+	// A write fails only when the reader of the output has gone away.
+	_ = burn.Report{Targets: reports}.WriteText(c.streams.Out)
+}
+
+func (c *command) printServers(servers []operator.Member) {
 	ready, slots := 0, 0
-	for _, server := range explanation.Servers {
+	for _, server := range servers {
 		if server.State == "alive" && server.Server == "ready" {
 			ready++
 			slots += server.Slots
 			continue
 		}
-		c.line("no work goes to %s: node %s, backend server %s since %s", server.Host, server.State, server.Server, server.Since.Format(time.RFC3339))
+		c.line("no work goes to %s: node %s, backend server %s%s", server.Host, server.State, server.Server, sinceText(server.Since))
 	}
-	c.line("%d backend servers are ready with %d slots", ready, slots)
-	c.printRefusals(explanation.Refusals)
+	c.line("%d of %d backend servers are ready, with %d slots", ready, len(servers), slots)
 }
 
-// printRefusals counts recent refusals by code and shows the newest of each.
-func (c *command) printRefusals(refusals []event.Event) {
-	counts := make(map[result.Code]int)
-	newest := make(map[result.Code]event.Event)
-	for _, refusal := range refusals {
-		counts[refusal.Code]++
-		if counts[refusal.Code] == 1 {
-			newest[refusal.Code] = refusal
-		}
+func sinceText(since time.Time) string {
+	if since.IsZero() {
+		return ""
 	}
+	return " since " + since.UTC().Format(time.RFC3339)
+}
+
+// printRefusals shows the newest refusal of each code.
+func (c *command) printRefusals(explanation TargetExplanation) {
+	if len(explanation.Refusals) == 0 {
+		c.line("no refused calls are kept")
+		return
+	}
+	var rows [][]string
 	for _, entry := range result.Table() {
-		if counts[entry.Code] > 0 {
-			c.line("refused lately: %d calls with %d (%s), newest %s: %s", counts[entry.Code], entry.Code, entry.Name, newest[entry.Code].Subject, newest[entry.Code].Message)
+		if count := explanation.RefusedByCode[entry.Code]; count > 0 {
+			newest := newestOf(explanation.Refusals, entry.Code)
+			rows = append(rows, []string{strconv.Itoa(count), strconv.Itoa(int(entry.Code)), entry.Name, newest.At.UTC().Format(timeFormat), newest.Subject, newest.Message})
 		}
 	}
+	c.table([]string{"REFUSED", "CODE", "NAME", "NEWEST", "CALL", "WHY"}, rows)
+	if explanation.Truncated {
+		c.line("only the newest %d refusals are counted", len(explanation.Refusals))
+	}
+}
+
+// newestOf returns the first refusal with the code; the refusals are ordered
+// newest first.
+func newestOf(refusals []event.Event, code result.Code) event.Event {
+	i := slices.IndexFunc(refusals, func(refusal event.Event) bool { return refusal.Code == code })
+	return refusals[i]
 }
--- a/internal/cli/explain_target.go
+++ b/internal/cli/explain_target.go
@@ -7,6 +7,7 @@
 	"rosemaryladder.dev/rosemaryladder/internal/config"
 	"rosemaryladder.dev/rosemaryladder/internal/event"
 	"rosemaryladder.dev/rosemaryladder/internal/operator"
+	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
 // refusalLimit is the number of recent refusals that are searched for a target.
@@ -17,8 +18,14 @@
 	Target  config.Target       `json:"target"`
 	Burn    []burn.TargetReport `json:"burn"`
 	Servers []operator.Member   `json:"servers"`
-	// Refusals are recent refused calls of the target's service.
+	// RefusedByCode counts the recent refusals.
+	RefusedByCode map[result.Code]int `json:"refused_by_code"`
+	// Refusals are recent refused calls of the target, newest first.
 	Refusals []event.Event `json:"refusals"`
+	// Truncated is set when there were more refusals.
+	Truncated bool `json:"truncated,omitempty"`
+	// Unreachable names hosts whose refusals are missing.
+	Unreachable []string `json:"unreachable,omitempty"`
 }
 
 func (c *command) explainTarget(ctx context.Context) error {
@@ -46,14 +53,17 @@
 	if err != nil {
 		return TargetExplanation{}, err
 	}
-	events, err := c.askEvents(ctx, operator.EventQuery{Kind: event.KindRefusal, Limit: refusalLimit, Fleet: true})
+	events, err := c.askEvents(ctx, operator.EventQuery{Kind: event.KindRefusal, Target: name, Limit: refusalLimit, Fleet: true})
 	if err != nil {
 		return TargetExplanation{}, err
 	}
 	return TargetExplanation{
-		Target:   target,
-		Burn:     rowsOf(report, name),
-		Servers:  serversOf(members, target.Service),
-		Refusals: refusalsOf(events.Events, target),
+		Target:        target,
+		Burn:          rowsOf(report, name),
+		Servers:       serversOf(members, target.Service),
+		RefusedByCode: countCodes(events.Events),
+		Refusals:      events.Events,
+		Truncated:     events.Truncated,
+		Unreachable:   events.Unreachable,
 	}, nil
 }
--- a/internal/cli/output.go
+++ b/internal/cli/output.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"strings"
 	"text/tabwriter"
 
@@ -15,7 +16,11 @@
 		table()
 		return nil
 	}
-	encoder := json.NewEncoder(c.streams.Out)
+	return writeJSON(c.streams.Out, value)
+}
+
+func writeJSON(out io.Writer, value any) error {
+	encoder := json.NewEncoder(out)
 	encoder.SetIndent("", "  ")
 	if err := encoder.Encode(value); err != nil {
 		return result.Wrap(err, result.Internal, "write the output")
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -4,16 +4,22 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 
 	"github.com/alexflint/go-arg"
 	"github.com/pkg/errors"
 
+	"rosemaryladder.dev/rosemaryladder/internal/operator"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
 const program = "rosemaryladder"
 
+// nodeVariable names the nodes to ask. go-arg would join it with --node instead
+// of letting --node replace it.
+const nodeVariable = "ROSEMARYLADDER_NODE"
+
 // Streams are where a command reads and writes.
 type Streams struct {
 	In  io.Reader
@@ -28,36 +34,55 @@
 	var args Args
 	parser, err := arg.NewParser(arg.Config{Program: program}, &args)
 	if err != nil {
-		return fail(streams, result.Wrap(err, result.Internal, "define the arguments"))
+		return (&command{streams: streams}).fail(result.Wrap(err, result.Internal, "define the arguments"))
 	}
 	err = parser.Parse(arguments)
+	if len(args.Node) == 0 {
+		args.Node = nodesFromEnvironment()
+	}
 	names := parser.SubcommandNames()
-	if errors.Is(err, arg.ErrHelp) {
-		return help(parser, names, streams)
+	command := &command{args: args, streams: streams}
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		err = command.help(parser, names)
+	case errors.Is(err, arg.ErrVersion):
+		command.line("%s", args.Version())
+		err = nil
+	case err != nil:
+		err = result.Wrap(err, result.Usage, "%s", strings.TrimSpace(program+" "+strings.Join(names, " ")))
+	default:
+		err = command.run(ctx, strings.Join(names, " "))
 	}
 	if err != nil {
-		return fail(streams, result.Wrap(err, result.Usage, "%s %s", program, strings.Join(names, " ")))
-	}
-	command := &command{args: args, streams: streams}
-	if err := command.run(ctx, strings.Join(names, " ")); err != nil {
-		return fail(streams, err)
+		return command.fail(err)
 	}
 	return int(result.OK)
 }
 
-func help(parser *arg.Parser, names []string, streams Streams) int {
-	if err := parser.WriteHelpForSubcommand(streams.Out, names...); err != nil {
-		return fail(streams, result.Wrap(err, result.Internal, "write the help"))
+func (c *command) help(parser *arg.Parser, names []string) error {
+	if err := parser.WriteHelpForSubcommand(c.streams.Out, names...); err != nil {
+		return result.Wrap(err, result.Internal, "write the help")
 	}
 	if example, found := examples[strings.Join(names, " ")]; found {
-		fmt.Fprintf(streams.Out, "\nExample:\n  %s\n", example)
+		c.line("\nExample:\n  %s", example)
 	}
-	return int(result.OK)
+	return nil
 }
 
-// fail prints an error with its code and what to do next.
-func fail(streams Streams, err error) int {
+// fail prints an error with its code and what to do next, and returns the exit
+// status.
+func (c *command) fail(err error) int {
 	entry := result.Describe(result.CodeOf(err))
-	fmt.Fprintf(streams.Err, "error %d (%s): %v\n%s\n", entry.Code, entry.Name, err, entry.Next)
+	if c.args.Output == OutputJSON {
+		problem := operator.Problem{Code: entry.Code, Name: entry.Name, Message: err.Error(), Next: entry.Next}
+		_ = writeJSON(c.streams.Err, problem)
+		return int(entry.Code)
+	}
+	fmt.Fprintf(c.streams.Err, "error %d (%s): %v\n%s\n", entry.Code, entry.Name, err, entry.Next)
 	return int(entry.Code)
 }
+
+// nodesFromEnvironment returns the nodes to ask when the arguments name none.
+func nodesFromEnvironment() []string {
+	return strings.FieldsFunc(os.Getenv(nodeVariable), func(r rune) bool { return r == ',' || r == ' ' })
+}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -14,9 +14,7 @@
 		return c.members(ctx)
 	}
 	if c.args.Status.Wait > 0 {
-		if err := c.waitInForce(ctx, 0, c.args.Status.Wait); err != nil {
-			return err
-		}
+		return c.statusAfterWait(ctx)
 	}
 	status, err := c.askStatus(ctx)
 	if err != nil {
@@ -25,6 +23,19 @@
 	return c.print(status, func() { c.printStatus(status) })
 }
 
+// statusAfterWait prints the last status also when the wait ran out of time.
+func (c *command) statusAfterWait(ctx context.Context) error {
+	waited, err := c.waitInForce(ctx, 0, c.args.Status.Wait)
+	printed := c.print(waited.Status, func() {
+		c.printStatus(waited.Status)
+		c.printWait(waited)
+	})
+	if err != nil {
+		return err
+	}
+	return printed
+}
+
 func (c *command) askStatus(ctx context.Context) (operator.FleetStatus, error) {
 	return ask(ctx, c, func(ctx context.Context, client *operator.Client) (operator.FleetStatus, error) {
 		return client.Status(ctx)
@@ -74,8 +85,8 @@
 			reader = "reader"
 		}
 		rows = append(rows, []string{
-			member.Host, member.Region, member.FailureDomain, member.State, member.Service, member.Server, strconv.Itoa(member.Slots), reader,
+			member.Host, member.Region, member.FailureDomain, member.State, member.Service, member.Server, strconv.Itoa(member.Slots), member.Operator, reader,
 		})
 	}
-	c.table([]string{"HOST", "REGION", "FAILURE DOMAIN", "STATE", "SERVICE", "SERVER", "SLOTS", "ROLE"}, rows)
+	c.table([]string{"HOST", "REGION", "FAILURE DOMAIN", "STATE", "SERVICE", "SERVER", "SLOTS", "OPERATOR PORT", "ROLE"}, rows)
 }
--- a/internal/cli/wait.go
+++ b/internal/cli/wait.go
@@ -14,24 +14,32 @@
 // from a cache of 200 ms, so asking more often costs the fleet nothing.
 const pollInterval = 50 * time.Millisecond
 
+// WaitResult is the outcome of waiting for a version to be in force.
+type WaitResult struct {
+	InForce bool                 `json:"in_force"`
+	Elapsed time.Duration        `json:"elapsed_ns"`
+	Status  operator.FleetStatus `json:"status"`
+}
+
 // waitInForce waits until every node has the version in force; version 0 means
 // the accepted one.
-func (c *command) waitInForce(ctx context.Context, version uint64, limit time.Duration) error {
+func (c *command) waitInForce(ctx context.Context, version uint64, limit time.Duration) (*WaitResult, error) {
 	started := time.Now()
+	defer c.progress("")
 	for {
 		status, err := c.askStatus(ctx)
+		waited := &WaitResult{Elapsed: time.Since(started), Status: status}
 		if err == nil && converged(status, version) {
-			c.progress("")
-			return c.printConverged(status, time.Since(started))
+			waited.InForce = true
+			return waited, nil
 		}
-		if time.Since(started) >= limit {
-			c.progress("")
-			return notInForce(status, err, limit)
+		if waited.Elapsed >= limit {
+			return waited, notInForce(status, err, version, limit)
 		}
 		c.progress(fmt.Sprintf("%d of %d nodes have version %d in force", status.InForce, status.Nodes, status.Accepted))
 		select {
 		case <-ctx.Done():
-			return result.Wrap(ctx.Err(), result.NotInForce, "interrupted")
+			return waited, result.Wrap(ctx.Err(), result.NotInForce, "interrupted; the accepted version spreads all the same")
 		case <-time.After(pollInterval):
 		}
 	}
@@ -41,25 +49,29 @@
 	return status.Partial == "" && status.Accepted >= version && status.Nodes > 0 && status.InForce == status.Nodes
 }
 
-func (c *command) printConverged(status operator.FleetStatus, elapsed time.Duration) error {
-	if c.args.Output == OutputJSON {
-		return nil
+// printWait says how long the fleet took.
+func (c *command) printWait(waited *WaitResult) {
+	if waited != nil && waited.InForce {
+		c.line("version %d is in force on all %d nodes after %s", waited.Status.Accepted, waited.Status.Nodes, waited.Elapsed.Round(time.Millisecond))
 	}
-	c.line("version %d is in force on all %d nodes after %s", status.Accepted, status.Nodes, elapsed.Round(time.Millisecond))
-	return nil
 }
 
 // notInForce returns the error of a wait that ran out of time.
-func notInForce(status operator.FleetStatus, cause error, limit time.Duration) error {
+func notInForce(status operator.FleetStatus, cause error, version uint64, limit time.Duration) error {
 	if cause != nil {
 		return result.Wrap(cause, result.NotInForce, "no status within %s", limit)
 	}
-	var lagging []string
+	reasons := []string{fmt.Sprintf("%d of %d nodes have version %d in force after %s", status.InForce, status.Nodes, max(status.Accepted, version), limit)}
 	for _, laggard := range status.Laggards {
-		lagging = append(lagging, fmt.Sprintf("%s (version %d: %s)", laggard.Host, laggard.Version, laggard.Reason))
+		reasons = append(reasons, fmt.Sprintf("%s lags at version %d: %s", laggard.Host, laggard.Version, laggard.Reason))
+	}
+	if len(status.UnreachableRegions) > 0 {
+		reasons = append(reasons, "unreachable regions: "+strings.Join(status.UnreachableRegions, ", "))
+	}
+	if status.Partial != "" {
+		reasons = append(reasons, "the status is incomplete: "+status.Partial)
 	}
-	return result.Errorf(result.NotInForce, "%d of %d nodes have version %d in force after %s; lagging: %s",
-		status.InForce, status.Nodes, status.Accepted, limit, strings.Join(lagging, ", "))
+	return result.Errorf(result.NotInForce, "%s", strings.Join(reasons, "; "))
 }
 
 // progress rewrites the progress line on a terminal; an empty text removes it.
--- a/internal/drain/tracker.go
+++ b/internal/drain/tracker.go
@@ -41,6 +41,7 @@
 	published member.Server
 	overdue   map[string]bool
 	begun     map[string]bool
+	drained   map[string]bool
 }
 
 // announced is the last accepted announcement.
@@ -219,12 +220,13 @@
 	}
 }
 
-// noteStops records once when a stop begins and when it becomes overdue. The
-// caller holds mu.
+// noteStops records once when a stop begins, when it becomes overdue and when no
+// call is left. The caller holds mu.
 func (t *Tracker) noteStops() {
 	now := t.now()
 	begun := make(map[string]bool)
 	overdue := make(map[string]bool)
+	drained := make(map[string]bool)
 	for _, stop := range t.begunStops(t.announced.Load().server.Service) {
 		begun[stop.ID] = true
 		if !t.begun[stop.ID] {
@@ -233,8 +235,14 @@
 		if overdue[stop.ID] = t.isOverdue(stop, now); overdue[stop.ID] && !t.overdue[stop.ID] {
 			t.record(event.KindStop, stop.ID, fmt.Sprintf("stop %s is overdue on host %s: %d calls are still running", stop.ID, t.config.Host, t.InFlight()))
 		}
+		// A call that was admitted before the stop may still begin, so the check
+		// that finds the stop begun never reports it as drained.
+		drained[stop.ID] = t.drained[stop.ID] || t.begun[stop.ID] && t.InFlight() == 0
+		if drained[stop.ID] && !t.drained[stop.ID] {
+			t.record(event.KindStop, stop.ID, fmt.Sprintf("stop %s is drained on host %s: no call is left", stop.ID, t.config.Host))
+		}
 	}
-	t.begun, t.overdue = begun, overdue
+	t.begun, t.overdue, t.drained = begun, overdue, drained
 }
 
 func (t *Tracker) isOverdue(stop config.Stop, now time.Time) bool {
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -48,8 +48,12 @@
 
 func (n *Node) buildStore() (err error) {
 	options := store.Options{Address: n.settings.Store.Address, Timeout: n.settings.Store.Timeout}
-	n.store, err = store.NewHTTP(options, n.dialer, n.metrics.Scope)
-	return err
+	client, err := store.NewHTTP(options, n.dialer, n.metrics.Scope)
+	if err != nil {
+		return err
+	}
+	n.store = newStoreWatch(client, n.events, n.metrics.Scope, n.now)
+	return nil
 }
 
 // buildDistribution builds the reader lease and the relay.
@@ -178,16 +182,17 @@
 		Random: random,
 	}
 	n.operator, err = operator.NewServer(n.settings.Node.IP, n.settings.Node.OperatorPort, operator.Parts{
-		Editor:   editor{edits},
-		Fleet:    fleet{relay: n.relay, holder: n.holder, view: n.table.View, now: n.now},
-		Snapshot: n.holder.Current,
-		Accepted: n.relay.Accepted,
-		View:     n.table.View,
-		Host:     n.hostReport,
-		Events:   n.events,
-		Metrics:  n.metrics.Handler,
-		Dialer:   n.dialer,
-		Scope:    n.metrics.Scope,
+		Editor:      editor{edits},
+		Fleet:       fleet{relay: n.relay, holder: n.holder, view: n.table.View, now: n.now},
+		StoreRegion: n.settings.Store.Region,
+		Snapshot:    n.holder.Current,
+		Accepted:    n.relay.Accepted,
+		View:        n.table.View,
+		Host:        n.hostReport,
+		Events:      n.events,
+		Metrics:     n.metrics.Handler,
+		Dialer:      n.dialer,
+		Scope:       n.metrics.Scope,
 	})
 	return err
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,7 +29,6 @@
 	"rosemaryladder.dev/rosemaryladder/internal/quarantine"
 	"rosemaryladder.dev/rosemaryladder/internal/relay"
 	"rosemaryladder.dev/rosemaryladder/internal/settings"
-	"rosemaryladder.dev/rosemaryladder/internal/store"
 	"rosemaryladder.dev/rosemaryladder/internal/telemetry"
 )
 
@@ -42,7 +41,7 @@
 	dialer   dial.Dialer
 	now      func() time.Time
 
-	store      *store.HTTP
+	store      *storeWatch
 	holder     *config.Holder
 	table      *member.Table
 	lease      *readerLease
--- /dev/null
+++ b/internal/node/store_outage.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"rosemaryladder.dev/rosemaryladder/internal/event"
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+	"rosemaryladder.dev/rosemaryladder/internal/store"
+)
+
+// outageFailures is the number of failed calls in a row that make an outage. A
+// single lost answer is none.
+const outageFailures = 3
+
+// storeOutage records the begin and the end of each outage of the store once,
+// however many calls fail. It is safe for concurrent use.
+type storeOutage struct {
+	events event.Recorder
+	gauge  tally.Gauge
+	now    func() time.Time
+
+	mu sync.Mutex
+	// since is the time of the first failure since the last answer.
+	since    time.Time
+	failures int
+}
+
+// note takes the error of one call. A call that its caller gave up says nothing
+// about the store.
+func (o *storeOutage) note(ctx context.Context, err error) {
+	switch {
+	case errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrNotSent):
+		if ctx.Err() == nil {
+			o.failed(err)
+		}
+	case ctx.Err() == nil:
+		o.answered()
+	}
+}
+
+func (o *storeOutage) failed(err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.failures++
+	if o.failures == 1 {
+		o.since = o.now()
+	}
+	if o.failures != outageFailures {
+		return
+	}
+	o.gauge.Update(1)
+	o.events.Record(event.Event{Kind: event.KindStore, Subject: "store", Message: fmt.Sprintf("the store does not answer since %s: %v", o.since.Format(time.RFC3339), err), Code: result.StoreUnavailable})
+}
+
+func (o *storeOutage) answered() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.failures >= outageFailures {
+		o.gauge.Update(0)
+		o.events.Record(event.Event{Kind: event.KindStore, Subject: "store", Message: fmt.Sprintf("the store answers again after %s; %d calls failed", o.now().Sub(o.since).Round(time.Millisecond), o.failures)})
+	}
+	o.failures = 0
+}
--- /dev/null
+++ b/internal/node/store_watch.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"rosemaryladder.dev/rosemaryladder/internal/event"
+	"rosemaryladder.dev/rosemaryladder/internal/store"
+)
+
+// closableStore is a store client with connections to close.
+type closableStore interface {
+	store.Client
+	Close()
+}
+
+// storeWatch passes calls on to the store and tells its outages to operators. A
+// node that makes no call to the store notices none.
+type storeWatch struct {
+	store  closableStore
+	outage *storeOutage
+}
+
+var _ store.Client = (*storeWatch)(nil)
+
+func newStoreWatch(client closableStore, events event.Recorder, scope tally.Scope, now func() time.Time) *storeWatch {
+	gauge := scope.SubScope("store").Gauge("outage")
+	return &storeWatch{store: client, outage: &storeOutage{events: events, gauge: gauge, now: now}}
+}
+
+// Close closes the idle connections.
+func (w *storeWatch) Close() { w.store.Close() }
+
+// Get implements store.Client.
+func (w *storeWatch) Get(ctx context.Context, key string) (store.Value, error) {
+	value, err := w.store.Get(ctx, key)
+	w.outage.note(ctx, err)
+	return value, err
+}
+
+// GetNewer implements store.Client.
+func (w *storeWatch) GetNewer(ctx context.Context, key string, known store.Revision) (store.Value, error) {
+	value, err := w.store.GetNewer(ctx, key, known)
+	w.outage.note(ctx, err)
+	return value, err
+}
+
+// CompareAndSwap implements store.Client.
+func (w *storeWatch) CompareAndSwap(ctx context.Context, key string, expected store.Revision, data []byte, lease store.LeaseID) (store.Revision, error) {
+	revision, err := w.store.CompareAndSwap(ctx, key, expected, data, lease)
+	w.outage.note(ctx, err)
+	return revision, err
+}
+
+// Watch implements store.Client.
+func (w *storeWatch) Watch(ctx context.Context, key string, known store.Revision) (store.Value, error) {
+	value, err := w.store.Watch(ctx, key, known)
+	w.outage.note(ctx, err)
+	return value, err
+}
+
+// Grant implements store.Client.
+func (w *storeWatch) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	lease, err := w.store.Grant(ctx, ttl)
+	w.outage.note(ctx, err)
+	return lease, err
+}
+
+// KeepAlive implements store.Client.
+func (w *storeWatch) KeepAlive(ctx context.Context, lease store.LeaseID) error {
+	err := w.store.KeepAlive(ctx, lease)
+	w.outage.note(ctx, err)
+	return err
+}
+
+// Revoke implements store.Client.
+func (w *storeWatch) Revoke(ctx context.Context, lease store.LeaseID) error {
+	err := w.store.Revoke(ctx, lease)
+	w.outage.note(ctx, err)
+	return err
+}
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -49,6 +49,8 @@
 	DryRun    bool   `json:"dry_run"`
 	// Differences is set in a dry run.
 	Differences []config.Difference `json:"differences,omitempty"`
+	// Warnings name parts of the change that have no effect on the fleet as it is.
+	Warnings []string `json:"warnings,omitempty"`
 }
 
 // ChangeState says whether the stored configuration holds a change.
@@ -92,9 +94,14 @@
 	Reason        string        `json:"reason"`
 }
 
-// HostReport describes one host.
+// HostReport describes one host. When the host itself did not answer, it holds
+// only what the membership of the asked node knows.
 type HostReport struct {
-	Host          string            `json:"host"`
+	Host string `json:"host"`
+	// State is the state of the node in the membership of the asked node.
+	State string `json:"state"`
+	// Unreachable says why the host itself did not answer; empty when it did.
+	Unreachable   string            `json:"unreachable,omitempty"`
 	Region        string            `json:"region"`
 	FailureDomain string            `json:"failure_domain"`
 	Ready         bool              `json:"ready"`
@@ -136,7 +143,11 @@
 type EventQuery struct {
 	Kind    event.Kind
 	Subject string
-	Limit   int
+	// Target selects the refusals of one target.
+	Target string
+	Limit  int
+	// Host asks only this host; empty asks the node that takes the question.
+	Host string
 	// Fleet asks every node that is alive, not only the one that is asked.
 	Fleet bool
 }
@@ -146,6 +157,8 @@
 	Events []event.Event `json:"events"`
 	// Unreachable names hosts that did not answer.
 	Unreachable []string `json:"unreachable,omitempty"`
+	// Truncated is set when more events matched than the limit allows.
+	Truncated bool `json:"truncated,omitempty"`
 }
 
 // Problem is the body of a failed request.
--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -1,14 +1,13 @@
 package operator
 
 import (
-	"encoding/json"
+	"context"
 	"net/http"
 	"strconv"
 
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
 	"rosemaryladder.dev/rosemaryladder/internal/config"
-	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
 // hexBase is the base in which content hashes are shown.
@@ -28,26 +27,40 @@
 
 // change applies a change, or previews it in a dry run.
 func (a *api) change(w http.ResponseWriter, r *http.Request) {
-	var request ChangeRequest
-	decoder := json.NewDecoder(r.Body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&request); err != nil {
-		writeProblem(w, result.Wrap(err, result.Usage, "the change is not valid JSON"))
+	request, err := decodeChange(r.Body)
+	if err != nil {
+		a.counters.countBody(err)
+		writeProblem(w, err)
 		return
 	}
-	reply, err := a.applyOrPreview(r, request)
+	reply, err := a.passOn(r, request)
 	if err != nil {
 		writeProblem(w, err)
 		return
 	}
+	reply.Warnings = a.warnings(request.Change)
 	writeJSON(w, http.StatusOK, reply)
 }
 
-func (a *api) applyOrPreview(r *http.Request, request ChangeRequest) (ChangeReply, error) {
+// passOn has the change made where the store is, or here when no node there
+// answers.
+func (a *api) passOn(r *http.Request, request ChangeRequest) (ChangeReply, error) {
+	passed := forward(r, a, func(ctx context.Context, client *Client) (ChangeReply, error) {
+		return client.Change(ctx, request)
+	})
+	if passed.answered {
+		return passed.value, passed.truth(request)
+	}
+	reply, err := a.applyOrPreview(r.Context(), request)
+	passed.err = err
+	return reply, passed.truth(request)
+}
+
+func (a *api) applyOrPreview(ctx context.Context, request ChangeRequest) (ChangeReply, error) {
 	if request.DryRun {
-		return a.preview(r, request.Change)
+		return a.preview(ctx, request.Change)
 	}
-	outcome, err := a.Editor.Apply(r.Context(), request.Change)
+	outcome, err := a.Editor.Apply(ctx, request.Change)
 	if err != nil {
 		return ChangeReply{}, err
 	}
@@ -57,8 +70,8 @@
 	return ChangeReply{ChangeID: outcome.ChangeID, Version: outcome.Version, Unchanged: outcome.Unchanged}, nil
 }
 
-func (a *api) preview(r *http.Request, change config.Change) (ChangeReply, error) {
-	before, after, err := a.Editor.Preview(r.Context(), change)
+func (a *api) preview(ctx context.Context, change config.Change) (ChangeReply, error) {
+	before, after, err := a.Editor.Preview(ctx, change)
 	if err != nil {
 		return ChangeReply{}, err
 	}
@@ -71,13 +84,28 @@
 	}, nil
 }
 
-// changeState answers whether the stored configuration holds a change.
+// changeState answers whether the configuration holds a change. The version in
+// force answers without the store when it lists the change.
 func (a *api) changeState(w http.ResponseWriter, r *http.Request) {
-	id := pathvar.Vars(r)["id"]
-	version, accepted, err := a.Editor.Lookup(r.Context(), id)
+	state, err := a.lookup(r, pathvar.Vars(r)["id"])
 	if err != nil {
 		writeProblem(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, ChangeState{ChangeID: id, Accepted: accepted, Version: version})
+	writeJSON(w, http.StatusOK, state)
+}
+
+func (a *api) lookup(r *http.Request, id string) (ChangeState, error) {
+	document := a.Snapshot().Document()
+	if version, accepted := document.Applied(id); accepted {
+		return ChangeState{ChangeID: id, Accepted: true, Version: version}, nil
+	}
+	passed := forward(r, a, func(ctx context.Context, client *Client) (ChangeState, error) {
+		return client.ChangeState(ctx, id)
+	})
+	if passed.answered {
+		return passed.value, passed.err
+	}
+	version, accepted, err := a.Editor.Lookup(r.Context(), id)
+	return ChangeState{ChangeID: id, Accepted: accepted, Version: version}, err
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -6,9 +6,12 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/rest/httpc"
@@ -46,7 +49,11 @@
 // Client asks the operator port of one node.
 type Client struct {
 	address string
+	// host is the name of the node, when it is known.
+	host    string
 	service httpc.Service
+	// forwarded marks the requests, so that the node does not forward them again.
+	forwarded bool
 }
 
 // NewClient returns a client of the operator port at address.
@@ -108,16 +115,19 @@
 }
 
 // exchange sends a request and decodes the answer. A failure to get any answer
-// has the code NodeUnreachable.
+// has the code NodeUnreachable; MayHaveRun tells whether the node may have acted
+// on the request all the same.
 func exchange[T any](ctx context.Context, c *Client, method, path string, query url.Values, body any) (T, error) {
 	var value T
 	request, err := c.newRequest(ctx, method, path, query, body)
 	if err != nil {
 		return value, err
 	}
-	response, err := c.service.DoRequest(request)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	response, err := c.service.DoRequest(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
-		return value, result.Wrap(err, result.NodeUnreachable, "node %s", c.address)
+		return value, c.unanswered(err, connected.Load())
 	}
 	defer response.Body.Close()
 	decoder := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes))
@@ -125,11 +135,24 @@
 		return value, c.problem(response.StatusCode, decoder)
 	}
 	if err := decoder.Decode(&value); err != nil {
-		return value, result.Wrap(err, result.NodeUnreachable, "node %s sent an incomplete answer", c.address)
+		return value, result.Wrap(&lostAnswer{err}, result.NodeUnreachable, "node %s sent an incomplete answer", c.address)
 	}
 	return value, nil
 }
 
+// unanswered returns the error of a request without an answer. Without a
+// connection nothing was sent.
+func (c *Client) unanswered(err error, connected bool) error {
+	var inner *url.Error
+	if errors.As(err, &inner) {
+		err = inner.Err
+	}
+	if connected {
+		err = &lostAnswer{err}
+	}
+	return result.Wrap(err, result.NodeUnreachable, "node %s", c.address)
+}
+
 func (c *Client) newRequest(ctx context.Context, method, path string, query url.Values, body any) (*http.Request, error) {
 	var reader io.Reader
 	if body != nil {
@@ -142,7 +165,10 @@
 	target := url.URL{Scheme: "http", Host: c.address, Path: path, RawQuery: query.Encode()}
 	request, err := http.NewRequestWithContext(ctx, method, target.String(), reader)
 	if err != nil {
-		return nil, result.Wrap(err, result.Usage, "node address %q", c.address)
+		return nil, result.Wrap(err, result.Usage, "node address %q must be an IP and a port", c.address)
+	}
+	if c.forwarded {
+		request.Header.Set(forwardedHeader, "1")
 	}
 	return request, nil
 }
@@ -151,7 +177,8 @@
 func (c *Client) problem(status int, decoder *json.Decoder) error {
 	var problem Problem
 	if err := decoder.Decode(&problem); err != nil || problem.Code == result.OK {
-		return result.Errorf(result.NodeUnreachable, "node %s answered with HTTP status %d", c.address, status)
+		cause := errors.Errorf("HTTP status %d without a result code", status)
+		return result.Wrap(&lostAnswer{cause}, result.NodeUnreachable, "node %s", c.address)
 	}
 	return result.Errorf(problem.Code, "%s", problem.Message)
 }
--- /dev/null
+++ b/internal/operator/conn_limit.go
@@ -0,0 +1,30 @@
+package operator
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// connLimit closes connections beyond a number and counts them.
+type connLimit struct {
+	limit   int64
+	refused tally.Counter
+	open    atomic.Int64
+}
+
+// follow is the ConnState hook of the HTTP server. A connection that is closed
+// here reports its closed state like any other.
+func (l *connLimit) follow(conn net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		if l.open.Add(1) > l.limit {
+			l.refused.Inc(1)
+			_ = conn.Close()
+		}
+	case http.StateClosed, http.StateHijacked:
+		l.open.Add(-1)
+	}
+}
--- a/internal/operator/events.go
+++ b/internal/operator/events.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"net/url"
-	"slices"
 	"strconv"
 	"time"
 
@@ -28,14 +27,22 @@
 	values := url.Values{}
 	values.Set("kind", string(q.Kind))
 	values.Set("subject", q.Subject)
+	values.Set("target", q.Target)
+	values.Set("host", q.Host)
 	values.Set("limit", strconv.Itoa(q.Limit))
 	values.Set("fleet", strconv.FormatBool(q.Fleet))
 	return values
 }
 
 func parseEventQuery(values url.Values) (EventQuery, error) {
-	query := EventQuery{Kind: event.Kind(values.Get("kind")), Subject: values.Get("subject"), Limit: defaultEventLimit}
-	query.Fleet = values.Get("fleet") == "true"
+	query := EventQuery{
+		Kind:    event.Kind(values.Get("kind")),
+		Subject: values.Get("subject"),
+		Target:  values.Get("target"),
+		Host:    values.Get("host"),
+		Fleet:   values.Get("fleet") == "true",
+		Limit:   defaultEventLimit,
+	}
 	if text := values.Get("limit"); text != "" {
 		limit, err := strconv.Atoi(text)
 		if err != nil || limit < 0 || limit > maxEventLimit {
@@ -49,37 +56,80 @@
 	return query, nil
 }
 
-// events answers events of this node or of all nodes that are alive.
+// events answers events of this node, of one other host or of all nodes.
 func (a *api) events(w http.ResponseWriter, r *http.Request) {
 	query, err := parseEventQuery(r.URL.Query())
 	if err != nil {
 		writeProblem(w, err)
 		return
 	}
-	reply := EventReply{Events: a.Events.Select(event.Query{Kind: query.Kind, Subject: query.Subject, Limit: query.Limit})}
-	if query.Fleet {
-		reply = a.fleetEvents(r.Context(), query, reply)
+	var reply EventReply
+	switch {
+	case query.Host != "" && query.Host != a.View().Self.ID:
+		reply = a.hostEvents(r.Context(), query)
+	case query.Fleet:
+		reply = a.fleetEvents(r.Context(), query)
+	default:
+		reply = a.ownEvents(query)
+	}
+	if reply.Truncated {
+		a.counters.limitAnswer.Inc(1)
 	}
 	writeJSON(w, http.StatusOK, reply)
 }
 
-func (a *api) fleetEvents(ctx context.Context, query EventQuery, own EventReply) EventReply {
-	query.Fleet = false
-	view := a.View()
-	others := slices.DeleteFunc(slices.Clone(view.Nodes()), func(record member.Record) bool {
-		return record.ID == view.Self.ID || record.State != member.Alive
-	})
-	answers := askAll(ctx, a.peers, others, eventTimeout, func(ctx context.Context, client *Client) (EventReply, error) {
+func (a *api) ownEvents(query EventQuery) EventReply {
+	merge := newEventMerge(query.Limit)
+	selected := event.Query{Kind: query.Kind, Subject: query.Subject, Target: query.Target, Limit: query.Limit + 1}
+	merge.add(a.Events.Select(selected), false)
+	return merge.reply()
+}
+
+// hostEvents asks one other host.
+func (a *api) hostEvents(ctx context.Context, query EventQuery) EventReply {
+	record, found := a.View().Node(query.Host)
+	if !found {
+		return EventReply{Events: []event.Event{}, Unreachable: []string{query.Host}}
+	}
+	query.Host, query.Fleet = "", false
+	reply, err := limited(ctx, eventTimeout, a.peers.client(record), func(ctx context.Context, client *Client) (EventReply, error) {
 		return client.Events(ctx, query)
 	})
-	for _, answer := range answers {
-		if answer.err != nil {
-			own.Unreachable = append(own.Unreachable, answer.host)
-			continue
+	if err != nil {
+		return EventReply{Events: []event.Event{}, Unreachable: []string{record.ID}}
+	}
+	return reply
+}
+
+// fleetEvents asks all nodes. Those that are suspect or dead are named as
+// unreachable without being asked.
+func (a *api) fleetEvents(ctx context.Context, query EventQuery) EventReply {
+	query.Fleet = false
+	merge := newEventMerge(query.Limit)
+	own := a.ownEvents(query)
+	merge.add(own.Events, own.Truncated)
+	asked, silent := a.others()
+	merge.unreachable = silent
+	askAll(ctx, a.peers, asked, eventTimeout, func(ctx context.Context, client *Client) (struct{}, error) {
+		reply, err := client.Events(ctx, query)
+		merge.addAnswer(client.host, reply, err)
+		return struct{}{}, nil
+	})
+	return merge.reply()
+}
+
+// others returns the other nodes that answer and the names of those that are
+// suspect or dead.
+func (a *api) others() (asked []member.Record, silent []string) {
+	view := a.View()
+	for _, record := range view.Nodes() {
+		switch {
+		case record.ID == view.Self.ID || record.State == member.Left:
+		case record.State == member.Suspect || record.State == member.Dead:
+			silent = append(silent, record.ID)
+		default:
+			asked = append(asked, record)
 		}
-		own.Events = append(own.Events, answer.value.Events...)
 	}
-	slices.SortStableFunc(own.Events, func(a, b event.Event) int { return b.At.Compare(a.At) })
-	own.Events = own.Events[:min(len(own.Events), query.Limit)]
-	return own
+	return asked, silent
 }
--- a/internal/operator/members.go
+++ b/internal/operator/members.go
@@ -18,6 +18,8 @@
 	Slots         int       `json:"slots"`
 	Since         time.Time `json:"since"`
 	Reader        bool      `json:"reader"`
+	// Operator is the address of the node's operator port.
+	Operator string `json:"operator"`
 }
 
 // stateNames name the states of nodes.
@@ -51,6 +53,7 @@
 			Slots:         record.Server.Slots,
 			Since:         record.Server.Since,
 			Reader:        record.Reader,
+			Operator:      record.OperatorAddress(),
 		})
 	}
 	writeJSON(w, http.StatusOK, members)
--- a/internal/operator/parts.go
+++ b/internal/operator/parts.go
@@ -30,6 +30,8 @@
 type Parts struct {
 	Editor Editor
 	Fleet  Fleet
+	// StoreRegion is the region in which the store runs.
+	StoreRegion string
 	// Snapshot returns the configuration in force.
 	Snapshot func() *config.Snapshot
 	// Accepted is told each snapshot that this node's operators made.
--- a/internal/operator/peers.go
+++ b/internal/operator/peers.go
@@ -24,7 +24,9 @@
 }
 
 func (p *peers) client(record member.Record) *Client {
-	return p.pool.client(record.OperatorAddress())
+	client := p.pool.client(record.OperatorAddress())
+	client.host = record.ID
+	return client
 }
 
 // peerAnswer is what one host answered.
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -10,43 +10,47 @@
 )
 
 const (
-	// requestTimeout bounds one question of an operator.
-	requestTimeout = 15 * time.Second
+	// requestTimeout bounds one question of an operator. It is below the 10 s that
+	// the tool waits, so that the tool gets the reason.
+	requestTimeout = 9 * time.Second
 	// maxRequestBytes bounds the body of a change.
 	maxRequestBytes = 4 << 20
-	// maxConnections bounds the requests that are served at once.
-	maxConnections = 64
+	// maxRequests bounds the requests that are answered at once.
+	maxRequests = 64
+	// maxConnections bounds the open connections.
+	maxConnections = 256
+	// maxHeaderBytes bounds the head of a request.
+	maxHeaderBytes = 16 << 10
 	// readHeaderTimeout bounds how long a tool may take to send a request head.
 	readHeaderTimeout = 5 * time.Second
+	// readTimeout bounds how long a tool may take to send a request.
+	readTimeout = 10 * time.Second
+	// writeTimeout bounds a request and its answer.
+	writeTimeout = 20 * time.Second
 )
 
 // Server serves the operator port with a go-zero rest server.
 type Server struct {
-	rest *rest.Server
-	http chan *http.Server
+	rest  *rest.Server
+	conns *connLimit
+	http  chan *http.Server
 }
 
 // NewServer returns a server for the IP and port.
 func NewServer(ip string, port int, parts Parts) (*Server, error) {
 	conf := rest.RestConf{
-		Host:     ip,
-		Port:     port,
-		MaxBytes: maxRequestBytes,
-		MaxConns: maxConnections,
-		Timeout:  requestTimeout.Milliseconds(),
-		Middlewares: rest.MiddlewaresConf{
-			Recover:  true,
-			MaxConns: true,
-			MaxBytes: true,
-			Timeout:  true,
-		},
+		Host:        ip,
+		Port:        port,
+		Middlewares: rest.MiddlewaresConf{Recover: true},
 	}
 	created, err := rest.NewServer(conf)
 	if err != nil {
 		return nil, errors.Wrap(err, "create the server of the operator port")
 	}
-	created.AddRoutes(newAPI(parts).routes())
-	return &Server{rest: created, http: make(chan *http.Server, 1)}, nil
+	api := newAPI(parts)
+	created.AddRoutes(api.routes())
+	conns := &connLimit{limit: maxConnections, refused: api.counters.limitConns}
+	return &Server{rest: created, conns: conns, http: make(chan *http.Server, 1)}, nil
 }
 
 // Start listens and serves until Shutdown. It returns an error when the port
@@ -60,7 +64,7 @@
 			}
 		}()
 		s.rest.StartWithOpts(func(server *http.Server) {
-			server.ReadHeaderTimeout = readHeaderTimeout
+			s.bound(server)
 			s.http <- server
 		})
 	}()
@@ -80,3 +84,12 @@
 		return nil
 	}
 }
+
+// bound sets the limits of the connections.
+func (s *Server) bound(server *http.Server) {
+	server.ReadHeaderTimeout = readHeaderTimeout
+	server.ReadTimeout = readTimeout
+	server.WriteTimeout = writeTimeout
+	server.MaxHeaderBytes = maxHeaderBytes
+	server.ConnState = s.conns.follow
+}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -5,6 +5,7 @@
 
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
+	"rosemaryladder.dev/rosemaryladder/internal/member"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
@@ -27,10 +28,13 @@
 }
 
 func (a *api) ownHost(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, a.Host())
+	report := a.Host()
+	report.State = stateNames[a.View().Self.State]
+	writeJSON(w, http.StatusOK, report)
 }
 
-// host describes any host of the fleet; another host is asked itself.
+// host describes any host of the fleet; another host is asked itself. A host
+// that does not answer is described by the membership of this node.
 func (a *api) host(w http.ResponseWriter, r *http.Request) {
 	name := pathvar.Vars(r)["host"]
 	view := a.View()
@@ -40,13 +44,26 @@
 	}
 	record, found := view.Node(name)
 	if !found {
-		writeProblem(w, result.Errorf(result.NotFound, "host %q is not a member of the fleet", name))
+		writeProblem(w, result.Errorf(result.NotFound, "host %q is not a member of the fleet; status --members lists the hosts", name))
 		return
 	}
-	report, err := a.peers.client(record).Host(r.Context(), "")
+	report, err := limited(r.Context(), hostTimeout, a.peers.client(record), a.askHost)
 	if err != nil {
-		writeProblem(w, err)
-		return
+		report = describe(record)
+		report.Unreachable = err.Error()
 	}
+	report.State = stateNames[record.State]
 	writeJSON(w, http.StatusOK, report)
 }
+
+// describe returns what the membership knows of a host.
+func describe(record member.Record) HostReport {
+	return HostReport{
+		Host:          record.ID,
+		Region:        record.Region,
+		FailureDomain: record.FailureDomain,
+		Service:       record.Server.Service,
+		Server:        serverNames[record.Server.State],
+		Slots:         record.Server.Slots,
+	}
+}
--- a/internal/operator/stops.go
+++ b/internal/operator/stops.go
@@ -42,7 +42,7 @@
 		}
 		report.InFlight += answer.value.InFlight
 	}
-	report.State = begunState(stop, report.InFlight, now)
+	report.State = begunState(report, now)
 	return report
 }
 
@@ -50,11 +50,13 @@
 	return client.Host(ctx, "")
 }
 
-func begunState(stop config.Stop, inFlight int, now time.Time) string {
+// begunState returns the state of a stop that has begun. Calls may still run on
+// a host that did not answer, so it does not count as drained.
+func begunState(report StopReport, now time.Time) string {
 	switch {
-	case inFlight == 0:
+	case report.InFlight == 0 && len(report.Unreachable) == 0:
 		return stopDrained
-	case now.After(stop.At.Add(stop.Grace)):
+	case now.After(report.Stop.At.Add(report.Stop.Grace)):
 		return stopOverdue
 	default:
 		return stopDraining
