--- a/internal/standin/measure/calls.go
+++ b/internal/standin/measure/calls.go
@@ -67,6 +67,7 @@
 	m.print(prefix+"added_latency_p99_ms", through.P99-direct.P99, "ms")
 	m.print(prefix+"direct_whole_percent", 100*float64(direct.Whole)/float64(direct.Sent), "%")
 	m.print(prefix+"whole_percent", 100*float64(through.Whole)/float64(through.Sent), "%")
+	m.print(prefix+"node_rss_mb", m.meanRSS(), "MB")
 	m.print(prefix+"calls_per_core_per_s", float64(through.Sent)/cpu, "calls/s")
 	return nil
 }
