Test the operator port and end noticed store outages

A node that stopped calling the store in an outage reported it for ever (seen on a reader that lost its lease), so a node that noticed an outage now probes the store about every 10 s. Status names nodes that are suspect or dead.

--- a/internal/cli/explain_host.go
+++ b/internal/cli/explain_host.go
@@ -8,11 +8,14 @@
 
 	"rosemaryladder.dev/rosemaryladder/internal/event"
 	"rosemaryladder.dev/rosemaryladder/internal/operator"
+	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
 const (
 	// hostEventLimit is the number of events shown for a host.
 	hostEventLimit = 20
+	// hostVersionsShown is the number of versions shown among them.
+	hostVersionsShown = 3
 	// hostEventsAsked is the number of events read to find them.
 	hostEventsAsked = 1000
 )
@@ -65,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	events := slices.DeleteFunc(own.Events, func(e event.Event) bool { return !ownState(e, name) })
+	events := newestVersions(slices.DeleteFunc(own.Events, func(e event.Event) bool { return !ownState(e, name) }))
 	events = append(events, slices.DeleteFunc(others.Events, func(e event.Event) bool { return e.Node == name })...)
 	slices.SortStableFunc(events, func(a, b event.Event) int { return b.At.Compare(a.At) })
 	observations := condense(events)
@@ -87,6 +90,19 @@
 	}
 }
 
+// newestVersions leaves out all but the newest versions that took effect, which
+// would displace everything else.
+func newestVersions(events []event.Event) []event.Event {
+	versions := 0
+	return slices.DeleteFunc(events, func(e event.Event) bool {
+		if e.Kind != event.KindConfig || e.Code != result.OK {
+			return false
+		}
+		versions++
+		return versions > hostVersionsShown
+	})
+}
+
 func laggardOf(status operator.FleetStatus, host string) *operator.Laggard {
 	for _, laggard := range status.Laggards {
 		if laggard.Host == host {
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -47,6 +47,9 @@
 	if len(status.UnreachableRegions) > 0 {
 		c.line("unreachable regions: %s", strings.Join(status.UnreachableRegions, ", "))
 	}
+	if len(status.NotAlive) > 0 {
+		c.line("not alive: %s", strings.Join(status.NotAlive, ", "))
+	}
 	if status.Partial != "" {
 		c.line("incomplete: %s", status.Partial)
 	}
--- a/internal/member/events.go
+++ b/internal/member/events.go
@@ -57,6 +57,8 @@
 		return event.KindRepair, fmt.Sprintf("the node is alive again after it was %s", before.State)
 	case after.State != before.State:
 		return event.KindMembership, fmt.Sprintf("the node is %s", after.State)
+	case after.Server.State == ServerNone && before.Server.State != ServerNone:
+		return event.KindServer, fmt.Sprintf("the backend server of %s is gone", before.Server.Service)
 	case after.Server.State != before.Server.State:
 		return event.KindServer, fmt.Sprintf("the backend server of %s is %s", after.Server.Service, after.Server.State)
 	default:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,6 +112,7 @@
 		withoutError(n.server.Run),
 		withoutError(n.lease.keeper.Run),
 		n.followPublications,
+		n.store.run,
 	}
 }
 
--- a/internal/node/store_outage.go
+++ b/internal/node/store_outage.go
@@ -58,6 +58,13 @@
 	o.events.Record(event.Event{Kind: event.KindStore, Subject: "store", Message: fmt.Sprintf("the store does not answer since %s: %v", o.since.Format(time.RFC3339), err), Code: result.StoreUnavailable})
 }
 
+// lasts reports whether an outage was noticed and its end was not.
+func (o *storeOutage) lasts() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.failures >= outageFailures
+}
+
 func (o *storeOutage) answered() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/node/store_watch.go
+++ b/internal/node/store_watch.go
@@ -2,14 +2,20 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
+	"rosemaryladder.dev/rosemaryladder/internal/config"
 	"rosemaryladder.dev/rosemaryladder/internal/event"
 	"rosemaryladder.dev/rosemaryladder/internal/store"
 )
 
+// probeInterval is the mean time between two probes during an outage. 810 nodes
+// that all noticed the outage make 81 calls a second together.
+const probeInterval = 10 * time.Second
+
 // closableStore is a store client with connections to close.
 type closableStore interface {
 	store.Client
@@ -30,6 +36,29 @@
 	return &storeWatch{store: client, outage: &storeOutage{events: events, gauge: gauge, now: now}}
 }
 
+// run asks the store from time to time while an outage lasts. Without that a
+// node that stops calling the store, such as a reader that lost its lease in the
+// outage, would report the outage for ever.
+func (w *storeWatch) run(ctx context.Context) error {
+	for {
+		timer := time.NewTimer(probeInterval/2 + time.Duration(random()*float64(probeInterval)))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C:
+			w.probe(ctx)
+		}
+	}
+}
+
+// probe makes one call that transfers no value.
+func (w *storeWatch) probe(ctx context.Context) {
+	if w.outage.lasts() {
+		_, _ = w.GetNewer(ctx, config.StoreKey, math.MaxUint64)
+	}
+}
+
 // Close closes the idle connections.
 func (w *storeWatch) Close() { w.store.Close() }
 
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -71,6 +71,9 @@
 	// UnreachableRegions holds regions that no node has reached lately; their
 	// counts are from before that.
 	UnreachableRegions []string `json:"unreachable_regions,omitempty"`
+	// NotAlive names hosts whose node is suspect or dead. Dead ones are not among
+	// the nodes counted.
+	NotAlive []string `json:"not_alive,omitempty"`
 	// Partial says why the sum covers only a part of the fleet.
 	Partial string `json:"partial,omitempty"`
 }
--- /dev/null
+++ b/internal/operator/export_test.go
@@ -0,0 +1,35 @@
+package operator
+
+import (
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/zeromicro/go-zero/rest/router"
+)
+
+// Bounds that the tests reach.
+const (
+	MaxRequests     = maxRequests
+	MaxRequestBytes = maxRequestBytes
+)
+
+// Handler returns the routes of a node without a listening server.
+func Handler(parts Parts) http.Handler {
+	routes := router.NewRouter()
+	for _, route := range newAPI(parts).routes() {
+		if err := routes.Handle(route.Method, route.Path, route.Handler); err != nil {
+			panic(err)
+		}
+	}
+	return routes
+}
+
+// DecodeChange exposes the decoder to the fuzz test.
+func DecodeChange(body io.Reader) (ChangeRequest, error) { return decodeChange(body) }
+
+// ConnLimit returns the hook that bounds connections.
+func ConnLimit(limit int64, refused tally.Counter) func(net.Conn, http.ConnState) {
+	return (&connLimit{limit: limit, refused: refused}).follow
+}
--- /dev/null
+++ b/internal/operator/fuzz_test.go
@@ -0,0 +1,37 @@
+package operator_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"reflect"
+	"testing"
+
+	"rosemaryladder.dev/rosemaryladder/internal/operator"
+)
+
+// FuzzDecodeChange guards against a request body that crashes a node, and
+// against one that means something else once a node has passed it on.
+func FuzzDecodeChange(f *testing.F) {
+	f.Add([]byte(`{"change":{"id":"c","if_version":3,"targets":[{"target":{"name":"t"},"base":2}],"delete_stops":[{"name":"s"}]},"dry_run":true}`))
+	f.Add([]byte(`{"change":{"id":"c"}}{"change":{"id":"d"}}`))
+	f.Add([]byte(`{"change":{"id":"c"},"weights":[]}`))
+	f.Add([]byte(`{"change":{"stops":[{"stop":{"at":"2027-05-17T00:00:00Z","grace_ns":1}}]}}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		request, err := operator.DecodeChange(bytes.NewReader(body))
+		if err != nil {
+			return
+		}
+		_ = request.Change.Validate()
+		passedOn, err := json.Marshal(request)
+		if err != nil {
+			t.Fatalf("the accepted change cannot be passed on: %v", err)
+		}
+		again, err := operator.DecodeChange(bytes.NewReader(passedOn))
+		if err != nil {
+			t.Fatalf("the change that was passed on is refused: %v", err)
+		}
+		if twice, _ := json.Marshal(again); !reflect.DeepEqual(twice, passedOn) {
+			t.Fatalf("the change altered on its way: %s, %s", passedOn, twice)
+		}
+	})
+}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -15,9 +15,21 @@
 		writeProblem(w, err)
 		return
 	}
+	status.NotAlive = notAlive(a.View())
 	writeJSON(w, http.StatusOK, status)
 }
 
+// notAlive lists the hosts whose node failed and was not replaced yet.
+func notAlive(view *member.View) []string {
+	var hosts []string
+	for _, record := range view.Nodes() {
+		if record.State == member.Suspect || record.State == member.Dead {
+			hosts = append(hosts, record.ID+" ("+stateNames[record.State]+")")
+		}
+	}
+	return hosts
+}
+
 func (a *api) burn(w http.ResponseWriter, r *http.Request) {
 	report, err := a.Fleet.Burn(r.Context())
 	if err != nil {
@@ -51,6 +63,9 @@
 	if err != nil {
 		report = describe(record)
 		report.Unreachable = err.Error()
+		if !view.RegionReachable(record.Region) {
+			report.Unreachable = "region " + record.Region + " is unreachable; " + report.Unreachable
+		}
 	}
 	report.State = stateNames[record.State]
 	writeJSON(w, http.StatusOK, report)
