--- a/internal/standin/measure/convergence.go
+++ b/internal/standin/measure/convergence.go
@@ -19,6 +19,8 @@
 	convergenceLimit = 20 * time.Second
 	// byteChanges is the number of changes that share a count of bytes.
 	byteChanges = 60
+	// burstChanges is the number of changes of a burst.
+	burstChanges = 40
 	// changePause separates two changes, so that each is measured alone.
 	changePause = 250 * time.Millisecond
 )
@@ -101,9 +103,35 @@
 	quiet := m.quietRegionBytes * time.Since(begin).Seconds()
 	perChange := (after - before - quiet) / byteChanges
 	m.print("control_bytes_per_change_across_regions", perChange, "B")
+	if err := m.burstBytes(ctx); err != nil {
+		return err
+	}
 	return m.compareWithDelta(perChange)
 }
 
+// burstBytes measures the bytes of changes that do not wait for each other. The
+// batch setting lets such changes share a delta.
+func (m *measurement) burstBytes(ctx context.Context) error {
+	before, err := m.controlBytes(ctx, "region/control")
+	if err != nil {
+		return err
+	}
+	begin := time.Now()
+	var version uint64
+	for range burstChanges {
+		if version, err = m.change(ctx, m.fleet.Hosts[0]); err != nil {
+			return err
+		}
+	}
+	if _, err := m.waitInForce(ctx, version, m.fleet.Hosts); err != nil {
+		return err
+	}
+	after, err := m.controlBytes(ctx, "region/control")
+	quiet := m.quietRegionBytes * time.Since(begin).Seconds()
+	m.print("burst_bytes_per_change_across_regions", (after-before-quiet)/burstChanges, "B")
+	return err
+}
+
 // compareWithDelta prints the size of a compressed delta and the ratio to it.
 func (m *measurement) compareWithDelta(perChange float64) error {
 	before := config.Document{Version: 1, Targets: []config.Target{sample(m.fleet.Options.Deployment, fleet.Lookup, 1)}, Stops: []config.Stop{}}
