--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,210 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"rosemaryladder.dev/rosemaryladder/internal/cli"
+	"rosemaryladder.dev/rosemaryladder/internal/operator"
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+func TestCLI(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "CLI")
+}
+
+// run runs the tool and returns its exit status and what it wrote.
+func run(arguments ...string) (status int, out, errOut string) {
+	var stdout, stderr bytes.Buffer
+	streams := cli.Streams{In: strings.NewReader(targets), Out: &stdout, Err: &stderr}
+	status = cli.Run(context.Background(), arguments, streams)
+	return status, stdout.String(), stderr.String()
+}
+
+// fakeNode is an operator port with canned answers by path.
+type fakeNode struct {
+	server  *httptest.Server
+	changes []operator.ChangeRequest
+	// cut makes the port take a change and close the connection without an answer.
+	cut     bool
+	status  operator.FleetStatus
+	problem *operator.Problem
+}
+
+func newFakeNode() *fakeNode {
+	node := &fakeNode{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/changes", node.change)
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { reply(w, node.status) })
+	mux.HandleFunc("GET /v1/document", func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, operator.Document{Version: 7})
+	})
+	node.server = httptest.NewServer(mux)
+	DeferCleanup(node.server.Close)
+	return node
+}
+
+func (n *fakeNode) address() string { return n.server.Listener.Addr().String() }
+
+func (n *fakeNode) change(w http.ResponseWriter, r *http.Request) {
+	var request operator.ChangeRequest
+	Expect(json.NewDecoder(r.Body).Decode(&request)).To(Succeed())
+	n.changes = append(n.changes, request)
+	if n.cut {
+		panic(http.ErrAbortHandler)
+	}
+	if n.problem != nil {
+		w.WriteHeader(http.StatusConflict)
+		reply(w, n.problem)
+		return
+	}
+	reply(w, operator.ChangeReply{ChangeID: request.Change.ID, Version: 8, DryRun: request.DryRun})
+}
+
+func reply(w http.ResponseWriter, value any) {
+	Expect(json.NewEncoder(w).Encode(value)).To(Succeed())
+}
+
+// closedPort returns an address at which nothing listens.
+func closedPort() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+const targets = `
+[target lookups]
+service = pattern-reg
+methods = GET
+path = /patterns
+idempotent = true
+deadline = 400ms
+latency = 80ms
+latency_percent = 99
+success_percent = 99.9
+priority = lookup
+`
+
+var _ = Describe("the command line", func() {
+	// Guards against a verb that an operator cannot learn from the tool itself.
+	DescribeTable("explains each verb with an example",
+		func(verb string) {
+			status, out, _ := run(append(strings.Fields(verb), "--help")...)
+			Expect(status).To(Equal(int(result.OK)))
+			Expect(out).To(ContainSubstring("rosemaryladder " + verb))
+			Expect(out).To(ContainSubstring("Example"))
+		},
+		Entry(nil, "target apply"), Entry(nil, "target list"), Entry(nil, "target show"), Entry(nil, "target delete"),
+		Entry(nil, "stop plan"), Entry(nil, "stop list"), Entry(nil, "stop cancel"), Entry(nil, "status"),
+		Entry(nil, "explain host"), Entry(nil, "explain target"), Entry(nil, "explain call"), Entry(nil, "explain change"),
+		Entry(nil, "explain repairs"), Entry(nil, "report burn"),
+	)
+
+	// Guards against a mistake that is reported as something else, or not at all.
+	DescribeTable("refuses what it cannot run with the code of a usage error",
+		func(part string, arguments ...string) {
+			status, _, errOut := run(arguments...)
+			Expect(status).To(Equal(int(result.Usage)))
+			Expect(errOut).To(ContainSubstring(part))
+		},
+		Entry("no verb", "target", "--node", "127.0.0.1:1"),
+		Entry("no node", "--node", "status"),
+		Entry("a node without a port", "127.0.0.1", "status", "--node", "127.0.0.1"),
+		Entry("an unknown output", "--output", "status", "--node", "127.0.0.1:1", "--output", "xml"),
+		Entry("an unknown flag", "--nod", "status", "--nod", "127.0.0.1:1"),
+		Entry("a start that is no time", "--at", "stop", "plan", "--host", "h", "--at", "soon", "--node", "127.0.0.1:1"),
+	)
+})
+
+var _ = Describe("target apply", func() {
+	// Guards against a tool that gives up although another named node would answer.
+	It("asks the next node when the first one is down", func() {
+		node := newFakeNode()
+		status, out, errOut := run("target", "apply", "-f", "-", "--node", closedPort(), "--node", node.address())
+		Expect(status).To(Equal(int(result.OK)), errOut)
+		Expect(out).To(ContainSubstring("accepted as version 8"))
+		Expect(node.changes).To(HaveLen(1))
+		Expect(node.changes[0].Change.Targets).To(HaveLen(1))
+	})
+
+	// Guards against a change that is reported as refused although a node took it,
+	// and against a repetition under another id, which could apply it twice.
+	It("says that the outcome is unknown when the answer is lost", func() {
+		node := newFakeNode()
+		node.cut = true
+		status, _, errOut := run("target", "apply", "-f", "-", "--node", node.address())
+		Expect(status).To(Equal(int(result.ChangeOutcomeUnknown)))
+		Expect(errOut).To(ContainSubstring(node.changes[0].Change.ID))
+		Expect(errOut).To(ContainSubstring("--change-id"))
+	})
+
+	It("says that nothing was accepted when no node was reached", func() {
+		status, _, errOut := run("target", "apply", "-f", "-", "--node", closedPort())
+		Expect(status).To(Equal(int(result.NodeUnreachable)))
+		Expect(errOut).To(ContainSubstring("nothing was accepted"))
+	})
+
+	// Guards against an exit status that hides the reason from a script.
+	It("ends with the code of the node's refusal", func() {
+		node := newFakeNode()
+		node.problem = &operator.Problem{Code: result.VersionConflict, Message: "the configuration is at version 9"}
+		status, _, errOut := run("target", "apply", "-f", "-", "--if-version", "7", "--node", node.address())
+		Expect(status).To(Equal(int(result.VersionConflict)))
+		Expect(errOut).To(ContainSubstring("version 9"))
+		Expect(*node.changes[0].Change.IfVersion).To(BeEquivalentTo(7))
+	})
+
+	// Guards against a dry run that changes something.
+	It("marks a dry run", func() {
+		node := newFakeNode()
+		status, out, _ := run("target", "apply", "-f", "-", "--dry-run", "--node", node.address())
+		Expect(status).To(Equal(int(result.OK)))
+		Expect(node.changes[0].DryRun).To(BeTrue())
+		Expect(out).To(ContainSubstring("nothing was changed"))
+	})
+
+	It("sends nothing when the file has an unknown key", func() {
+		node := newFakeNode()
+		path := filepath.Join(GinkgoT().TempDir(), "targets.ini")
+		Expect(os.WriteFile(path, []byte(strings.Replace(targets, "deadline", "deadlin", 1)), 0o600)).To(Succeed())
+		status, _, errOut := run("target", "apply", "-f", path, "--node", node.address())
+		Expect(status).To(Equal(int(result.TargetUnknownKey)))
+		Expect(errOut).To(ContainSubstring("deadlin"))
+		Expect(node.changes).To(BeEmpty())
+	})
+})
+
+var _ = Describe("--wait", func() {
+	// Guards against a script that goes on although a node lags.
+	It("ends with its own code and names the node that lags", func() {
+		node := newFakeNode()
+		node.status = operator.FleetStatus{
+			Accepted: 8, Nodes: 2, InForce: 1,
+			Laggards: []operator.Laggard{{Host: "orderdesk-1", Version: 7, Reason: "does not answer"}},
+		}
+		status, _, errOut := run("target", "delete", "lookups", "--wait", "100ms", "--node", node.address())
+		Expect(status).To(Equal(int(result.NotInForce)))
+		Expect(errOut).To(ContainSubstring("orderdesk-1"))
+	})
+
+	It("ends when every node has the version in force", func() {
+		node := newFakeNode()
+		node.status = operator.FleetStatus{Accepted: 8, Nodes: 2, InForce: 2}
+		status, out, _ := run("status", "--wait", "1s", "--output", "json", "--node", node.address())
+		Expect(status).To(Equal(int(result.OK)))
+		Expect(json.Valid([]byte(out))).To(BeTrue(), out)
+	})
+})
--- a/internal/relay/repair_state.go
+++ b/internal/relay/repair_state.go
@@ -9,10 +9,10 @@
 const (
 	// repairDelay is how long a node stays behind a neighbour before it fetches
 	// from it. In that time an update through the tree arrives normally.
-	repairDelay = 100 * time.Millisecond
+	repairDelay = 60 * time.Millisecond
 	// farRepairDelay applies to nodes of another region, so that a neighbour of
 	// the own region is asked first and the link carries a version once.
-	farRepairDelay = 250 * time.Millisecond
+	farRepairDelay = 150 * time.Millisecond
 	// maxSightings bounds the nodes whose digests are remembered.
 	maxSightings = 128
 )
--- a/internal/standin/fleet/admin.go
+++ b/internal/standin/fleet/admin.go
@@ -49,21 +49,12 @@
 
 // Runs returns the log of a backend server.
 func (h *Host) Runs(ctx context.Context) ([]Run, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.ServerAddress()+"/runs", nil)
-	if err != nil {
-		return nil, err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
+	text, err := getText(ctx, h.ServerAddress(), "/runs")
 	if err != nil {
 		return nil, err
 	}
 	var runs []Run
-	for line := range strings.Lines(string(text)) {
+	for line := range strings.Lines(text) {
 		fields := strings.Split(strings.TrimSuffix(line, "\n"), " ")
 		runs = append(runs, Run{fields[0], fields[1], fields[2]})
 	}
@@ -99,23 +90,29 @@
 	return json.NewDecoder(response.Body).Decode(reply)
 }
 
-// Metrics returns the values of the node's metrics by name and labels.
-func (h *Host) Metrics(ctx context.Context) (map[string]float64, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.OperatorAddress()+"/metrics", nil)
+// getText returns the body that a GET answers.
+func getText(ctx context.Context, address, path string) (string, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
-		return nil, err
+		return "", err
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return nil, err
+		return "", err
 	}
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
+	return string(text), err
+}
+
+// Metrics returns the values of the node's metrics by name and labels.
+func (h *Host) Metrics(ctx context.Context) (map[string]float64, error) {
+	text, err := getText(ctx, h.OperatorAddress(), "/metrics")
 	if err != nil {
 		return nil, err
 	}
 	values := make(map[string]float64)
-	for line := range strings.Lines(string(text)) {
+	for line := range strings.Lines(text) {
 		name, number, found := strings.Cut(strings.TrimSpace(line), " ")
 		if value, err := strconv.ParseFloat(number, 64); found && err == nil {
 			values[name] = value
