--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -35,8 +36,9 @@
 
 // fakeNode is an operator port with canned answers by path.
 type fakeNode struct {
-	server  *httptest.Server
-	changes []operator.ChangeRequest
+	server *httptest.Server
+	mu     sync.Mutex
+	taken  []operator.ChangeRequest
 	// cut makes the port take a change and close the connection without an answer.
 	cut     bool
 	status  operator.FleetStatus
@@ -61,7 +63,9 @@
 func (n *fakeNode) change(w http.ResponseWriter, r *http.Request) {
 	var request operator.ChangeRequest
 	Expect(json.NewDecoder(r.Body).Decode(&request)).To(Succeed())
-	n.changes = append(n.changes, request)
+	n.mu.Lock()
+	n.taken = append(n.taken, request)
+	n.mu.Unlock()
 	if n.cut {
 		panic(http.ErrAbortHandler)
 	}
@@ -73,6 +77,13 @@
 	reply(w, operator.ChangeReply{ChangeID: request.Change.ID, Version: 8, DryRun: request.DryRun})
 }
 
+// changes returns the requests that the port took.
+func (n *fakeNode) changes() []operator.ChangeRequest {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.taken
+}
+
 func reply(w http.ResponseWriter, value any) {
 	Expect(json.NewEncoder(w).Encode(value)).To(Succeed())
 }
@@ -136,8 +147,8 @@
 		status, out, errOut := run("target", "apply", "-f", "-", "--node", closedPort(), "--node", node.address())
 		Expect(status).To(Equal(int(result.OK)), errOut)
 		Expect(out).To(ContainSubstring("accepted as version 8"))
-		Expect(node.changes).To(HaveLen(1))
-		Expect(node.changes[0].Change.Targets).To(HaveLen(1))
+		Expect(node.changes()).To(HaveLen(1))
+		Expect(node.changes()[0].Change.Targets).To(HaveLen(1))
 	})
 
 	// Guards against a change that is reported as refused although a node took it,
@@ -147,7 +158,7 @@
 		node.cut = true
 		status, _, errOut := run("target", "apply", "-f", "-", "--node", node.address())
 		Expect(status).To(Equal(int(result.ChangeOutcomeUnknown)))
-		Expect(errOut).To(ContainSubstring(node.changes[0].Change.ID))
+		Expect(errOut).To(ContainSubstring(node.changes()[0].Change.ID))
 		Expect(errOut).To(ContainSubstring("--change-id"))
 	})
 
@@ -164,7 +175,7 @@
 		status, _, errOut := run("target", "apply", "-f", "-", "--if-version", "7", "--node", node.address())
 		Expect(status).To(Equal(int(result.VersionConflict)))
 		Expect(errOut).To(ContainSubstring("version 9"))
-		Expect(*node.changes[0].Change.IfVersion).To(BeEquivalentTo(7))
+		Expect(*node.changes()[0].Change.IfVersion).To(BeEquivalentTo(7))
 	})
 
 	// Guards against a dry run that changes something.
@@ -172,7 +183,7 @@
 		node := newFakeNode()
 		status, out, _ := run("target", "apply", "-f", "-", "--dry-run", "--node", node.address())
 		Expect(status).To(Equal(int(result.OK)))
-		Expect(node.changes[0].DryRun).To(BeTrue())
+		Expect(node.changes()[0].DryRun).To(BeTrue())
 		Expect(out).To(ContainSubstring("nothing was changed"))
 	})
 
@@ -183,7 +194,7 @@
 		status, _, errOut := run("target", "apply", "-f", path, "--node", node.address())
 		Expect(status).To(Equal(int(result.TargetUnknownKey)))
 		Expect(errOut).To(ContainSubstring("deadlin"))
-		Expect(node.changes).To(BeEmpty())
+		Expect(node.changes()).To(BeEmpty())
 	})
 })
 
--- a/internal/cli/command.go
+++ b/internal/cli/command.go
@@ -17,6 +17,20 @@
 type command struct {
 	args    Args
 	streams Streams
+	// clients are kept by address, so that a command that polls uses one
+	// connection instead of one for each question.
+	clients map[string]*operator.Client
+}
+
+// client returns the client of a node.
+func (c *command) client(address string) *operator.Client {
+	if c.clients == nil {
+		c.clients = make(map[string]*operator.Client)
+	}
+	if c.clients[address] == nil {
+		c.clients[address] = operator.NewClient(address)
+	}
+	return c.clients[address]
 }
 
 // run dispatches to the verb.
@@ -76,7 +90,7 @@
 func ask[T any](ctx context.Context, c *command, question func(context.Context, *operator.Client) (T, error)) (T, error) {
 	var failures []error
 	for _, address := range c.args.Node {
-		value, err := askOne(ctx, address, c.args.Timeout, question)
+		value, err := askOne(ctx, c.client(address), c.args.Timeout, question)
 		if result.CodeOf(err) != result.NodeUnreachable {
 			return value, err
 		}
@@ -89,8 +103,8 @@
 	return none, result.Wrap(errors.Join(failures...), result.NodeUnreachable, "none of %d nodes answered", len(failures))
 }
 
-func askOne[T any](ctx context.Context, address string, timeout time.Duration, question func(context.Context, *operator.Client) (T, error)) (T, error) {
+func askOne[T any](ctx context.Context, client *operator.Client, timeout time.Duration, question func(context.Context, *operator.Client) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return question(ctx, operator.NewClient(address))
+	return question(ctx, client)
 }
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -63,6 +64,9 @@
 	Server *Process
 
 	ports ports
+
+	clientOnce sync.Once
+	client     *operator.Client
 }
 
 // CallAddress returns the address of the node's call port.
@@ -77,7 +81,10 @@
 func (h *Host) ServerAddress() string { return net.JoinHostPort(h.IP, strconv.Itoa(h.ports.server)) }
 
 // Operator returns a client of the node's operator port.
-func (h *Host) Operator() *operator.Client { return operator.NewClient(h.OperatorAddress()) }
+func (h *Host) Operator() *operator.Client {
+	h.clientOnce.Do(func() { h.client = operator.NewClient(h.OperatorAddress()) })
+	return h.client
+}
 
 // fleets counts the fleets of this process.
 var fleets atomic.Int64
