--- a/internal/call/hop.go
+++ b/internal/call/hop.go
@@ -12,6 +12,10 @@
 // hopFields is the number of fields in a hop header.
 const hopFields = 7
 
+// maxHopMicros bounds the times in a hop header, so that none overflows a
+// duration. Deadlines are at most 24 h.
+const maxHopMicros = int64(25 * time.Hour / time.Microsecond)
+
 // hop is what a front tells a gate about a call besides the call itself. The
 // header holds the fields in this order, separated by spaces: call id, remaining
 // time in microseconds, time to the latency objective in microseconds, priority,
@@ -57,7 +61,8 @@
 	objective, errObjective := strconv.ParseInt(fields[2], 10, 64)
 	attempt, errAttempt := strconv.Atoi(fields[5])
 	depth, errDepth := strconv.Atoi(fields[6])
-	if errMicros != nil || errObjective != nil || errAttempt != nil || errDepth != nil || fields[0] == "" || rest != "" {
+	inRange := micros >= 0 && micros <= maxHopMicros && objective >= -maxHopMicros && objective <= maxHopMicros
+	if !inRange || errMicros != nil || errObjective != nil || errAttempt != nil || errDepth != nil || fields[0] == "" || rest != "" {
 		return hop{}, result.Errorf(result.BadRequest, "header %s: value %q is malformed", headerHop, value)
 	}
 	return hop{
--- /dev/null
+++ b/internal/call/hop_test.go
@@ -0,0 +1,28 @@
+package call
+
+import (
+	"testing"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/config"
+)
+
+// FuzzParseHop guards against a hop header that stops the gate or that means
+// something else after it was encoded again.
+func FuzzParseHop(f *testing.F) {
+	valid := hop{id: "orderdesk-1-mx8n5a4y-1", remaining: time.Second, objective: -time.Millisecond, priority: config.PriorityOrder, once: true, attempt: 1, depth: 26}
+	f.Add(string(valid.appendTo(nil)))
+	f.Add("id 1 2 lookup many 1 0")
+	f.Add("id 1 2 lookup many 1")
+	f.Add(" 1 2 lookup many 1 0 ")
+	f.Fuzz(func(t *testing.T, value string) {
+		parsed, err := parseHop(value)
+		if err != nil {
+			return
+		}
+		again, err := parseHop(string(parsed.appendTo(nil)))
+		if err != nil || again != parsed {
+			t.Fatalf("%q was read as %+v and then as %+v (%v)", value, parsed, again, err)
+		}
+	})
+}
