Repeat a lost read before a change is refused; drop two repetitions

Ruled out: a longer time limit, which a read that fails at once never uses. Change: up to 4 lost reads are repeated with the backoff of the other attempts. Also: the daemon checked twice for its own cancellation, and two handlers counted the same control traffic.

--- a/cmd/rosemaryladderd/main.go
+++ b/cmd/rosemaryladderd/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -78,8 +77,5 @@
 	if err != nil {
 		return err
 	}
-	if err := daemon.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
-		return err
-	}
-	return nil
+	return daemon.Run(ctx)
 }
--- a/internal/config/edit_attempt.go
+++ b/internal/config/edit_attempt.go
@@ -14,8 +14,11 @@
 
 // editAttempt is the state of one change while it is applied.
 type editAttempt struct {
-	editor *Editor
-	change Change
+	// failedReads counts the reads that got no answer. A single lost answer is no
+	// outage, so a few reads are repeated before the change is refused.
+	failedReads int
+	editor      *Editor
+	change      Change
 	// unanswered is set after a write without an answer; unansweredAt is the
 	// revision that the write expected. Once the key is beyond that revision and
 	// the change is not listed, the write cannot take effect any more.
@@ -36,6 +39,10 @@
 		return outcome, done, nil
 	}
 	a.last = err
+	if result.CodeOf(err) == result.StoreUnavailable && a.failedReads < maxFailedReads {
+		a.failedReads++
+		return Outcome{}, false, err
+	}
 	return Outcome{}, !a.unanswered, err
 }
 
--- a/internal/config/editor.go
+++ b/internal/config/editor.go
@@ -13,6 +13,8 @@
 const (
 	// maxEditAttempts bounds the reads and writes of one change.
 	maxEditAttempts = 20
+	// maxFailedReads is the number of lost reads of one change that are repeated.
+	maxFailedReads = 4
 	// firstEditBackoff and maxEditBackoff bound the wait between attempts.
 	firstEditBackoff = 5 * time.Millisecond
 	maxEditBackoff   = 200 * time.Millisecond
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -71,6 +71,7 @@
 	if err != nil {
 		return err
 	}
+	n.traffic = relay.NewTraffic(n.metrics.Scope)
 	n.relay, err = relay.New(relay.Options{
 		StoreRegion: n.settings.Store.Region,
 		Batch:       n.settings.Distribution.Batch,
@@ -82,7 +83,7 @@
 		Events:      n.events,
 		Logger:      n.log,
 		Scope:       n.metrics.Scope,
-		Traffic:     relay.NewTraffic(n.metrics.Scope),
+		Traffic:     n.traffic,
 		Statistics:  statistics{n.burn, burn.DefaultConfig(), n.now},
 		Now:         n.now,
 		Random:      random,
@@ -198,8 +199,7 @@
 }
 
 func (n *Node) listen() (err error) {
-	traffic := relay.NewTraffic(n.metrics.Scope)
-	n.control, err = newControlServer(n.address(n.settings.Node.ControlPort), traffic, n.relay, n.exchange, n.claims)
+	n.control, err = newControlServer(n.address(n.settings.Node.ControlPort), n.traffic, n.relay, n.exchange, n.claims)
 	if err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,11 +41,13 @@
 	dialer   dial.Dialer
 	now      func() time.Time
 
-	store      *storeWatch
-	holder     *config.Holder
-	table      *member.Table
-	lease      *readerLease
-	relay      *relay.Relay
+	store  *storeWatch
+	holder *config.Holder
+	table  *member.Table
+	lease  *readerLease
+	relay  *relay.Relay
+	// traffic counts the control messages that the node serves and sends.
+	traffic    *relay.Traffic
 	quarantine *quarantine.List
 	exchange   *gossip.Exchanger
 	server     *drain.Tracker
