Move the connections of the call path into a package of their own

Cause: the data plane on the users' platform needs the same exact account of what left this host, with interim answers and answers to earlier requests. Change: internal/exchange owns pool, connection, request writing and body. An answer that belongs to another request is skipped, a body may wait for the peer's interim answer 100, and the peer's Keep-Alive bounds the idle time. Conclusion: the tests of the call path pass unchanged but for their wiring.

--- a/internal/call/answer.go
+++ b/internal/call/answer.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 
+	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 	"rosemaryladder.dev/rosemaryladder/internal/route"
 )
 
@@ -26,9 +27,9 @@
 // copyHeader adds the end-to-end headers of the answer that are not the nodes'
 // own.
 func (a *answer) copyHeader(to http.Header) {
-	options := hasConnectionOptions(a.header)
+	options := exchange.HasConnectionOptions(a.header)
 	for name, values := range a.header {
-		if isHopByHop(name) || isOwn(name) || (options && isConnectionOption(a.header, name)) {
+		if exchange.IsHopByHop(name) || isOwn(name) || (options && exchange.IsConnectionOption(a.header, name)) {
 			continue
 		}
 		to[name] = values
--- a/internal/call/config.go
+++ b/internal/call/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
@@ -80,3 +81,8 @@
 	}
 	return nil
 }
+
+// exchangeOptions returns the options of a client that dials with the function.
+func (c Config) exchangeOptions(deps Deps, dial exchange.DialFunc, maxIdle int) exchange.Options {
+	return exchange.Options{Dial: dial, MaxIdle: maxIdle, IdleTimeout: c.IdleTimeout, HeadBytes: c.HeaderBytes, Now: deps.Now}
+}
--- a/internal/call/faults_test.go
+++ b/internal/call/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 	"sync/atomic"
 )
 
@@ -26,6 +27,12 @@
 	b.readLeft.Store(read)
 }
 
+// client returns a client of the node whose connections break.
+func (b *breaker) client(node *Node) *exchange.Client {
+	dial := b.wrap(node.deps.Dialer.DialContext)
+	return exchange.NewClient(node.config.exchangeOptions(node.deps, dial, node.config.Calls))
+}
+
 // wrap makes a dial function return connections that break.
 func (b *breaker) wrap(dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/call/front.go
+++ b/internal/call/front.go
@@ -11,6 +11,7 @@
 
 	"rosemaryladder.dev/rosemaryladder/internal/config"
 	"rosemaryladder.dev/rosemaryladder/internal/event"
+	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 	"rosemaryladder.dev/rosemaryladder/internal/member"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 	"rosemaryladder.dev/rosemaryladder/internal/route"
@@ -21,7 +22,7 @@
 	config  Config
 	deps    Deps
 	metrics *metrics
-	client  *client
+	client  *exchange.Client
 	gate    *gate
 }
 
@@ -58,13 +59,13 @@
 	defer cancel()
 	found, refused := f.run(ctx, call)
 	if refused != nil {
-		call.request.body.free()
+		call.request.body.Free()
 		f.count(call, refused.code, refused.cancelled, false)
 		f.refuse(w, id, call.target.Name, refused)
 		return
 	}
 	whole, written := f.stream(w, call, found)
-	call.request.body.free()
+	call.request.body.Free()
 	f.count(call, result.OK, !written, whole && found.status < http.StatusInternalServerError)
 	if !whole {
 		f.metrics.broken.Inc(1)
@@ -179,7 +180,7 @@
 // again reports whether another attempt may follow a failed one.
 func (f *front) again(call *fronted, attempt int, refused *refusal) bool {
 	remaining := call.request.deadline.Sub(f.deps.Now())
-	if refused.cancelled || remaining <= 0 || !call.request.body.canSend() || !isRetryable(refused.code) {
+	if refused.cancelled || remaining <= 0 || !call.request.body.CanSend() || !isRetryable(refused.code) {
 		return false
 	}
 	if refused.run != result.NotRun && (call.request.once || call.isNested()) {
@@ -227,39 +228,39 @@
 func (f *front) sendToGate(ctx context.Context, call *fronted, record member.Record, attempt int) (*answer, *refusal) {
 	r := call.request
 	hopValue := string(r.hop(f.deps.Now(), attempt).appendTo(make([]byte, 0, 96)))
-	out := &outgoing{method: r.method, uri: r.uri, host: r.service, header: r.header, body: r.body, added: []field{{headerHop, hopValue}}}
-	e, failed := f.client.do(ctx, record.CallAddress(), out)
+	out := &exchange.Outgoing{Skip: isOwn, Method: r.method, URI: r.uri, Host: r.service, Header: r.header, Body: r.body, Added: []exchange.Field{{Name: headerHop, Value: hopValue}}}
+	e, failed := f.client.Do(ctx, record.CallAddress(), out)
 	if failed != nil {
 		return nil, refuseGateExchange(ctx, record, failed)
 	}
-	if code := e.response.Header.Get(HeaderResult); code != "" {
+	if code := e.Response.Header.Get(HeaderResult); code != "" {
 		refused := readRefusal(e, record, code)
-		e.finish(drainBody(e.response.Body))
+		e.Finish(drainBody(e.Response.Body))
 		return nil, refused
 	}
-	found := answerOf(e.response)
-	found.load = parseLoad(e.response.Header.Get(HeaderLoad))
-	found.finish = e.finish
+	found := answerOf(e.Response)
+	found.load = parseLoad(e.Response.Header.Get(HeaderLoad))
+	found.finish = e.Finish
 	return found, nil
 }
 
 // refuseGateExchange states what is known of an attempt whose exchange with the
 // gate failed before the head of the answer.
-func refuseGateExchange(ctx context.Context, record member.Record, failed *exchangeError) *refusal {
+func refuseGateExchange(ctx context.Context, record member.Record, failed *exchange.Error) *refusal {
 	cancelled := errors.Is(ctx.Err(), context.Canceled)
 	switch {
-	case !failed.begun && ctx.Err() != nil:
+	case !failed.Begun && ctx.Err() != nil:
 		refused := refuse(result.DeadlineNotRun, "the deadline passed before node "+record.ID+" was reached")
 		refused.cancelled = cancelled
 		return refused
-	case !failed.begun:
-		return refuse(result.NodeUnreachable, fmt.Sprintf("node %s does not answer: %v", record.ID, failed.cause))
+	case !failed.Begun:
+		return refuse(result.NodeUnreachable, fmt.Sprintf("node %s does not answer: %v", record.ID, failed.Cause))
 	case ctx.Err() != nil:
 		refused := refuse(result.DeadlineUnknown, "the deadline passed while node "+record.ID+" had the call")
 		refused.cancelled = cancelled
 		return refused
 	default:
-		return refuse(result.OutcomeUnknown, fmt.Sprintf("the connection to node %s broke: %v", record.ID, failed.cause))
+		return refuse(result.OutcomeUnknown, fmt.Sprintf("the connection to node %s broke: %v", record.ID, failed.Cause))
 	}
 }
 
@@ -277,19 +278,19 @@
 	if !found {
 		return nil, refused
 	}
-	out := &outgoing{
-		method: http.MethodGet, uri: "/", host: r.service, body: &body{},
-		added: []field{{headerKept, strconv.FormatUint(refused.fingerprint, 16)}, {HeaderKey, r.key}},
+	out := &exchange.Outgoing{
+		Skip: isOwn, Method: http.MethodGet, URI: "/", Host: r.service, Body: &exchange.Body{},
+		Added: []exchange.Field{{Name: headerKept, Value: strconv.FormatUint(refused.fingerprint, 16)}, {Name: HeaderKey, Value: r.key}},
 	}
-	e, failed := f.client.do(ctx, record.CallAddress(), out)
+	e, failed := f.client.Do(ctx, record.CallAddress(), out)
 	if failed != nil {
 		return nil, refused
 	}
-	if e.response.Header.Get(HeaderResult) != "" {
-		e.finish(drainBody(e.response.Body))
+	if e.Response.Header.Get(HeaderResult) != "" {
+		e.Finish(drainBody(e.Response.Body))
 		return nil, refused
 	}
-	kept := answerOf(e.response)
-	kept.finish = e.finish
+	kept := answerOf(e.Response)
+	kept.finish = e.Finish
 	return kept, nil
 }
--- a/internal/call/gate.go
+++ b/internal/call/gate.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 	"rosemaryladder.dev/rosemaryladder/internal/member"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 	"rosemaryladder.dev/rosemaryladder/internal/route"
@@ -27,7 +28,7 @@
 	config  Config
 	deps    Deps
 	metrics *metrics
-	client  *client
+	client  *exchange.Client
 	// answered remembers calls that a server answered, so that a crash is not
 	// blamed on calls that merely ran at the same time.
 	answered answeredSet
@@ -67,7 +68,7 @@
 	if refused := g.checkServer(r); refused != nil {
 		return nil, refused
 	}
-	call := &running{request: r, fingerprint: r.body.fingerprint(r.method, r.uri)}
+	call := &running{request: r, fingerprint: r.body.Fingerprint(r.method, r.uri)}
 	if g.deps.Quarantine.Blocked(call.request.service, call.fingerprint) {
 		return nil, refuse(result.Quarantined, fmt.Sprintf("calls with fingerprint %x stopped several backend servers of service %s", call.fingerprint, r.service))
 	}
@@ -157,50 +158,50 @@
 	if r.once {
 		ctx = detach(ctx, call)
 	}
-	out := &outgoing{method: r.method, uri: r.uri, host: r.service, header: r.header, body: r.body, added: g.serverFields(r)}
+	out := &exchange.Outgoing{Skip: isOwn, Method: r.method, URI: r.uri, Host: r.service, Header: r.header, Body: r.body, Added: g.serverFields(r)}
 	g.deps.Server.Begin()
-	e, failed := g.client.do(ctx, address, out)
+	e, failed := g.client.Do(ctx, address, out)
 	if failed != nil {
 		g.deps.Server.Done()
 		return nil, g.refuseExchange(ctx, address, failed)
 	}
 	found, refused := g.acceptAnswer(ctx, call, e)
 	if refused != nil {
-		e.finish(false)
+		e.Finish(false)
 		g.deps.Server.Done()
 	}
 	return found, refused
 }
 
 // serverFields returns the headers that tell the server about the call.
-func (g *gate) serverFields(r *request) []field {
+func (g *gate) serverFields(r *request) []exchange.Field {
 	remaining := max(r.deadline.Sub(g.deps.Now()).Milliseconds(), 1)
-	return []field{
-		{HeaderCallID, r.id},
-		{HeaderDeadline, strconv.FormatInt(remaining, 10)},
-		{HeaderAttempt, strconv.Itoa(r.attempt)},
-		{HeaderDepth, strconv.Itoa(r.depth)},
+	return []exchange.Field{
+		{Name: HeaderCallID, Value: r.id},
+		{Name: HeaderDeadline, Value: strconv.FormatInt(remaining, 10)},
+		{Name: HeaderAttempt, Value: strconv.Itoa(r.attempt)},
+		{Name: HeaderDepth, Value: strconv.Itoa(r.depth)},
 	}
 }
 
 // acceptAnswer turns the head of the server's answer into an answer or a refusal.
-func (g *gate) acceptAnswer(ctx context.Context, call *running, e *exchange) (*answer, *refusal) {
-	response := e.response
+func (g *gate) acceptAnswer(ctx context.Context, call *running, e *exchange.Exchange) (*answer, *refusal) {
+	response := e.Response
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderRun) == string(result.NotRun) {
 		g.deps.Admit.ServerRefused()
 		return nil, refuse(result.ServerRefused, "the backend server beside node "+g.deps.View().Self.ID+" refused the call")
 	}
-	if !e.isDelimited() {
+	if !e.IsDelimited() {
 		g.metrics.undelimited.Inc(1)
 		return nil, refuse(result.OutcomeUnknown, "the backend server marks the end of its answer by closing the connection, so that a whole answer cannot be told from a broken one")
 	}
 	found := answerOf(response)
 	found.load = g.load()
 	found.finish = func(whole bool) {
-		e.finish(whole)
+		e.Finish(whole)
 		g.deps.Server.Done()
 		call.release()
-		g.noteEnd(ctx, call, e.pool.address, whole)
+		g.noteEnd(ctx, call, e.Address(), whole)
 	}
 	if call.request.once {
 		g.keepWhole(call, found)
@@ -220,20 +221,20 @@
 
 // refuseExchange states what is known of a call whose exchange with the server
 // failed before the head of the answer.
-func (g *gate) refuseExchange(ctx context.Context, address string, failed *exchangeError) *refusal {
-	if !failed.begun {
-		return g.refuseUnsent(ctx, address, failed.cause)
+func (g *gate) refuseExchange(ctx context.Context, address string, failed *exchange.Error) *refusal {
+	if !failed.Begun {
+		return g.refuseUnsent(ctx, address, failed.Cause)
 	}
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		return &refusal{code: result.OutcomeUnknown, run: result.RunUnknown, message: "the caller gave up", cancelled: true}
 	case ctx.Err() != nil:
 		return refuse(result.DeadlineUnknown, "the deadline passed while the backend server was running the call")
-	case errors.Is(failed.cause, errHeadTooLarge):
+	case errors.Is(failed.Cause, exchange.ErrHeadTooLarge):
 		g.metrics.limitHead.Inc(1)
-		return refuse(result.OutcomeUnknown, "the answer of the backend server: "+failed.cause.Error())
+		return refuse(result.OutcomeUnknown, "the answer of the backend server: "+failed.Cause.Error())
 	default:
-		refused := refuse(result.OutcomeUnknown, "the connection to the backend server broke: "+failed.cause.Error())
+		refused := refuse(result.OutcomeUnknown, "the connection to the backend server broke: "+failed.Cause.Error())
 		refused.broken = true
 		return refused
 	}
@@ -255,7 +256,7 @@
 func (g *gate) probe(call *running, address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
-	if !g.client.pool(address).refuses(ctx) {
+	if !g.client.Refuses(ctx, address) {
 		return
 	}
 	g.deps.Server.Gone(address)
--- a/internal/call/gate_answer.go
+++ b/internal/call/gate_answer.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 
+	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 	"rosemaryladder.dev/rosemaryladder/internal/member"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 	"rosemaryladder.dev/rosemaryladder/internal/route"
@@ -16,8 +17,8 @@
 const maxRefusalBytes = 16 << 10
 
 // readRefusal decodes the refusal of a gate.
-func readRefusal(e *exchange, record member.Record, code string) *refusal {
-	header := e.response.Header
+func readRefusal(e *exchange.Exchange, record member.Record, code string) *refusal {
+	header := e.Response.Header
 	number, err := strconv.Atoi(code)
 	if err != nil {
 		return refuse(result.OutcomeUnknown, fmt.Sprintf("node %s answered with the malformed result %q", record.ID, code))
@@ -27,7 +28,7 @@
 		refused.run = run
 	}
 	var details refusalBody
-	if json.NewDecoder(io.LimitReader(e.response.Body, maxRefusalBytes)).Decode(&details) == nil && details.Message != "" {
+	if json.NewDecoder(io.LimitReader(e.Response.Body, maxRefusalBytes)).Decode(&details) == nil && details.Message != "" {
 		refused.message = details.Message
 	}
 	refused.load = parseLoad(header.Get(HeaderLoad))
--- a/internal/call/node.go
+++ b/internal/call/node.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"rosemaryladder.dev/rosemaryladder/internal/dial"
+	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
@@ -24,7 +25,7 @@
 	metrics  *metrics
 	front    *front
 	gate     *gate
-	clients  []*client
+	clients  []*exchange.Client
 	peers    knownIPs
 	idPrefix string
 	sequence atomic.Uint64
@@ -40,14 +41,12 @@
 	node := &Node{config: config, deps: deps, metrics: newMetrics(deps.Scope)}
 	self := deps.View().Self
 	node.idPrefix = self.ID + "-" + strconv.FormatUint(self.Incarnation, 36) + "-"
-	toNodes := &client{dial: deps.Dialer.DialContext, maxIdle: config.IdlePerNode}
+	toNodes := exchange.NewClient(config.exchangeOptions(deps, deps.Dialer.DialContext, config.IdlePerNode))
 	local := dial.Dialer{LocalIP: deps.Dialer.LocalIP, Timeout: deps.Dialer.Timeout}
-	toServer := &client{dial: local.DialContext, maxOpen: deps.Server.Connections, maxIdle: config.Calls}
-	node.clients = []*client{toNodes, toServer}
-	for _, c := range node.clients {
-		c.idleTimeout, c.headBytes, c.now = config.IdleTimeout, config.HeaderBytes, deps.Now
-		c.start()
-	}
+	serverOptions := config.exchangeOptions(deps, local.DialContext, config.Calls)
+	serverOptions.MaxOpen = deps.Server.Connections
+	toServer := exchange.NewClient(serverOptions)
+	node.clients = []*exchange.Client{toNodes, toServer}
 	node.gate = &gate{config: config, deps: deps, metrics: node.metrics, client: toServer}
 	node.front = &front{config: config, deps: deps, metrics: node.metrics, client: toNodes, gate: node.gate}
 	return node, nil
@@ -86,7 +85,7 @@
 // Close drops the idle connections.
 func (n *Node) Close() {
 	for _, c := range n.clients {
-		c.close()
+		c.Close()
 	}
 }
 
--- a/internal/call/property_test.go
+++ b/internal/call/property_test.go
@@ -76,9 +76,10 @@
 	server := &countingServer{runs: make(map[string]int)}
 	f := newFleet(t, fleetOptions{nodes: 3, slots: 50, attempts: 3, deadline: 5 * time.Second}, func(int) http.Handler { return server })
 	toGate, toServer := newBreaker(), newBreaker()
-	f.nodes[0].front.client.dial = toGate.wrap(f.nodes[0].front.client.dial)
+	front := f.nodes[0]
+	front.front.client = toGate.client(front)
 	for _, node := range f.nodes[1:] {
-		node.gate.client.dial = toServer.wrap(node.gate.client.dial)
+		node.gate.client = toServer.client(node)
 	}
 	caller := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	number := 0
--- a/internal/call/request.go
+++ b/internal/call/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/config"
+	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 )
 
 // request is one call on its way through a node.
@@ -15,7 +16,7 @@
 	// uri is the path and the query as the caller sent them.
 	uri    string
 	header http.Header
-	body   *body
+	body   *exchange.Body
 	key    string
 	// once is set for a non-idempotent call.
 	once     bool
--- a/internal/call/request_body.go
+++ b/internal/call/request_body.go
@@ -7,14 +7,15 @@
 	"os"
 	"time"
 
+	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
 // readRequestBody reads the body of a call or its first part, within the
 // deadline. The deadline stays in force for a rest that is streamed.
-func readRequestBody(w http.ResponseWriter, r *http.Request, deadline time.Time, once bool, config Config, metrics *metrics) (*body, *refusal) {
+func readRequestBody(w http.ResponseWriter, r *http.Request, deadline time.Time, once bool, config Config, metrics *metrics) (*exchange.Body, *refusal) {
 	if r.ContentLength == 0 {
-		return &body{}, nil
+		return &exchange.Body{}, nil
 	}
 	if once && r.ContentLength > int64(config.KeptBodyBytes) {
 		return nil, refuseLargeBody(config, metrics)
@@ -23,13 +24,13 @@
 	if err := controller.SetReadDeadline(deadline); err != nil {
 		return nil, refuse(result.Internal, "set the read deadline: "+err.Error())
 	}
-	read, err := readBody(r, config.KeptBodyBytes)
+	read, err := exchange.ReadBody(r, config.KeptBodyBytes)
 	if err != nil {
 		return nil, refuseUnread(r, err)
 	}
-	if !read.isKept() {
+	if !read.IsKept() {
 		if once {
-			read.free()
+			read.Free()
 			return nil, refuseLargeBody(config, metrics)
 		}
 		// A server may answer before it has read the whole body.
@@ -38,7 +39,7 @@
 		err = controller.SetReadDeadline(time.Time{})
 	}
 	if err != nil {
-		read.free()
+		read.Free()
 		return nil, refuse(result.Internal, "prepare the connection: "+err.Error())
 	}
 	return read, nil
--- a/internal/call/send.go
+++ b/internal/call/send.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 )
 
 // send streams an answer whose headers are set already and finishes it. whole is
@@ -31,8 +33,8 @@
 	if found.body == nil || found.body == http.NoBody {
 		return true, true
 	}
-	buffer := copyBuffers.Get().(*[]byte)
-	defer copyBuffers.Put(buffer)
+	buffer := exchange.CopyBuffers.Get().(*[]byte)
+	defer exchange.CopyBuffers.Put(buffer)
 	controller := http.NewResponseController(w)
 	for writes := 0; ; {
 		n, err := found.body.Read(*buffer)
--- a/internal/call/body.go
+++ b/internal/exchange/body.go
@@ -1,4 +1,4 @@
-package call
+package exchange
 
 import (
 	"bytes"
@@ -10,15 +10,16 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// body is a request body. Its first part is kept, so that a failed attempt can
+// Body is a request body. Its first part is kept, so that a failed attempt can
 // be repeated; the rest, if any, can be sent once.
-type body struct {
-	kept   []byte
+type Body struct {
+	// Kept is the part in memory.
+	Kept   []byte
 	buffer *bytes.Buffer
 	// rest is nil when the whole body is kept.
 	rest io.Reader
-	// length is -1 when it is unknown, and then the body is sent chunked.
-	length int64
+	// Length is -1 when it is unknown, and then the body is sent chunked.
+	Length int64
 	// restTaken is set once rest was handed out.
 	restTaken bool
 }
@@ -29,41 +30,41 @@
 
 var bodyBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
-// readBody reads up to limit bytes of a request body into memory.
-func readBody(r *http.Request, limit int) (*body, error) {
+// ReadBody reads up to limit bytes of a request body into memory.
+func ReadBody(r *http.Request, limit int) (*Body, error) {
 	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
-		return &body{}, nil
+		return &Body{}, nil
 	}
 	buffer := bodyBuffers.Get().(*bytes.Buffer)
-	read := &body{buffer: buffer, length: r.ContentLength}
+	read := &Body{buffer: buffer, Length: r.ContentLength}
 	if r.ContentLength > 0 {
 		// ReadFrom wants bytes.MinRead free bytes to see the end of the input.
 		buffer.Grow(int(min(r.ContentLength, int64(limit))) + bytes.MinRead)
 	}
 	n, err := buffer.ReadFrom(io.LimitReader(r.Body, int64(limit)))
 	if err != nil {
-		read.free()
+		read.Free()
 		return nil, err
 	}
-	read.kept = buffer.Bytes()
+	read.Kept = buffer.Bytes()
 	switch {
 	case r.ContentLength >= 0 && n == r.ContentLength:
 	case n < int64(limit) && r.ContentLength < 0:
-		read.length = n
+		read.Length = n
 	default:
 		read.rest = r.Body
 	}
 	return read, nil
 }
 
-// isKept reports whether the whole body is kept.
-func (b *body) isKept() bool { return b.rest == nil }
+// IsKept reports whether the whole body is kept.
+func (b *Body) IsKept() bool { return b.rest == nil }
 
-// canSend reports whether the body can be sent from its start.
-func (b *body) canSend() bool { return !b.restTaken }
+// CanSend reports whether the body can be sent from its start.
+func (b *Body) CanSend() bool { return !b.restTaken }
 
-// free returns the buffer to its pool. The body must not be in use.
-func (b *body) free() {
+// Free returns the buffer to its pool. The body must not be in use.
+func (b *Body) Free() {
 	if b.buffer == nil {
 		return
 	}
@@ -71,20 +72,20 @@
 		b.buffer.Reset()
 		bodyBuffers.Put(b.buffer)
 	}
-	b.buffer, b.kept = nil, nil
+	b.buffer, b.Kept = nil, nil
 }
 
-// fingerprint is the hash of method, request path, length and kept body, which
+// Fingerprint is the hash of method, request path, length and kept body, which
 // is the whole body of every call that is claimed.
-func (b *body) fingerprint(method, uri string) uint64 {
+func (b *Body) Fingerprint(method, uri string) uint64 {
 	hash := xxhash.New()
 	// Writes to a hash never fail.
 	_, _ = hash.WriteString(method)
 	_, _ = hash.WriteString(" ")
 	_, _ = hash.WriteString(uri)
 	_, _ = hash.WriteString(" ")
-	_, _ = hash.WriteString(strconv.FormatInt(b.length, 10))
+	_, _ = hash.WriteString(strconv.FormatInt(b.Length, 10))
 	_, _ = hash.WriteString("\n")
-	_, _ = hash.Write(b.kept)
+	_, _ = hash.Write(b.Kept)
 	return hash.Sum64()
 }
--- a/internal/call/buffers.go
+++ b/internal/exchange/buffers.go
@@ -1,4 +1,4 @@
-package call
+package exchange
 
 import "sync"
 
@@ -6,4 +6,5 @@
 // most two of them.
 const copyBufferBytes = 32 << 10
 
-var copyBuffers = sync.Pool{New: func() any { buffer := make([]byte, copyBufferBytes); return &buffer }}
+// CopyBuffers holds *[]byte for streaming bodies.
+var CopyBuffers = sync.Pool{New: func() any { buffer := make([]byte, copyBufferBytes); return &buffer }}
--- a/internal/call/conn.go
+++ b/internal/exchange/conn.go
@@ -1,4 +1,4 @@
-package call
+package exchange
 
 import (
 	"bufio"
@@ -13,9 +13,10 @@
 // conn is a client connection that carries one call at a time.
 type conn struct {
 	net.Conn
-	limit     limitReader
-	reader    *bufio.Reader
-	idleSince time.Time
+	limit  limitReader
+	reader *bufio.Reader
+	// expires is when the connection has been idle for too long.
+	expires time.Time
 	// raw is nil when the connection is no socket.
 	raw syscall.RawConn
 	// probe checks the socket; it is kept because a closure for each call would be
--- a/internal/call/limit_reader.go
+++ b/internal/exchange/limit_reader.go
@@ -1,4 +1,4 @@
-package call
+package exchange
 
 import (
 	"errors"
@@ -6,8 +6,8 @@
 	"math"
 )
 
-// errHeadTooLarge marks an answer whose head exceeds the limit.
-var errHeadTooLarge = errors.New("the head of the answer exceeds the limit")
+// ErrHeadTooLarge marks an answer whose head exceeds the limit.
+var ErrHeadTooLarge = errors.New("the head of the answer exceeds the limit")
 
 // limitReader bounds the bytes read while a head is expected, because
 // http.ReadResponse reads a head of any size.
@@ -25,7 +25,7 @@
 // Read implements io.Reader.
 func (l *limitReader) Read(p []byte) (int, error) {
 	if l.remaining <= 0 {
-		return 0, errHeadTooLarge
+		return 0, ErrHeadTooLarge
 	}
 	if int64(len(p)) > l.remaining {
 		p = p[:l.remaining]
--- /dev/null
+++ b/internal/exchange/options.go
@@ -0,0 +1,26 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Options configure a Client. All fields but MaxOpen are required.
+type Options struct {
+	Dial DialFunc
+	// MaxOpen bounds the connections to one address, in use and idle together; nil
+	// means no bound.
+	MaxOpen func() int
+	// MaxIdle is the number of idle connections kept to one address.
+	MaxIdle int
+	// IdleTimeout is how long a connection stays idle, unless the peer announced a
+	// shorter time.
+	IdleTimeout time.Duration
+	// HeadBytes bounds the head of an answer.
+	HeadBytes int
+	Now       func() time.Time
+}
--- a/internal/call/outgoing.go
+++ b/internal/exchange/outgoing.go
@@ -1,4 +1,4 @@
-package call
+package exchange
 
 import (
 	"io"
@@ -6,76 +6,109 @@
 	"net/http/httputil"
 	"strconv"
 	"sync"
+	"time"
 )
 
 // inlineBody is the largest kept body that is copied behind the head, so that
 // both leave in one write.
 const inlineBody = 16 << 10
 
-// field is a header that a node adds to a request.
-type field struct {
-	name  string
-	value string
+// Field is a header that a node adds to a request.
+type Field struct {
+	Name  string
+	Value string
 }
 
-// outgoing is a request as it is written to a connection.
-type outgoing struct {
-	method  string
-	uri     string
-	host    string
-	header  http.Header
-	added   []field
-	body    *body
+// Outgoing is a request as it is written to a connection.
+type Outgoing struct {
+	Method string
+	URI    string
+	Host   string
+	Header http.Header
+	// Skip reports the headers that are not passed on; nil passes all that do not
+	// concern a single connection.
+	Skip  func(name string) bool
+	Added []Field
+	Body  *Body
+	// AckWithin bounds the wait for the first sign of the peer, an interim answer
+	// for example; 0 waits until the context ends.
+	AckWithin time.Duration
+	// HoldBody sends the body only after the peer's interim answer 100, so that a
+	// silent peer certainly does not have the request.
+	HoldBody bool
+	// Owns reports whether an answer belongs to the request; nil accepts every one.
+	Owns func(*http.Response) bool
+
 	copying chan error
 }
 
 var headBuffers = sync.Pool{New: func() any { buffer := make([]byte, 0, 2048); return &buffer }}
 
 // appendHead appends the request head.
-func (o *outgoing) appendHead(b []byte) []byte {
-	b = append(b, o.method...)
+func (o *Outgoing) appendHead(b []byte) []byte {
+	b = append(b, o.Method...)
 	b = append(b, ' ')
-	b = append(b, o.uri...)
+	b = append(b, o.URI...)
 	b = append(b, " HTTP/1.1\r\n"...)
-	b = appendField(b, "Host", o.host)
-	options := hasConnectionOptions(o.header)
-	for name, values := range o.header {
-		if isHopByHop(name) || isOwn(name) || name == "Content-Length" || (options && isConnectionOption(o.header, name)) {
+	b = appendField(b, "Host", o.Host)
+	options := HasConnectionOptions(o.Header)
+	for name, values := range o.Header {
+		if o.skips(name) || (options && IsConnectionOption(o.Header, name)) {
 			continue
 		}
 		for _, value := range values {
 			b = appendField(b, name, value)
 		}
 	}
-	for _, added := range o.added {
-		b = appendField(b, added.name, added.value)
+	for _, added := range o.Added {
+		b = appendField(b, added.Name, added.Value)
+	}
+	if o.holdsBody() {
+		b = appendField(b, "Expect", "100-continue")
 	}
 	b = o.appendFraming(b)
 	return append(b, "\r\n"...)
 }
 
-func (o *outgoing) appendFraming(b []byte) []byte {
+func (o *Outgoing) appendFraming(b []byte) []byte {
 	switch {
-	case o.body.length < 0:
+	case o.Body.Length < 0:
 		return appendField(b, "Transfer-Encoding", "chunked")
-	case o.body.length > 0 || usuallyHasBody(o.method):
+	case o.Body.Length > 0 || usuallyHasBody(o.Method):
 		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, o.body.length, 10)
+		b = strconv.AppendInt(b, o.Body.Length, 10)
 		return append(b, "\r\n"...)
 	default:
 		return b
 	}
 }
 
+func (o *Outgoing) skips(name string) bool {
+	return IsHopByHop(name) || name == "Content-Length" || name == "Expect" || (o.Skip != nil && o.Skip(name))
+}
+
+// holdsBody reports whether there is a body that waits for the peer.
+func (o *Outgoing) holdsBody() bool { return o.HoldBody && o.Body.Length != 0 }
+
+// writeHead sends the head alone.
+func (o *Outgoing) writeHead(c *conn) error {
+	buffer := headBuffers.Get().(*[]byte)
+	defer headBuffers.Put(buffer)
+	head := o.appendHead((*buffer)[:0])
+	*buffer = head[:0]
+	_, err := c.Write(head)
+	return err
+}
+
 // write sends head and kept body. begun reports whether any byte may have left.
 // The rest of a body that is not kept is sent by a goroutine; copied waits for
 // it.
-func (o *outgoing) write(c *conn) (begun bool, err error) {
+func (o *Outgoing) write(c *conn) (begun bool, err error) {
 	buffer := headBuffers.Get().(*[]byte)
 	defer headBuffers.Put(buffer)
 	head := o.appendHead((*buffer)[:0])
-	kept := o.body.kept
-	if o.body.length >= 0 && len(kept) <= inlineBody {
+	kept := o.Body.Kept
+	if o.Body.Length >= 0 && len(kept) <= inlineBody {
 		head = append(head, kept...)
 		kept = nil
 	}
@@ -86,14 +119,14 @@
 	return true, o.writeBody(c, kept)
 }
 
-func (o *outgoing) writeBody(c *conn, kept []byte) error {
-	if o.body.length >= 0 {
+func (o *Outgoing) writeBody(c *conn, kept []byte) error {
+	if o.Body.Length >= 0 {
 		if len(kept) > 0 {
 			if _, err := c.Write(kept); err != nil {
 				return err
 			}
 		}
-		if !o.body.isKept() {
+		if !o.Body.IsKept() {
 			o.copyRest(c, nil)
 		}
 		return nil
@@ -108,15 +141,15 @@
 
 // copyRest sends the part of the body that is not kept. It runs beside the
 // reading of the answer, because a server may answer before it has read all.
-func (o *outgoing) copyRest(c *conn, chunked io.WriteCloser) {
-	o.body.restTaken = true
-	rest := o.body.rest
-	remaining := o.body.length - int64(len(o.body.kept))
+func (o *Outgoing) copyRest(c *conn, chunked io.WriteCloser) {
+	o.Body.restTaken = true
+	rest := o.Body.rest
+	remaining := o.Body.Length - int64(len(o.Body.Kept))
 	copying := make(chan error, 1)
 	o.copying = copying
 	go func() {
-		buffer := copyBuffers.Get().(*[]byte)
-		defer copyBuffers.Put(buffer)
+		buffer := CopyBuffers.Get().(*[]byte)
+		defer CopyBuffers.Put(buffer)
 		if chunked == nil {
 			copying <- copyExactly(c, rest, remaining, *buffer)
 			return
@@ -126,7 +159,7 @@
 }
 
 // sent reports whether the whole body has been sent.
-func (o *outgoing) sent() bool {
+func (o *Outgoing) sent() bool {
 	if o.copying == nil {
 		return true
 	}
--- a/internal/call/pool.go
+++ b/internal/exchange/pool.go
@@ -1,34 +1,17 @@
-package call
+package exchange
 
 import (
 	"context"
-	"net"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
-const (
-	// probes is how often a server whose connection broke is dialled to tell
-	// whether it is gone.
-	probes = 4
-	// probeInterval is the time between two of these dials.
-	probeInterval = 20 * time.Millisecond
-)
-
 // pool holds the connections to one address.
 type pool struct {
+	options *Options
 	address string
-	dial    func(ctx context.Context, network, address string) (net.Conn, error)
-	// maxOpen bounds the connections in use and idle together; nil means no bound.
-	maxOpen     func() int
-	maxIdle     int
-	idleTimeout time.Duration
-	now         func() time.Time
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -46,7 +29,7 @@
 		if c == nil {
 			return p.connect(ctx)
 		}
-		if c.isUsable() {
+		if p.options.Now().Before(c.expires) && c.isUsable() {
 			return c, nil
 		}
 		p.drop(c)
@@ -64,15 +47,15 @@
 		p.idle = p.idle[:last]
 		return c, nil
 	}
-	if p.maxOpen != nil && p.open >= p.maxOpen() {
-		return nil, result.Errorf(result.Overloaded, "the backend server at %s allows %d connections and all are in use", p.address, p.maxOpen())
+	if p.options.MaxOpen != nil && p.open >= p.options.MaxOpen() {
+		return nil, result.Errorf(result.Overloaded, "the backend server at %s allows %d connections and all are in use", p.address, p.options.MaxOpen())
 	}
 	p.open++
 	return nil, nil
 }
 
 func (p *pool) connect(ctx context.Context) (*conn, error) {
-	raw, err := p.dial(ctx, "tcp", p.address)
+	raw, err := p.options.Dial(ctx, "tcp", p.address)
 	if err != nil {
 		p.forget()
 		return nil, err
@@ -80,28 +63,16 @@
 	return newConn(raw), nil
 }
 
-// refuses reports whether the address refuses new connections. It asks more than
-// once, because a process that ends closes its sockets one by one and its
-// listener may be among the last. The broken connection that leads here was
-// dropped, so the bound of connections is exceeded, by one, only when another
-// call has taken its place.
-func (p *pool) refuses(ctx context.Context) bool {
-	for range probes {
-		raw, err := p.dial(ctx, "tcp", p.address)
-		if err != nil {
-			return errors.Is(err, syscall.ECONNREFUSED)
-		}
-		raw.Close()
-		time.Sleep(probeInterval)
+// put keeps a connection whose exchange ended whole. announced is the idle time
+// that the peer announced, or 0.
+func (p *pool) put(c *conn, announced time.Duration) {
+	idle := p.options.IdleTimeout
+	if announced > 0 {
+		idle = min(idle, announced)
 	}
-	return false
-}
-
-// put keeps a connection whose call ended whole.
-func (p *pool) put(c *conn) {
-	c.idleSince = p.now()
+	c.expires = p.options.Now().Add(idle)
 	p.mu.Lock()
-	if p.closed || len(p.idle) >= p.maxIdle {
+	if p.closed || len(p.idle) >= p.options.MaxIdle {
 		p.mu.Unlock()
 		p.drop(c)
 		return
@@ -125,14 +96,19 @@
 // sweep closes the connections that have been idle for too long and reports
 // whether the pool holds none.
 func (p *pool) sweep() bool {
-	oldest := p.now().Add(-p.idleTimeout)
+	now := p.options.Now()
 	p.mu.Lock()
-	kept := 0
-	for kept < len(p.idle) && p.idle[kept].idleSince.Before(oldest) {
-		kept++
+	var expired []*conn
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if c.expires.After(now) {
+			kept = append(kept, c)
+		} else {
+			expired = append(expired, c)
+		}
 	}
-	expired := append([]*conn(nil), p.idle[:kept]...)
-	p.idle = append(p.idle[:0], p.idle[kept:]...)
+	clear(p.idle[len(kept):])
+	p.idle = kept
 	p.mu.Unlock()
 	for _, c := range expired {
 		p.drop(c)
@@ -144,9 +120,16 @@
 
 // close drops the idle connections; those in use are dropped when they return.
 func (p *pool) close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.dropIdle()
+}
+
+func (p *pool) dropIdle() {
 	p.mu.Lock()
 	idle := p.idle
-	p.idle, p.closed = nil, true
+	p.idle = nil
 	p.mu.Unlock()
 	for _, c := range idle {
 		p.drop(c)
