--- /dev/null
+++ b/cmd/rosemaryladder-sidecar/main.go
@@ -0,0 +1,113 @@
+// Command rosemaryladder-sidecar is the node on the users' platform: one process
+// beside each backend server.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"rosemaryladder.dev/rosemaryladder/internal/instance"
+	"rosemaryladder.dev/rosemaryladder/internal/registry"
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+	"rosemaryladder.dev/rosemaryladder/internal/settings"
+	"rosemaryladder.dev/rosemaryladder/internal/sidecar"
+	"rosemaryladder.dev/rosemaryladder/internal/telemetry"
+	"rosemaryladder.dev/rosemaryladder/platform"
+)
+
+// logLinesPerSecond bounds the log of a node under load.
+const logLinesPerSecond = 400
+
+// arguments are the arguments of the daemon.
+type arguments struct {
+	Settings string `arg:"positional,env:ROSEMARYLADDER_CONFIG,required" help:"settings file (docs/SETTINGS.md)"`
+	Check    bool   `arg:"--check" help:"validate the settings and exit"`
+}
+
+// Description is printed above the help.
+func (arguments) Description() string {
+	return "rosemaryladder-sidecar carries the requests of one host and of the backend server on it."
+}
+
+// Version is printed by --version.
+func (arguments) Version() string { return telemetry.Version("rosemaryladder-sidecar") }
+
+func main() {
+	if err := run(); err != nil {
+		code := result.CodeOf(err)
+		fmt.Fprintf(os.Stderr, "error %d (%s): %v\n%s\n", code, result.Describe(code).Name, err, result.Describe(code).Next)
+		os.Exit(int(code))
+	}
+}
+
+func run() error {
+	var args arguments
+	arg.MustParse(&args)
+	loaded, err := settings.LoadSidecar(args.Settings)
+	if err != nil {
+		return err
+	}
+	if args.Check {
+		fmt.Println(args.Settings + ": valid")
+		return nil
+	}
+	return serve(args.Settings, loaded)
+}
+
+func serve(path string, loaded settings.Sidecar) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	level, err := logrus.ParseLevel(loaded.Log.Level)
+	if err != nil {
+		return result.Wrap(err, result.SettingsInvalid, "section [log]: key %q", "level")
+	}
+	out := telemetry.NewAsyncWriter(os.Stdout, logLinesPerSecond)
+	defer out.Close()
+	log := telemetry.NewLogger(out, telemetry.LogFormat(loaded.Log.Format), level, loaded.Node.Host)
+	node, err := sidecar.New(loaded, adapter(), log)
+	if err != nil {
+		return err
+	}
+	go reload(path, reloads, node, log)
+	return node.Run(ctx)
+}
+
+// reload reads the settings again on SIGHUP; invalid ones change nothing.
+func reload(path string, signals <-chan os.Signal, node *sidecar.Sidecar, log *logrus.Entry) {
+	for range signals {
+		loaded, err := settings.LoadSidecar(path)
+		if err != nil {
+			log.WithError(err).Warn("changed settings refused; the previous ones stay in force")
+			continue
+		}
+		node.Reload(loaded)
+	}
+}
+
+// adapter binds the node to the users' platform.
+func adapter() sidecar.Adapter {
+	return sidecar.Adapter{
+		Vocabulary:       platform.Vocabulary(),
+		ConfigurationKey: platform.ConfigurationKey,
+		EntriesPrefix:    platform.EntriesPrefix,
+		WatchPrefix:      platform.WatchPrefix,
+		Decode:           platform.DecodeConfiguration,
+		Store: func(address string, transport http.RoundTripper, scope tally.Scope) registry.Store {
+			return platform.NewStore(address, transport, scope)
+		},
+		Announcements: func(tracker *instance.Tracker, log *logrus.Entry, scope tally.Scope) http.Handler {
+			return platform.CheckIns(tracker, log, scope)
+		},
+		Readiness: platform.Readiness,
+	}
+}
--- /dev/null
+++ b/internal/balance/balancer.go
@@ -0,0 +1,240 @@
+package balance
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+)
+
+const (
+	// lateWorth is what a request loses when it misses its objective, in units of
+	// its worth.
+	lateWorth = 0.7
+	// lateCentre and lateWidth shape the chance of missing the objective over the
+	// predicted time as a share of it: even at the centre, because the times of
+	// single requests spread widely.
+	lateCentre = 0.8
+	lateWidth  = 0.15
+	// timeWorth prefers the faster of two servers that both meet the objective.
+	timeWorth = 0.05
+	// spread is the largest random part of a cost, so that equal servers share.
+	spread = 0.01
+	// bytesPerMB converts to the unit of the prices.
+	bytesPerMB = 1 << 20
+	// maxRoutes bounds the routes with averages of their own.
+	maxRoutes = 512
+)
+
+// Balancer chooses nodes. It is safe for concurrent use; its lock is held for
+// one choice among the nodes of one service.
+type Balancer struct {
+	config Config
+
+	mu     sync.Mutex
+	peers  map[string]*peer
+	routes map[string]*routeStats
+}
+
+// New returns a balancer without observations.
+func New(config Config) (*Balancer, error) {
+	if err := config.Validate(); err != nil {
+		return nil, err
+	}
+	return &Balancer{config: config, peers: make(map[string]*peer), routes: make(map[string]*routeStats)}, nil
+}
+
+// Choose returns the node with the lowest cost among the candidates, and counts
+// a request in flight there until Done. Nodes that are passed over are chosen
+// only when no other is left; false when every candidate is excluded.
+func (b *Balancer) Choose(now time.Time, candidates []fleet.Entry, request Request) (Choice, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	stats := b.route(request.Route)
+	var best Choice
+	found, bestDown := false, false
+	for _, entry := range candidates {
+		if slices.Contains(request.Excluded, entry.Node) {
+			continue
+		}
+		p := b.peer(entry)
+		choice := b.estimate(now, entry, p, stats, request)
+		down := p.down(now)
+		if !found || (bestDown && !down) || (bestDown == down && choice.Cost < best.Cost) {
+			best, found, bestDown = choice, true, down
+		}
+	}
+	if found {
+		b.peers[best.Entry.Node].inFlight++
+	}
+	return best, found
+}
+
+// estimate returns the cost of sending the request to a node.
+func (b *Balancer) estimate(now time.Time, entry fleet.Entry, p *peer, stats *routeStats, request Request) Choice {
+	distance := b.config.distanceTo(entry.Domain)
+	rtt := p.rtt
+	if rtt == 0 {
+		rtt = b.assumedRTT(distance)
+	}
+	work := time.Duration(stats.work * p.relativeSpeed(now))
+	predicted := rtt + p.wait(now, entry.Slots) + work
+	late := chanceLate(predicted, request.Remaining, request.Objective)
+	cost := lateWorth*late + p.failing(now) + b.price(distance)*stats.bytes/bytesPerMB
+	cost += timeWorth * float64(predicted) / float64(max(request.Objective, 1))
+	cost += spread * request.Random()
+	age := time.Duration(-1)
+	if !p.reported.IsZero() {
+		age = now.Sub(p.reported)
+	}
+	return Choice{Entry: entry, Distance: distance, RTT: rtt, Work: work, Cost: cost, Age: age}
+}
+
+// wait returns the predicted wait for a slot.
+func (p *peer) wait(now time.Time, slots int) time.Duration {
+	if slots == 0 {
+		return 0
+	}
+	above := p.occupied(now) + 1 - slots
+	if above <= 0 {
+		return 0
+	}
+	return p.report.Hold * time.Duration(above) / time.Duration(slots)
+}
+
+func chanceLate(predicted, remaining, objective time.Duration) float64 {
+	if objective <= 0 {
+		return 0
+	}
+	share := float64(predicted+objective-remaining) / float64(objective)
+	return 1 / (1 + math.Exp((lateCentre-share)/lateWidth))
+}
+
+// Done notes the end of a request to a node. report is nil when the node said
+// nothing of its server.
+func (b *Balancer) Done(now time.Time, node, route string, report *Report, elapsed time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p, found := b.peers[node]
+	if !found {
+		return
+	}
+	p.inFlight--
+	if report == nil {
+		return
+	}
+	p.reached()
+	stats := b.route(route)
+	if report.Ran > 0 {
+		stats.addWork(float64(report.Ran))
+	}
+	p.observe(now, *report, elapsed, stats.work)
+}
+
+// Sized notes the bytes of a request and its answer.
+func (b *Balancer) Sized(route string, bytes int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.route(route).addBytes(float64(bytes))
+}
+
+// Unreachable passes a node over for a time that grows with each failure.
+func (b *Balancer) Unreachable(now time.Time, node string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p, found := b.peers[node]; found {
+		p.unreachable(now)
+	}
+}
+
+// NoServer passes over a node whose server takes no requests at the moment.
+func (b *Balancer) NoServer(now time.Time, node string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p, found := b.peers[node]; found {
+		p.downUntil = now.Add(refusalMemory)
+	}
+}
+
+// Reached notes that a node can be reached again.
+func (b *Balancer) Reached(node string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p, found := b.peers[node]; found {
+		p.reached()
+	}
+}
+
+// Expected returns the average time of a route's requests at a server.
+func (b *Balancer) Expected(route string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Duration(b.route(route).work)
+}
+
+// Retain forgets the nodes that are not in the view.
+func (b *Balancer) Retain(view *fleet.View) {
+	known := make(map[string]bool)
+	for _, entry := range view.Entries() {
+		known[entry.Node] = true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for node, p := range b.peers {
+		if !known[node] && p.inFlight == 0 {
+			delete(b.peers, node)
+		}
+	}
+}
+
+// peer returns the observations of a node. Those of an earlier server at the
+// same place say nothing about a new one, but for the requests in flight.
+func (b *Balancer) peer(entry fleet.Entry) *peer {
+	p := b.peers[entry.Node]
+	if p == nil {
+		p = newPeer(entry.Server)
+		b.peers[entry.Node] = p
+	}
+	if p.server != entry.Server {
+		fresh := newPeer(entry.Server)
+		fresh.inFlight, fresh.rtt = p.inFlight, p.rtt
+		*p = *fresh
+	}
+	return p
+}
+
+func (b *Balancer) route(name string) *routeStats {
+	stats := b.routes[name]
+	if stats == nil {
+		if len(b.routes) >= maxRoutes {
+			clear(b.routes)
+		}
+		stats = &routeStats{}
+		b.routes[name] = stats
+	}
+	return stats
+}
+
+func (b *Balancer) price(distance Distance) float64 {
+	switch distance {
+	case SameDomain:
+		return 0
+	case SameRegion:
+		return b.config.CrossDomainPerMB
+	default:
+		return b.config.CrossRegionPerMB
+	}
+}
+
+func (b *Balancer) assumedRTT(distance Distance) time.Duration {
+	switch distance {
+	case SameDomain:
+		return b.config.DomainRTT
+	case SameRegion:
+		return b.config.RegionRTT
+	default:
+		return b.config.RemoteRTT
+	}
+}
--- /dev/null
+++ b/internal/balance/peer.go
@@ -0,0 +1,103 @@
+package balance
+
+import (
+	"time"
+)
+
+const (
+	// observationGain is the weight of a new sample of a node's speed and round
+	// trip, so that about the last ten count.
+	observationGain = 0.12
+	// speedMemory is how long a node that was measured as slow is held to be so
+	// without new samples.
+	speedMemory = 4 * time.Second
+	// loadMemory is how long a reported load counts; after it only the node's own
+	// requests in flight are known.
+	loadMemory = time.Second
+	// firstBackoff and maxBackoff bound how long a node that could not be reached
+	// is passed over, unless it is heard from.
+	firstBackoff = 250 * time.Millisecond
+	maxBackoff   = 2 * time.Second
+	// refusalMemory is how long a node is passed over whose gate said that it has
+	// no server that takes requests.
+	refusalMemory = 500 * time.Millisecond
+	// failureMemory is how long failures that a node reported count without news.
+	failureMemory = 2 * time.Second
+)
+
+// peer is what is known of one node.
+type peer struct {
+	inFlight int
+	report   Report
+	reported time.Time
+	// inFlightThen is the number of own requests in flight at the report.
+	inFlightThen int
+	// speed is the node's time for a request in relation to the route's average.
+	speed   float64
+	sampled time.Time
+	rtt     time.Duration
+	// server is the identity that the observations belong to.
+	server string
+
+	failures  int
+	downUntil time.Time
+}
+
+func newPeer(server string) *peer { return &peer{speed: 1, server: server} }
+
+// occupied returns the requests at the server, as far as known.
+func (p *peer) occupied(now time.Time) int {
+	if p.reported.IsZero() || now.Sub(p.reported) > loadMemory {
+		return p.inFlight
+	}
+	estimate := p.report.Running + p.report.Waiting + p.inFlight - p.inFlightThen
+	return max(estimate, p.inFlight)
+}
+
+// relativeSpeed returns to 1 without samples.
+func (p *peer) relativeSpeed(now time.Time) float64 {
+	idle := now.Sub(p.sampled)
+	if p.sampled.IsZero() || idle >= speedMemory {
+		return 1
+	}
+	return p.speed + (1-p.speed)*float64(idle)/float64(speedMemory)
+}
+
+func (p *peer) failing(now time.Time) float64 {
+	idle := now.Sub(p.reported)
+	if p.reported.IsZero() || idle >= failureMemory {
+		return 0
+	}
+	return p.report.Failing * (1 - float64(idle)/float64(failureMemory))
+}
+
+func (p *peer) down(now time.Time) bool { return now.Before(p.downUntil) }
+
+// reached notes that the node answered.
+func (p *peer) reached() {
+	p.failures = 0
+	p.downUntil = time.Time{}
+}
+
+// unreachable passes the node over for a time that doubles.
+func (p *peer) unreachable(now time.Time) {
+	backoff := min(firstBackoff<<min(p.failures, 4), maxBackoff)
+	p.failures++
+	p.downUntil = now.Add(backoff)
+}
+
+// observe takes over a report and its measurements.
+func (p *peer) observe(now time.Time, report Report, elapsed time.Duration, average float64) {
+	p.report, p.reported, p.inFlightThen = report, now, p.inFlight
+	rtt := max(elapsed-report.Spent, 0)
+	if p.rtt == 0 {
+		p.rtt = rtt
+	} else {
+		p.rtt += time.Duration(observationGain * float64(rtt-p.rtt))
+	}
+	if report.Ran > 0 && average > 0 {
+		p.speed = p.relativeSpeed(now)
+		p.speed += observationGain * (float64(report.Ran)/average - p.speed)
+		p.sampled = now
+	}
+}
--- a/internal/call/faults_test.go
+++ b/internal/call/faults_test.go
@@ -3,8 +3,9 @@
 import (
 	"context"
 	"net"
-	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 	"sync/atomic"
+
+	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 )
 
 // breaker breaks connections after a number of bytes. Both ends then see a
--- /dev/null
+++ b/internal/fleet/entry.go
@@ -0,0 +1,82 @@
+package fleet
+
+import (
+	"encoding/json"
+	"net"
+
+	"github.com/pkg/errors"
+)
+
+// Entry describes a node and the backend server beside it. The field names are
+// short because each entry crosses the paid link.
+type Entry struct {
+	// Node names the place of the node; a node that replaces another there has the
+	// same name.
+	Node string `json:"n"`
+	// Gate is the address that takes requests for the server.
+	Gate string `json:"g"`
+	// Domain is the failure domain.
+	Domain  string `json:"d"`
+	Service string `json:"s"`
+	// Server is the identity of the server's current run.
+	Server string `json:"i"`
+	State  State  `json:"t"`
+	// Slots is the number of requests that the server runs at once.
+	Slots int `json:"c"`
+	// Incarnation grows with each start of the node at this place, Sequence with
+	// each change of the entry in between.
+	Incarnation int64 `json:"e"`
+	Sequence    int64 `json:"q"`
+}
+
+// Newer reports whether the entry replaces another one of the same node.
+func (e Entry) Newer(than Entry) bool {
+	if e.Incarnation != than.Incarnation {
+		return e.Incarnation > than.Incarnation
+	}
+	return e.Sequence > than.Sequence
+}
+
+// Encode returns the entry as it is stored.
+func (e Entry) Encode() []byte {
+	data, err := json.Marshal(e)
+	if err != nil {
+		// An Entry has only strings and numbers, which always encode.
+		panic(err)
+	}
+	return data
+}
+
+// Decode reads an entry. The error names the field that is wrong.
+func Decode(data []byte) (Entry, error) {
+	var entry Entry
+	if err := json.Unmarshal(data, &entry); err != nil {
+		return Entry{}, errors.Wrap(err, "decode the entry of a node")
+	}
+	return entry, entry.Validate()
+}
+
+// Validate names the first field that is wrong.
+func (e Entry) Validate() error {
+	switch {
+	case e.Node == "":
+		return errors.New("entry without a node")
+	case !validAddress(e.Gate):
+		return errors.Errorf("entry of node %s: gate %q is not an IP address and a port", e.Node, e.Gate)
+	case e.Domain == "":
+		return errors.Errorf("entry of node %s has no failure domain", e.Node)
+	case e.Service == "":
+		return errors.Errorf("entry of node %s has no service", e.Node)
+	case e.State != Ready && e.State != Draining && e.State != Absent:
+		return errors.Errorf("entry of node %s: unknown state %q", e.Node, e.State)
+	case e.Slots < 0:
+		return errors.Errorf("entry of node %s: %d slots", e.Node, e.Slots)
+	default:
+		return nil
+	}
+}
+
+func validAddress(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	return err == nil && net.ParseIP(host) != nil
+}
--- /dev/null
+++ b/internal/proxy/boot_clock.go
@@ -0,0 +1,18 @@
+package proxy
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// sinceBoot returns the time since the host started, suspensions included, which
+// Go's monotonic clock leaves out.
+func sinceBoot() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		// The call fails only for an unknown clock, which this one is not on Linux.
+		panic(err)
+	}
+	return time.Duration(now.Nano())
+}
--- /dev/null
+++ b/internal/proxy/copy_body.go
@@ -0,0 +1,31 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+
+	"rosemaryladder.dev/rosemaryladder/internal/exchange"
+)
+
+// copyBody sends the body of an answer. A body of unknown length is flushed as it
+// arrives, so that its reader doesn't wait for a full buffer. It reports whether
+// the whole body was sent.
+func copyBody(w http.ResponseWriter, found *answer) bool {
+	buffer := exchange.CopyBuffers.Get().(*[]byte)
+	defer exchange.CopyBuffers.Put(buffer)
+	controller := http.NewResponseController(w)
+	for {
+		n, err := found.body.Read(*buffer)
+		if n > 0 {
+			if _, writeErr := w.Write((*buffer)[:n]); writeErr != nil {
+				return false
+			}
+			if found.length < 0 && err == nil && controller.Flush() != nil {
+				return false
+			}
+		}
+		if err != nil {
+			return err == io.EOF
+		}
+	}
+}
--- /dev/null
+++ b/internal/proxy/gate_handler.go
@@ -0,0 +1,131 @@
+package proxy
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/balance"
+	"rosemaryladder.dev/rosemaryladder/internal/exchange"
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+// serve answers a request that a front on another node sent.
+func (g *gate) serve(w http.ResponseWriter, r *http.Request) {
+	j, refused := g.acceptHop(w, r)
+	if refused != nil {
+		g.refuse(w, refused, balance.Report{})
+		return
+	}
+	defer j.body.Free()
+	found, refused, report := g.run(r.Context(), j)
+	g.log(j, refused, report)
+	if refused != nil {
+		g.refuse(w, refused, report)
+		return
+	}
+	found.copyHeader(w.Header())
+	g.setAccount(w, result.OK, report)
+	if found.length >= 0 {
+		w.Header()["Content-Length"] = []string{strconv.FormatInt(found.length, 10)}
+	}
+	w.WriteHeader(found.status)
+	whole := copyBody(w, found)
+	found.finish(whole)
+	if !whole {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// acceptHop reads the request of a front. The interim answer tells the front that
+// the gate lives: 102 at once, or 100 when the body is read.
+func (g *gate) acceptHop(w http.ResponseWriter, r *http.Request) (*job, *refusal) {
+	h, err := parseHop(r.Header.Get(headerHop))
+	if err != nil {
+		return nil, refuse(result.BadRequest, err.Error())
+	}
+	now := g.deps.Now()
+	j := &job{
+		id: r.Header.Get(g.deps.Vocabulary.RequestID), route: h.route, service: h.service,
+		caller: r.Header.Get(g.deps.Vocabulary.CallerService),
+		method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header,
+		idempotent: h.idempotent, priority: h.priority, deadline: now.Add(h.remaining), maxWait: h.maxWait,
+		arrived: sinceBoot(), budget: h.remaining,
+	}
+	if refused := g.check(j, g.deps.Server.Server().State); refused != nil {
+		return nil, refused
+	}
+	if r.ContentLength == 0 {
+		w.WriteHeader(http.StatusProcessing)
+		j.body = &exchange.Body{}
+		return j, nil
+	}
+	j.body, err = readBody(w, r, j.deadline, g.config.KeptBytes)
+	if err != nil {
+		return nil, refuse(result.BadRequest, "the body of the request ended early: "+err.Error())
+	}
+	return j, nil
+}
+
+// refuse sends a refusal to the front.
+func (g *gate) refuse(w http.ResponseWriter, refused *refusal, report balance.Report) {
+	g.setAccount(w, refused.code, report)
+	w.Header().Set("Content-Type", "text/plain")
+	w.Header().Set("Content-Length", strconv.Itoa(len(refused.message)))
+	status := http.StatusServiceUnavailable
+	if !refused.notRun() {
+		status = http.StatusBadGateway
+	}
+	if refused.arrived {
+		w.Header().Set(headerArrived, "1")
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(refused.message))
+}
+
+// setAccount sets the headers that only the front reads.
+func (g *gate) setAccount(w http.ResponseWriter, code result.Code, report balance.Report) {
+	w.Header()[headerOutcome] = []string{strconv.Itoa(int(code))}
+	w.Header()[headerReport] = []string{formatReport(report)}
+	w.Header()[HeaderVersion] = []string{strconv.FormatUint(uint64(g.deps.Routes.Version()), 10)}
+}
+
+// log writes a line for a request that the gate did not answer from its server.
+func (g *gate) log(j *job, refused *refusal, report balance.Report) {
+	if refused == nil || refused.cancelled {
+		return
+	}
+	server := g.deps.Server.Server()
+	g.deps.Log.WithFields(map[string]any{
+		"request": j.id, "route": j.route, "server": server.ID, "state": server.State,
+		"running": report.Running, "waiting": report.Waiting, "slots": report.Slots,
+		"max_wait_ms": j.maxWait.Milliseconds(), "spent_ms": report.Spent.Milliseconds(), "code": int(refused.code),
+	}).Info("gate: " + refused.message)
+}
+
+// readBody reads a request body or its first part, within the deadline.
+func readBody(w http.ResponseWriter, r *http.Request, deadline time.Time, kept int) (*exchange.Body, error) {
+	if r.ContentLength == 0 {
+		return &exchange.Body{}, nil
+	}
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(deadline); err != nil {
+		return nil, fmt.Errorf("set the read deadline: %w", err)
+	}
+	read, err := exchange.ReadBody(r, kept)
+	if err != nil {
+		return nil, err
+	}
+	if read.IsKept() {
+		err = controller.SetReadDeadline(time.Time{})
+	} else {
+		// A server may answer before it has read the whole body.
+		err = controller.EnableFullDuplex()
+	}
+	if err != nil {
+		read.Free()
+		return nil, fmt.Errorf("prepare the connection: %w", err)
+	}
+	return read, nil
+}
--- /dev/null
+++ b/internal/proxy/hop.go
@@ -0,0 +1,75 @@
+package proxy
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	hopFields = 6
+	// maxHopTime bounds the times in a hop header, so that they fit a duration.
+	maxHopTime = 24 * time.Hour
+	once       = "once"
+	many       = "many"
+)
+
+// hop is what a front tells a gate of a request.
+type hop struct {
+	service    string
+	route      string
+	remaining  time.Duration
+	maxWait    time.Duration
+	priority   int
+	idempotent bool
+}
+
+func (h hop) String() string {
+	kind := once
+	if h.idempotent {
+		kind = many
+	}
+	return strings.Join([]string{
+		h.service, h.route,
+		strconv.FormatInt(h.remaining.Milliseconds(), 10),
+		strconv.FormatInt(h.maxWait.Milliseconds(), 10),
+		strconv.Itoa(h.priority), kind,
+	}, " ")
+}
+
+// parseHop reads a hop header. The error names the field that is wrong.
+func parseHop(value string) (hop, error) {
+	fields := strings.Fields(value)
+	if len(fields) != hopFields {
+		return hop{}, errors.Errorf("hop %q has %d fields, want %d", value, len(fields), hopFields)
+	}
+	remaining, err := parseMillis(fields[2])
+	if err != nil {
+		return hop{}, errors.Wrap(err, "hop: remaining time")
+	}
+	maxWait, err := parseMillis(fields[3])
+	if err != nil {
+		return hop{}, errors.Wrap(err, "hop: longest wait")
+	}
+	priority, err := strconv.Atoi(fields[4])
+	if err != nil || priority < 0 {
+		return hop{}, errors.Errorf("hop: priority %q is not a number from 0", fields[4])
+	}
+	if fields[5] != once && fields[5] != many {
+		return hop{}, errors.Errorf("hop: unknown kind %q", fields[5])
+	}
+	return hop{
+		service: fields[0], route: fields[1], remaining: remaining, maxWait: maxWait,
+		priority: priority, idempotent: fields[5] == many,
+	}, nil
+}
+
+func parseMillis(text string) (time.Duration, error) {
+	millis, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || millis < 0 || millis > maxHopTime.Milliseconds() {
+		return 0, errors.Errorf("%q is not a number of milliseconds up to %s", text, maxHopTime)
+	}
+	return time.Duration(millis) * time.Millisecond, nil
+}
--- /dev/null
+++ b/internal/proxy/keep.go
@@ -0,0 +1,32 @@
+package proxy
+
+import (
+	"bytes"
+	"io"
+
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+// keep reads an answer into memory, so that one that breaks off can be repeated
+// or reported as a failure. The rest of a larger answer is streamed.
+func (f *front) keep(c *call, found *answer) (*answer, *refusal) {
+	if found.length > int64(f.config.KeptBytes) {
+		return found, nil
+	}
+	var buffer bytes.Buffer
+	if found.length > 0 {
+		// ReadFrom wants bytes.MinRead free bytes to see the end of the input.
+		buffer.Grow(int(found.length) + bytes.MinRead)
+	}
+	n, err := buffer.ReadFrom(io.LimitReader(found.body, int64(f.config.KeptBytes)))
+	if err != nil {
+		found.finish(false)
+		return nil, &refusal{code: result.OutcomeUnknown, message: "the answer broke off: " + err.Error(), arrived: true}
+	}
+	if n == int64(f.config.KeptBytes) && found.length != n {
+		found.body = io.MultiReader(&buffer, found.body)
+		return found, nil
+	}
+	found.finish(true)
+	return &answer{status: found.status, header: found.header, length: n, body: &buffer, finish: func(bool) {}}, nil
+}
--- /dev/null
+++ b/internal/proxy/metrics.go
@@ -0,0 +1,49 @@
+package proxy
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+// latencyBuckets cover a call on the same host up to the longest time-outs.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
+// metrics count what happens to requests.
+type metrics struct {
+	scope     tally.Scope
+	answered  tally.Counter
+	bounced   tally.Counter
+	repeated  tally.Counter
+	denied    tally.Counter
+	broken    tally.Counter
+	spoiled   tally.Counter
+	cancelled tally.Counter
+	gated     tally.Counter
+	latency   tally.Histogram
+	hold      tally.Histogram
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	return &metrics{
+		scope:     scope,
+		answered:  scope.Counter("answered"),
+		bounced:   scope.Counter("bounced"),
+		repeated:  scope.Counter("repeated"),
+		denied:    scope.Counter("repeats_denied"),
+		broken:    scope.Counter("broken"),
+		spoiled:   scope.Counter("spoiled"),
+		cancelled: scope.Counter("cancelled"),
+		gated:     scope.Counter("gated"),
+		latency:   scope.Histogram("latency", latencyBuckets),
+		hold:      scope.Histogram("hold", latencyBuckets),
+	}
+}
+
+// refused counts a refusal of a caller by its code.
+func (m *metrics) refused(code result.Code) {
+	m.scope.Tagged(map[string]string{"code": strconv.Itoa(int(code))}).Counter("refused").Inc(1)
+}
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,127 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/exchange"
+	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+	"rosemaryladder.dev/rosemaryladder/internal/routing"
+)
+
+// Proxy is the front and the gate of one node.
+type Proxy struct {
+	front    *front
+	gate     *gate
+	inFlight atomic.Int64
+}
+
+// New returns a proxy; Close frees its connections.
+func New(config Config, deps Deps) (*Proxy, error) {
+	if err := config.Validate(); err != nil {
+		return nil, err
+	}
+	m := newMetrics(deps.Scope.SubScope("proxy"))
+	g := &gate{config: config, deps: deps, metrics: m, client: exchange.NewClient(exchange.Options{
+		Dial: dialWithin(deps.Dial, config.ServerConnectTimeout), MaxIdle: maxServerIdle, IdleTimeout: config.ServerIdleTimeout,
+		HeadBytes: config.HeadBytes, Now: deps.Now,
+	})}
+	f := &front{config: config, deps: deps, metrics: m, gate: g, splitter: routing.NewSplitter(), budgets: newBudgets(config, deps.Now)}
+	f.client = exchange.NewClient(exchange.Options{
+		Dial: dialWithin(deps.Dial, config.ConnectTimeout), MaxIdle: config.IdlePerPeer, IdleTimeout: config.PeerIdleTimeout,
+		HeadBytes: config.HeadBytes, Now: deps.Now,
+	})
+	deps.Routes.OnPublish(f.splitter.Retain)
+	return &Proxy{front: f, gate: g}, nil
+}
+
+// maxServerIdle is the number of idle connections kept to the server; requests in
+// flight, which the slots bound, leave no more.
+const maxServerIdle = 256
+
+// Front returns the handler of the callers' port.
+func (p *Proxy) Front() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.inFlight.Add(1)
+		defer p.inFlight.Add(-1)
+		p.front.serve(w, r)
+	})
+}
+
+// Gate returns the handler of the gate's port. Requests without a hop go to next.
+func (p *Proxy) Gate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerHop) == "" {
+			next.ServeHTTP(w, r)
+			return
+		}
+		p.inFlight.Add(1)
+		defer p.inFlight.Add(-1)
+		p.gate.serve(w, r)
+	})
+}
+
+// InFlight returns the number of requests that the node carries.
+func (p *Proxy) InFlight() int64 { return p.inFlight.Load() }
+
+// ServerChanged forgets what was measured of an earlier server.
+func (p *Proxy) ServerChanged() {
+	p.gate.failures.reset()
+	p.gate.client.DropIdle(p.gate.config.Server)
+}
+
+// Forget drops the idle connections to a node that is gone.
+func (p *Proxy) Forget(entry fleet.Entry) { p.front.client.DropIdle(entry.Gate) }
+
+// Close drops the idle connections.
+func (p *Proxy) Close() {
+	p.front.client.Close()
+	p.gate.client.Close()
+}
+
+// unackedTimeout is how long sent bytes may stay unacknowledged before the kernel
+// breaks a connection (TCP_USER_TIMEOUT): several round trips between regions.
+const unackedTimeout = 1500 * time.Millisecond
+
+// tcpUserTimeout is the socket option of RFC 5482 on Linux.
+const tcpUserTimeout = 18
+
+// dialWithin bounds a dial and the time that sent bytes stay unacknowledged.
+func dialWithin(dial exchange.DialFunc, timeout time.Duration) exchange.DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if err := setUserTimeout(conn); err != nil {
+			conn.Close()
+			return nil, err
+		}
+		return conn, nil
+	}
+}
+
+func setUserTimeout(conn net.Conn) error {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var optionErr error
+	err = raw.Control(func(fd uintptr) {
+		optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return optionErr
+}
--- /dev/null
+++ b/internal/proxy/report.go
@@ -0,0 +1,37 @@
+package proxy
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rosemaryladder.dev/rosemaryladder/internal/balance"
+)
+
+// reportFormat holds running, waiting and slots, the hold time in microseconds,
+// the share of failures in thousandths, and two more times in microseconds.
+const reportFormat = "%d %d %d %d %d %d %d"
+
+const thousandths = 1000
+
+func formatReport(r balance.Report) string {
+	return fmt.Sprintf(reportFormat, r.Running, r.Waiting, r.Slots, r.Hold.Microseconds(),
+		int(r.Failing*thousandths), r.Spent.Microseconds(), r.Ran.Microseconds())
+}
+
+func parseReport(text string) (balance.Report, error) {
+	var r balance.Report
+	var hold, failing, spent, ran int64
+	if _, err := fmt.Sscanf(text, reportFormat, &r.Running, &r.Waiting, &r.Slots, &hold, &failing, &spent, &ran); err != nil {
+		return balance.Report{}, errors.Wrapf(err, "report %q", text)
+	}
+	if min(int64(r.Running), int64(r.Waiting), int64(r.Slots), hold, failing, spent, ran) < 0 || failing > thousandths {
+		return balance.Report{}, errors.Errorf("report %q has a number out of range", text)
+	}
+	r.Hold = time.Duration(hold) * time.Microsecond
+	r.Failing = float64(failing) / thousandths
+	r.Spent = time.Duration(spent) * time.Microsecond
+	r.Ran = time.Duration(ran) * time.Microsecond
+	return r, nil
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,226 @@
+package registry
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+	"rosemaryladder.dev/rosemaryladder/internal/routing"
+)
+
+// Registry runs the loops. Its methods are safe for concurrent use.
+type Registry struct {
+	config Config
+	deps   Deps
+
+	// heard is when the store last answered, in nanoseconds of the steady clock
+	// since started.
+	heard   atomic.Int64
+	started time.Time
+	// listed is set once the fleet is known, from the store or from a peer.
+	listed atomic.Bool
+	// hinted is the newest version that a peer was seen to hold, and overdue is set
+	// when it was newer than the own one at the last look of the peer loop.
+	hinted  atomic.Uint64
+	overdue bool
+	// hurry wakes the peer loop.
+	hurry chan struct{}
+	// changed wakes the lease loop.
+	changed chan struct{}
+
+	refused tally.Counter
+	peers   tally.Counter
+	lost    tally.Counter
+
+	mu sync.Mutex
+	// raw is the newest configuration as the operators wrote it.
+	raw []byte
+	// own is the node's entry.
+	own fleet.Entry
+	// written is the newest own entry that the store has.
+	written fleet.Entry
+	// suspects are the nodes that could not be reached.
+	suspects map[string]fleet.Entry
+	// silent is set while the store does not answer, for the log.
+	silent bool
+}
+
+// New returns a registry for a node whose entry begins as given.
+func New(config Config, deps Deps, own fleet.Entry) (*Registry, error) {
+	if err := config.Validate(); err != nil {
+		return nil, err
+	}
+	scope := deps.Scope.SubScope("registry")
+	return &Registry{
+		config: config, deps: deps, own: own, started: deps.Now(),
+		hurry: make(chan struct{}, 1), changed: make(chan struct{}, 1),
+		suspects: make(map[string]fleet.Entry),
+		refused:  scope.Counter("refused_values"), peers: scope.Counter("peer_questions"), lost: scope.Counter("store_lost"),
+	}, nil
+}
+
+// Run keeps the picture current until the context ends.
+func (r *Registry) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(func() { r.watchLoop(ctx) })
+	loops.Go(func() { r.leaseLoop(ctx) })
+	loops.Go(func() { r.peerLoop(ctx) })
+	loops.Wait()
+}
+
+// Ready reports whether configuration and fleet are known.
+func (r *Registry) Ready() bool { return r.listed.Load() && r.deps.Routes.Load() != nil }
+
+// Update changes the node's own entry and writes it to the store.
+func (r *Registry) Update(change func(*fleet.Entry)) {
+	r.mu.Lock()
+	change(&r.own)
+	r.own.Sequence++
+	own := r.own
+	r.mu.Unlock()
+	r.deps.Fleet.Merge(own)
+	wake(r.changed)
+}
+
+// Own returns the node's own entry.
+func (r *Registry) Own() fleet.Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.own
+}
+
+// NewerVersion notes that a peer holds a newer configuration.
+func (r *Registry) NewerVersion(version routing.Version) {
+	for {
+		known := r.hinted.Load()
+		if known >= uint64(version) || r.hinted.CompareAndSwap(known, uint64(version)) {
+			return
+		}
+	}
+}
+
+// Suspect has a node asked until it answers.
+func (r *Registry) Suspect(entry fleet.Entry) {
+	r.mu.Lock()
+	r.suspects[entry.Node] = entry
+	r.mu.Unlock()
+	wake(r.hurry)
+}
+
+// applyConfiguration publishes a configuration when it is valid and newer.
+func (r *Registry) applyConfiguration(raw []byte, source string) {
+	table, err := r.deps.Decode(raw)
+	if err != nil {
+		r.refused.Inc(1)
+		r.deps.Log.WithError(err).WithField("source", source).Warn("configuration refused; the previous one stays in force")
+		return
+	}
+	previous := r.deps.Routes.Version()
+	if !r.deps.Routes.Publish(table) {
+		return
+	}
+	r.mu.Lock()
+	r.raw = raw
+	r.mu.Unlock()
+	r.deps.Log.WithFields(map[string]any{
+		"version": uint64(table.Version()), "previous": uint64(previous), "routes": table.Routes(), "source": source,
+	}).Info("configuration in force")
+}
+
+// applyEntry merges an entry of the store or of a peer.
+func (r *Registry) applyEntry(raw []byte, source string) {
+	entry, err := fleet.Decode(raw)
+	if err != nil {
+		r.refused.Inc(1)
+		r.deps.Log.WithError(err).WithField("source", source).Warn("entry refused")
+		return
+	}
+	r.mergeEntry(entry, source)
+}
+
+func (r *Registry) mergeEntry(entry fleet.Entry, source string) {
+	if entry.Node == r.Own().Node {
+		r.overtake(entry)
+		return
+	}
+	if r.deps.Fleet.Merge(entry) {
+		r.deps.Log.WithFields(map[string]any{
+			"peer": entry.Node, "peer_server": entry.Server, "state": entry.State, "service": entry.Service,
+			"domain": entry.Domain, "incarnation": entry.Incarnation, "sequence": entry.Sequence, "source": source,
+		}).Info("fleet entry changed")
+	}
+}
+
+// overtake gives the own entry a higher incarnation than one that an earlier
+// process at this place left, whose clock may have been ahead.
+func (r *Registry) overtake(earlier fleet.Entry) {
+	r.mu.Lock()
+	behind := earlier.Incarnation > r.own.Incarnation
+	if behind {
+		r.own.Incarnation = earlier.Incarnation + 1
+	}
+	own := r.own
+	r.mu.Unlock()
+	if behind {
+		r.deps.Fleet.Merge(own)
+		wake(r.changed)
+	}
+}
+
+// nodeOf returns the node whose entry a key holds.
+func (r *Registry) nodeOf(key string) (string, bool) {
+	return strings.CutPrefix(key, r.config.EntriesPrefix)
+}
+
+// answered notes that the store answered.
+func (r *Registry) answered() {
+	r.heard.Store(int64(r.deps.Now().Sub(r.started)))
+	r.mu.Lock()
+	was := r.silent
+	r.silent = false
+	r.mu.Unlock()
+	if was {
+		r.deps.Log.Info("store answers again")
+	}
+}
+
+// failed notes that the store did not answer.
+func (r *Registry) failed(call string, err error) {
+	r.lost.Inc(1)
+	r.mu.Lock()
+	was := r.silent
+	r.silent = true
+	r.mu.Unlock()
+	if !was {
+		r.deps.Log.WithError(err).WithField("call", call).Warn("store does not answer")
+	}
+}
+
+// silence returns how long the store has not answered.
+func (r *Registry) silence() time.Duration {
+	return r.deps.Now().Sub(r.started) - time.Duration(r.heard.Load())
+}
+
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// pause waits; false when the context ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/registry/watch_loop.go
@@ -0,0 +1,115 @@
+package registry
+
+import (
+	"context"
+	"errors"
+
+	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+)
+
+// watchLoop lists what the store holds and follows its changes.
+func (r *Registry) watchLoop(ctx context.Context) {
+	retry := r.newBackoff()
+	for ctx.Err() == nil {
+		at, err := r.list(ctx)
+		if err == nil {
+			retry.reset()
+			err = r.follow(ctx, at)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, ErrCompacted) {
+			r.deps.Log.Info("store dropped its history; listing again")
+			continue
+		}
+		r.failed("watch", err)
+		if !pause(ctx, retry.next()) {
+			return
+		}
+	}
+}
+
+// list takes over everything and returns the revision to watch from.
+func (r *Registry) list(ctx context.Context) (Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.config.CallTimeout)
+	defer cancel()
+	items, at, err := r.deps.Store.List(ctx, r.config.WatchPrefix)
+	if err != nil {
+		return 0, err
+	}
+	r.answered()
+	var entries []fleet.Entry
+	for _, item := range items {
+		if item.Key == r.config.ConfigurationKey {
+			r.applyConfiguration(item.Value, "store")
+			continue
+		}
+		if _, found := r.nodeOf(item.Key); !found {
+			continue
+		}
+		entry, err := fleet.Decode(item.Value)
+		if err != nil {
+			r.refused.Inc(1)
+			r.deps.Log.WithError(err).WithField("key", item.Key).Warn("entry refused")
+			continue
+		}
+		if entry.Node == r.Own().Node {
+			r.overtake(entry)
+			entry = r.Own()
+		}
+		entries = append(entries, entry)
+	}
+	r.deps.Fleet.Listed(append(entries, r.Own()), r.deps.Now())
+	if !r.listed.Swap(true) {
+		r.deps.Log.WithField("entries", len(entries)).Info("fleet listed")
+	}
+	return at, nil
+}
+
+// follow takes over changes until the watch fails.
+func (r *Registry) follow(ctx context.Context, at Revision) error {
+	for {
+		events, next, err := r.watch(ctx, at)
+		if err != nil {
+			return err
+		}
+		r.answered()
+		at = next
+		for _, event := range events {
+			r.apply(event)
+		}
+		r.expire()
+		if len(events) > 0 && !pause(ctx, r.config.WatchPause) {
+			return ctx.Err()
+		}
+	}
+}
+
+func (r *Registry) watch(ctx context.Context, at Revision) ([]Event, Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.config.WatchWait+r.config.CallTimeout)
+	defer cancel()
+	return r.deps.Store.Watch(ctx, r.config.WatchPrefix, at, r.config.WatchWait)
+}
+
+func (r *Registry) apply(event Event) {
+	node, isEntry := r.nodeOf(event.Key)
+	switch {
+	case event.Key == r.config.ConfigurationKey && !event.Removed:
+		r.applyConfiguration(event.Value, "store")
+	case isEntry && event.Removed && node == r.Own().Node:
+		r.forgetWritten()
+	case isEntry && event.Removed:
+		r.deps.Log.WithField("peer", node).Info("fleet entry left the store")
+		r.deps.Fleet.Lapsed(node, r.deps.Now())
+	case isEntry:
+		r.applyEntry(event.Value, "store")
+	}
+}
+
+// expire removes the nodes that did not write their entry again.
+func (r *Registry) expire() {
+	for _, node := range r.deps.Fleet.Expire(r.deps.Now()) {
+		r.deps.Log.WithField("peer", node).Info("fleet entry expired")
+	}
+}
--- /dev/null
+++ b/internal/routing/splitter.go
@@ -0,0 +1,83 @@
+package routing
+
+import (
+	"slices"
+	"sync"
+)
+
+// Splitter spreads the requests of each route over its parts in the proportion
+// of their weights, by smooth weighted round robin (the algorithm of nginx's
+// upstream module): after any number of requests, each part is within one
+// request of its share. It is safe for concurrent use.
+type Splitter struct {
+	mu     sync.Mutex
+	states map[string]*splitState
+}
+
+// splitState is the place of one route in its rotation.
+type splitState struct {
+	parts   []Part
+	current []int
+}
+
+// NewSplitter returns a splitter without state.
+func NewSplitter() *Splitter {
+	return &Splitter{states: make(map[string]*splitState)}
+}
+
+// Next returns the service that gets the next request of a route. offset, a
+// random number, sets where a new rotation starts, so that nodes that start
+// together don't send their first requests to the same part.
+func (s *Splitter) Next(route *Route, offset uint64) string {
+	if len(route.Parts) == 1 {
+		return route.Parts[0].Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.states[route.Name]
+	if state == nil || !slices.Equal(state.parts, route.Parts) {
+		state = &splitState{parts: route.Parts, current: make([]int, len(route.Parts))}
+		for range offset % uint64(state.total()) {
+			state.next()
+		}
+		s.states[route.Name] = state
+	}
+	return state.parts[state.next()].Service
+}
+
+// Retain forgets the routes that a table no longer has.
+func (s *Splitter) Retain(table *Table) {
+	names := make(map[string]bool, table.count)
+	for _, routes := range table.hosts {
+		for _, route := range routes {
+			names[route.Name] = true
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name := range s.states {
+		if !names[name] {
+			delete(s.states, name)
+		}
+	}
+}
+
+func (s *splitState) total() int {
+	total := 0
+	for _, part := range s.parts {
+		total += part.Weight
+	}
+	return total
+}
+
+func (s *splitState) next() int {
+	best := 0
+	for i, part := range s.parts {
+		s.current[i] += part.Weight
+		if s.current[i] > s.current[best] {
+			best = i
+		}
+	}
+	s.current[best] -= s.total()
+	return best
+}
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,87 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Version orders tables.
+type Version uint64
+
+// Table is one configuration, whole and checked. It is immutable.
+type Table struct {
+	version  Version
+	limits   Limits
+	services map[string]Service
+	// hosts holds the routes of each host, longest prefix first.
+	hosts map[string][]*Route
+	count int
+}
+
+// NewTable checks a configuration and returns its table. The error names the
+// route or service that is wrong.
+func NewTable(version Version, routes []Route, services []Service, limits Limits) (*Table, error) {
+	table := &Table{
+		version:  version,
+		limits:   limits,
+		services: make(map[string]Service, len(services)),
+		hosts:    make(map[string][]*Route),
+		count:    len(routes),
+	}
+	if err := table.addServices(services); err != nil {
+		return nil, err
+	}
+	if err := checkLimits(limits); err != nil {
+		return nil, err
+	}
+	for i := range routes {
+		route := routes[i]
+		if err := table.checkRoute(&route); err != nil {
+			return nil, err
+		}
+		table.hosts[route.Host] = append(table.hosts[route.Host], &route)
+	}
+	for host := range table.hosts {
+		slices.SortStableFunc(table.hosts[host], func(a, b *Route) int {
+			return cmp.Compare(len(b.Prefix), len(a.Prefix))
+		})
+	}
+	return table, nil
+}
+
+func (t *Table) addServices(services []Service) error {
+	for _, service := range services {
+		if err := checkService(service); err != nil {
+			return err
+		}
+		t.services[service.Name] = service
+	}
+	return nil
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() Version { return t.version }
+
+// Limits returns what callers may send.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int { return t.count }
+
+// Service returns a service by name.
+func (t *Table) Service(name string) (Service, bool) {
+	service, found := t.services[name]
+	return service, found
+}
+
+// Match returns the route of a host whose prefix is the longest that begins the
+// path.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	for _, route := range t.hosts[host] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -9,32 +9,46 @@
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
-// Load reads and validates a settings file.
-func Load(path string) (Settings, error) {
+// Load reads and validates the settings file of a node.
+func Load(path string) (Settings, error) { return read(path, Default()) }
+
+// LoadSidecar reads and validates the settings file of a sidecar.
+func LoadSidecar(path string) (Sidecar, error) { return read(path, DefaultSidecar()) }
+
+// validated are settings that check themselves. path is the file for the message.
+type validated interface {
+	Validate(path string) error
+}
+
+// read maps a file onto the defaults and validates the result.
+func read[T validated](path string, defaults T) (T, error) {
+	var none T
 	file, err := ini.LoadSources(ini.LoadOptions{AllowNonUniqueSections: false, AllowShadows: false}, path)
 	if err != nil {
-		return Settings{}, result.Wrap(err, result.SettingsUnreadable, "read settings file %s", path)
+		return none, result.Wrap(err, result.SettingsUnreadable, "read settings file %s", path)
 	}
-	if err := rejectUnknown(path, file); err != nil {
-		return Settings{}, err
+	known := keysOf(reflect.TypeFor[T]())
+	if err := rejectUnknown(path, file, known); err != nil {
+		return none, err
 	}
-	if err := rejectMalformed(path, file); err != nil {
-		return Settings{}, err
+	if err := rejectMalformed(path, file, known); err != nil {
+		return none, err
 	}
-	settings := Default()
-	if err := file.StrictMapTo(&settings); err != nil {
-		return Settings{}, result.Wrap(err, result.SettingsInvalid, "%s", path)
+	if err := file.StrictMapTo(&defaults); err != nil {
+		return none, result.Wrap(err, result.SettingsInvalid, "%s", path)
 	}
-	if err := settings.Validate(path); err != nil {
-		return Settings{}, err
+	if err := defaults.Validate(path); err != nil {
+		return none, err
 	}
-	return settings, nil
+	return defaults, nil
 }
 
-// rejectUnknown returns an error for the first section or key that Settings
-// does not define.
-func rejectUnknown(path string, file *ini.File) error {
-	known := Keys()
+// keyTypes are the types of the keys by section.
+type keyTypes map[string]map[string]reflect.Type
+
+// rejectUnknown returns an error for the first section or key that is not
+// known.
+func rejectUnknown(path string, file *ini.File, known keyTypes) error {
 	for _, section := range file.Sections() {
 		keys, found := known[section.Name()]
 		if !found && (section.Name() != ini.DefaultSection || len(section.Keys()) > 0) {
@@ -51,8 +65,8 @@
 
 // rejectMalformed returns an error for the first value that does not parse as
 // the type of its key.
-func rejectMalformed(path string, file *ini.File) error {
-	for section, keys := range Keys() {
+func rejectMalformed(path string, file *ini.File, known keyTypes) error {
+	for section, keys := range known {
 		for name, kind := range keys {
 			if !file.Section(section).HasKey(name) {
 				continue
@@ -74,15 +88,22 @@
 	case reflect.TypeFor[int]():
 		_, err := key.Int()
 		return err
+	case reflect.TypeFor[float64]():
+		_, err := key.Float64()
+		return err
 	default:
 		return nil
 	}
 }
 
-// Keys returns the type of each key by section.
-func Keys() map[string]map[string]reflect.Type {
-	known := make(map[string]map[string]reflect.Type)
-	settingsType := reflect.TypeFor[Settings]()
+// Keys returns the type of each key of a node's settings by section.
+func Keys() map[string]map[string]reflect.Type { return keysOf(reflect.TypeFor[Settings]()) }
+
+// SidecarKeys returns the type of each key of a sidecar's settings by section.
+func SidecarKeys() map[string]map[string]reflect.Type { return keysOf(reflect.TypeFor[Sidecar]()) }
+
+func keysOf(settingsType reflect.Type) keyTypes {
+	known := make(keyTypes)
 	for i := range settingsType.NumField() {
 		section := settingsType.Field(i)
 		keys := make(map[string]reflect.Type)
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -24,8 +24,10 @@
 
 // Validate returns an error that names the first invalid key. path is the file
 // for the message.
-func (s Settings) Validate(path string) error {
-	for _, check := range s.checks() {
+func (s Settings) Validate(path string) error { return firstInvalid(path, s.checks()) }
+
+func firstInvalid(path string, checks []check) error {
+	for _, check := range checks {
 		if !check.valid {
 			return result.Errorf(result.SettingsInvalid, "%s: section [%s]: key %q must be %s", path, check.section, check.key, check.want)
 		}
--- /dev/null
+++ b/internal/settings/validate_sidecar.go
@@ -0,0 +1,53 @@
+package settings
+
+import (
+	"net"
+	"slices"
+	"strings"
+
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+// Validate returns an error that names the first invalid key.
+func (s Sidecar) Validate(path string) error { return firstInvalid(path, s.checks()) }
+
+func (s Sidecar) checks() []check {
+	regions, err := s.RegionOf()
+	return []check{
+		{"node", "host", s.Node.Host != "", "the host name"},
+		{"node", "ip", net.ParseIP(s.Node.IP) != nil, "an IP address"},
+		{"node", "regions", err == nil, "a list of domain:region"},
+		{"node", "failure_domain", regions[s.Node.FailureDomain] != "", "a failure domain that regions names"},
+		{"node", "service", s.Node.Service != "", "the service of the backend server"},
+		{"node", "server", validAddress(s.Node.Server), "an IP address and a port"},
+		{"listen", "front", validAddress(s.Listen.Front), "an IP address and a port"},
+		{"listen", "gate", validAddress(s.Listen.Gate), "an IP address and a port"},
+		{"listen", "ready", validAddress(s.Listen.Ready), "an IP address and a port"},
+		{"listen", "announce", validAddress(s.Listen.Announce), "an IP address and a port"},
+		{"listen", "metrics", validPort(s.Listen.Metrics), "a port from 1 to 65535"},
+		{"store", "address", validAddress(s.Store.Address), "an IP address and a port"},
+		{"store", "min_lease", s.Store.MinLease > 0, "above 0"},
+		{"bounds", "drain", s.Bounds.Drain > 0, "above 0"},
+		{"bounds", "grace", s.Bounds.Grace > 0, "above 0"},
+		{"bounds", "retry_ratio", s.Bounds.RetryRatio >= 0 && s.Bounds.RetryRatio <= 1, "from 0 to 1"},
+		{"bounds", "retry_window", s.Bounds.RetryWindow > 0, "above 0"},
+		{"bounds", "retry_slack", s.Bounds.RetrySlack >= 0, "0 or more"},
+		{"prices", "cross_domain_per_mb", s.Prices.CrossDomainPerMB >= 0, "0 or more"},
+		{"prices", "cross_region_per_mb", s.Prices.CrossRegionPerMB >= 0, "0 or more"},
+		{"log", "format", slices.Contains([]string{"text", "json"}, s.Log.Format), "text or json"},
+		{"log", "level", slices.Contains([]string{"debug", "info", "warning", "error"}, s.Log.Level), "debug, info, warning or error"},
+	}
+}
+
+// RegionOf returns the region of each failure domain.
+func (s Sidecar) RegionOf() (map[string]string, error) {
+	regions := make(map[string]string, len(s.Node.Regions))
+	for _, pair := range s.Node.Regions {
+		domain, region, found := strings.Cut(strings.TrimSpace(pair), ":")
+		if !found || domain == "" || region == "" {
+			return nil, result.Errorf(result.SettingsInvalid, "region %q is not domain:region", pair)
+		}
+		regions[domain] = region
+	}
+	return regions, nil
+}
--- /dev/null
+++ b/internal/sidecar/adapter.go
@@ -0,0 +1,30 @@
+package sidecar
+
+import (
+	"net/http"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"rosemaryladder.dev/rosemaryladder/internal/instance"
+	"rosemaryladder.dev/rosemaryladder/internal/proxy"
+	"rosemaryladder.dev/rosemaryladder/internal/registry"
+	"rosemaryladder.dev/rosemaryladder/internal/routing"
+)
+
+// Adapter is what a node needs of the platform that it runs on.
+type Adapter struct {
+	Vocabulary proxy.Vocabulary
+	// ConfigurationKey, EntriesPrefix and WatchPrefix are keys of the store.
+	ConfigurationKey string
+	EntriesPrefix    string
+	WatchPrefix      string
+	// Decode reads the operators' configuration.
+	Decode func([]byte) (*routing.Table, error)
+	// Store returns the client of the store at an address.
+	Store func(address string, transport http.RoundTripper, scope tally.Scope) registry.Store
+	// Announcements returns the handler that the backend server announces itself to.
+	Announcements func(tracker *instance.Tracker, log *logrus.Entry, scope tally.Scope) http.Handler
+	// Readiness returns the handler that tells whether the node takes requests.
+	Readiness func(ready func() bool) http.Handler
+}
--- /dev/null
+++ b/internal/sidecar/listener.go
@@ -0,0 +1,87 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rosemaryladder.dev/rosemaryladder/internal/settings"
+)
+
+const (
+	// readHeaderTimeout bounds how long a request head may take.
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout is above the idle time of every client: peers close after 10 s,
+	// and the operators' limit for callers is far below it.
+	idleTimeout = 2 * time.Minute
+	// maxHeadBytes bounds a request head.
+	maxHeadBytes = 64 << 10
+	// metricsPath serves the metrics.
+	metricsPath = "/metrics"
+)
+
+// listener is one server of the node.
+type listener struct {
+	name   string
+	socket net.Listener
+	server *http.Server
+}
+
+// listen opens all addresses.
+func (s *Sidecar) listen(loaded settings.Sidecar) error {
+	metrics := http.NewServeMux()
+	metrics.Handle("GET "+metricsPath, s.metrics.Handler)
+	addresses := []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"front", loaded.Listen.Front, s.proxy.Front()},
+		{"gate", loaded.Listen.Gate, s.proxy.Gate(s.registry)},
+		{"announce", loaded.Listen.Announce, s.adapter.Announcements(s.server, s.log, s.metrics.Scope)},
+		{"ready", loaded.Listen.Ready, s.adapter.Readiness(s.ready)},
+		{"metrics", net.JoinHostPort(loaded.Node.IP, strconv.Itoa(loaded.Listen.Metrics)), metrics},
+	}
+	for _, a := range addresses {
+		l, err := newListener(a.name, a.address, a.handler)
+		if err != nil {
+			return err
+		}
+		s.servers = append(s.servers, l)
+	}
+	s.front = s.servers[0]
+	return nil
+}
+
+func newListener(name, address string, handler http.Handler) (*listener, error) {
+	socket, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on the %s address", name)
+	}
+	return &listener{name: name, socket: socket, server: &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
+		// The server logs broken connections of clients, which the proxy counts.
+		ErrorLog: log.New(io.Discard, "", 0),
+	}}, nil
+}
+
+// serve answers until the listener is closed.
+func (l *listener) serve() error {
+	if err := l.server.Serve(l.socket); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serve the %s address", l.name)
+	}
+	return nil
+}
+
+// drain closes the idle connections and ends the others after their next answer.
+func (l *listener) drain() { l.server.SetKeepAlivesEnabled(false) }
+
+// shutdown waits for the requests in flight until the context ends.
+func (l *listener) shutdown(ctx context.Context) error { return l.server.Shutdown(ctx) }
+
+func (l *listener) close() { l.server.Close() }
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,154 @@
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"rosemaryladder.dev/rosemaryladder/internal/balance"
+	"rosemaryladder.dev/rosemaryladder/internal/dial"
+	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+	"rosemaryladder.dev/rosemaryladder/internal/instance"
+	"rosemaryladder.dev/rosemaryladder/internal/proxy"
+	"rosemaryladder.dev/rosemaryladder/internal/registry"
+	"rosemaryladder.dev/rosemaryladder/internal/routing"
+	"rosemaryladder.dev/rosemaryladder/internal/settings"
+	"rosemaryladder.dev/rosemaryladder/internal/slots"
+	"rosemaryladder.dev/rosemaryladder/internal/telemetry"
+)
+
+// lapsedAfter is how long an entry that left the store is kept: a node that lives
+// writes it again within two seconds of the store's return.
+const lapsedAfter = 2500 * time.Millisecond
+
+// Sidecar is one node.
+type Sidecar struct {
+	settings atomic.Pointer[settings.Sidecar]
+	adapter  Adapter
+	log      *logrus.Entry
+	metrics  *telemetry.Metrics
+
+	routes   *routing.Holder
+	fleet    *fleet.Table
+	balancer *balance.Balancer
+	server   *instance.Tracker
+	slots    *slots.Controller
+	proxy    *proxy.Proxy
+	registry *registry.Registry
+	prober   *prober
+	servers  []*listener
+	front    *listener
+
+	stopping atomic.Bool
+}
+
+// New builds a node and listens on its addresses. Run serves them.
+func New(loaded settings.Sidecar, adapter Adapter, log *logrus.Entry) (*Sidecar, error) {
+	s := &Sidecar{
+		adapter: adapter, log: log,
+		metrics: telemetry.NewMetrics(map[string]string{"host": loaded.Node.Host, "failure_domain": loaded.Node.FailureDomain}),
+		routes:  new(routing.Holder),
+		fleet:   fleet.NewTable(lapsedAfter),
+		server:  instance.NewTracker(loaded.Node.Service),
+		slots:   slots.NewController(time.Now),
+	}
+	s.settings.Store(&loaded)
+	for _, step := range []func(settings.Sidecar) error{s.buildBalancer, s.buildRegistry, s.buildProxy, s.listen} {
+		if err := step(loaded); err != nil {
+			return nil, err
+		}
+	}
+	s.server.OnChange(s.serverChanged)
+	return s, nil
+}
+
+func (s *Sidecar) buildBalancer(loaded settings.Sidecar) error {
+	regions, err := loaded.RegionOf()
+	if err != nil {
+		return err
+	}
+	config := balance.DefaultConfig()
+	config.Domain, config.Regions = loaded.Node.FailureDomain, regions
+	config.CrossDomainPerMB, config.CrossRegionPerMB = loaded.Prices.CrossDomainPerMB, loaded.Prices.CrossRegionPerMB
+	s.balancer, err = balance.New(config)
+	return err
+}
+
+func (s *Sidecar) buildRegistry(loaded settings.Sidecar) error {
+	config := registry.DefaultConfig()
+	config.ConfigurationKey = s.adapter.ConfigurationKey
+	config.EntriesPrefix = s.adapter.EntriesPrefix
+	config.WatchPrefix = s.adapter.WatchPrefix
+	config.LeaseTTL = max(config.LeaseTTL, loaded.Store.MinLease)
+	dialer := dial.Dialer{LocalIP: loaded.Node.IP, Timeout: config.CallTimeout}
+	own := fleet.Entry{
+		Node: loaded.Node.IP, Gate: loaded.Listen.Gate, Domain: loaded.Node.FailureDomain,
+		Service: loaded.Node.Service, State: fleet.Absent, Incarnation: time.Now().UnixMilli(),
+	}
+	var err error
+	s.registry, err = registry.New(config, registry.Deps{
+		Store:  s.adapter.Store(loaded.Store.Address, storeTransport(dialer), s.metrics.Scope),
+		Decode: s.adapter.Decode, Routes: s.routes, Fleet: s.fleet,
+		Peers: &http.Client{Transport: peerTransport(dialer)},
+		Log:   s.log, Scope: s.metrics.Scope, Now: time.Now, Random: rand.Float64,
+		Reached: s.balancer.Reached,
+	}, own)
+	return err
+}
+
+func (s *Sidecar) buildProxy(loaded settings.Sidecar) error {
+	config := proxy.DefaultConfig()
+	config.Service, config.Node, config.Server = loaded.Node.Service, loaded.Node.IP, loaded.Node.Server
+	config.BudgetRatio, config.BudgetWindow, config.BudgetSlack = loaded.Bounds.RetryRatio, loaded.Bounds.RetryWindow, loaded.Bounds.RetrySlack
+	dialer := dial.Dialer{LocalIP: loaded.Node.IP}
+	s.prober = newProber(s, loaded.Node.Server, dialer)
+	var err error
+	s.proxy, err = proxy.New(config, proxy.Deps{
+		Vocabulary: s.adapter.Vocabulary, Routes: s.routes, View: s.fleet.View, Balancer: s.balancer,
+		Server: s.server, Slots: s.slots, Dial: dialer.DialContext, Scope: s.metrics.Scope, Log: s.log,
+		NewerVersion: s.registry.NewerVersion, Suspect: s.registry.Suspect, Lost: s.serverLost,
+		Now: time.Now, Random: rand.Float64,
+	})
+	return err
+}
+
+// Run serves until the context ends, then stops gracefully.
+func (s *Sidecar) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	group, background := errgroup.WithContext(background)
+	for _, l := range s.servers {
+		group.Go(l.serve)
+	}
+	group.Go(func() error { s.registry.Run(background); return nil })
+	group.Go(func() error { s.prober.run(background); return nil })
+	s.log.WithField("incarnation", s.registry.Own().Incarnation).Info("node started")
+	select {
+	case <-ctx.Done():
+		s.stop()
+	case <-background.Done():
+	}
+	stop()
+	for _, l := range s.servers {
+		l.close()
+	}
+	err := group.Wait()
+	s.proxy.Close()
+	s.log.Info("node stopped")
+	return err
+}
+
+// Reload puts changed settings in force. Addresses and places take effect at the
+// next start.
+func (s *Sidecar) Reload(loaded settings.Sidecar) {
+	s.settings.Store(&loaded)
+	s.log.WithField("grace", loaded.Bounds.Grace).Info("settings reloaded")
+}
+
+// ready reports whether the node takes requests.
+func (s *Sidecar) ready() bool { return !s.stopping.Load() && s.registry.Ready() }
--- /dev/null
+++ b/internal/slots/load.go
@@ -0,0 +1,14 @@
+package slots
+
+import "time"
+
+// Load is the state of a queue at one moment.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	// Hold is the average time that a request holds a slot.
+	Hold time.Duration
+	// Wait is the predicted wait of a request of the lowest rank.
+	Wait time.Duration
+}
--- /dev/null
+++ b/internal/slots/queue.go
@@ -0,0 +1,176 @@
+package slots
+
+import (
+	"slices"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+const (
+	// waitingPerSlot bounds the queue whatever the predicted wait, because the
+	// prediction knows nothing before the first requests have finished.
+	waitingPerSlot = 8
+	// lowestPriority ranks behind every request.
+	lowestPriority = 1 << 30
+	// maxRoutes bounds the routes whose hold time is kept apart.
+	maxRoutes = 512
+)
+
+// queue holds the requests of one server. Time is passed in. It is not safe for
+// concurrent use; Controller is.
+type queue struct {
+	slots   int
+	running int
+	waiting []*ticket
+	overall holdTime
+	routes  map[string]*holdTime
+	// closed is the reason for which every request is refused; nil while open.
+	closed error
+}
+
+func newQueue() *queue { return &queue{routes: make(map[string]*holdTime)} }
+
+// offer admits a request, queues it or refuses it.
+func (q *queue) offer(now time.Time, request Request) (*ticket, error) {
+	if q.closed != nil {
+		return nil, q.closed
+	}
+	t := &ticket{request: request, admitted: make(chan struct{})}
+	if q.running < q.slots && q.ahead(request.Priority) == 0 {
+		q.start(now, t)
+		return t, nil
+	}
+	if len(q.waiting) >= waitingPerSlot*q.slots {
+		return nil, result.Errorf(result.Overloaded, "%d requests wait already", len(q.waiting))
+	}
+	if wait := q.predictWait(now, request.Priority); wait > request.MaxWait {
+		return nil, result.Errorf(result.Overloaded, "the predicted wait of %s exceeds %s", wait.Round(time.Millisecond), request.MaxWait.Round(time.Millisecond))
+	}
+	q.insert(t)
+	return t, nil
+}
+
+// finish frees the slot of a request. A request that was broken off says nothing
+// about the time that others will take.
+func (q *queue) finish(now time.Time, t *ticket, complete bool) {
+	if t.state != running {
+		return
+	}
+	t.state = done
+	q.running--
+	if complete {
+		held := now.Sub(t.started)
+		q.overall.add(now, held)
+		q.route(t.request.Route).add(now, held)
+	}
+	q.dispatch(now)
+}
+
+// abandon withdraws a waiting request; false when it runs already.
+func (q *queue) abandon(t *ticket) bool {
+	if t.state != waiting {
+		return false
+	}
+	t.state = done
+	if i := slices.Index(q.waiting, t); i >= 0 {
+		q.waiting = slices.Delete(q.waiting, i, i+1)
+	}
+	return true
+}
+
+// open sets the number of slots of a server that takes requests.
+func (q *queue) open(now time.Time, slots int) {
+	q.closed = nil
+	q.slots = slots
+	q.dispatch(now)
+}
+
+// close refuses all waiting and all new requests with a reason.
+func (q *queue) close(reason error) {
+	q.closed = reason
+	for _, t := range q.waiting {
+		t.state, t.refused = done, reason
+		close(t.admitted)
+	}
+	q.waiting = nil
+}
+
+func (q *queue) dispatch(now time.Time) {
+	for q.running < q.slots && len(q.waiting) > 0 {
+		next := q.waiting[0]
+		q.waiting = slices.Delete(q.waiting, 0, 1)
+		q.start(now, next)
+	}
+}
+
+func (q *queue) start(now time.Time, t *ticket) {
+	t.state, t.started = running, now
+	q.running++
+	close(t.admitted)
+}
+
+// insert keeps the order of rank, and of arrival within a rank.
+func (q *queue) insert(t *ticket) {
+	i := len(q.waiting)
+	for i > 0 && q.waiting[i-1].request.Priority > t.request.Priority {
+		i--
+	}
+	q.waiting = slices.Insert(q.waiting, i, t)
+}
+
+// ahead returns the number of waiting requests that go before a new one.
+func (q *queue) ahead(priority int) int {
+	n := 0
+	for _, t := range q.waiting {
+		if t.request.Priority <= priority {
+			n++
+		}
+	}
+	return n
+}
+
+// predictWait returns how long a new request of a rank would wait: the work ahead
+// of it, half of that which runs included, shared by the slots.
+func (q *queue) predictWait(now time.Time, priority int) time.Duration {
+	if q.slots == 0 || (q.running < q.slots && len(q.waiting) == 0) {
+		return 0
+	}
+	work := float64(q.running) * q.overall.at(now) / 2
+	for _, t := range q.waiting {
+		if t.request.Priority <= priority {
+			work += q.expect(now, t.request.Route)
+		}
+	}
+	return time.Duration(work / float64(q.slots))
+}
+
+// expect returns the predicted hold time of a route's request.
+func (q *queue) expect(now time.Time, route string) float64 {
+	if h := q.routes[route]; h != nil {
+		return h.at(now)
+	}
+	return q.overall.at(now)
+}
+
+func (q *queue) route(name string) *holdTime {
+	h := q.routes[name]
+	if h == nil {
+		if len(q.routes) >= maxRoutes {
+			clear(q.routes)
+		}
+		h = &holdTime{}
+		q.routes[name] = h
+	}
+	return h
+}
+
+func (q *queue) load(now time.Time) Load {
+	return Load{
+		Running: q.running,
+		Waiting: len(q.waiting),
+		Slots:   q.slots,
+		Hold:    time.Duration(q.overall.at(now)),
+		Wait:    q.predictWait(now, lowestPriority),
+	}
+}
