--- /dev/null
+++ b/internal/proxy/fleet_test.go
@@ -0,0 +1,189 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"rosemaryladder.dev/rosemaryladder/internal/balance"
+	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+	"rosemaryladder.dev/rosemaryladder/internal/instance"
+	"rosemaryladder.dev/rosemaryladder/internal/routing"
+	"rosemaryladder.dev/rosemaryladder/internal/slots"
+	"rosemaryladder.dev/rosemaryladder/internal/telemetry"
+)
+
+const (
+	testService = "orders"
+	testHost    = "orders.example"
+)
+
+var testVocabulary = Vocabulary{
+	RequestID: "X-Id", DeadlineMs: "X-Deadline", Signature: "X-Signature", ExpectedServer: "X-Expected",
+	NotExecuted: "X-Not-Executed", CallerService: "X-Caller", ServerID: "X-Server", ServerLoad: "X-Load",
+}
+
+// testNode is one node with a backend server.
+type testNode struct {
+	proxy   *Proxy
+	tracker *instance.Tracker
+	slots   *slots.Controller
+	front   string
+	gate    *httptest.Server
+	backend *testBackend
+}
+
+// testFleet is a number of nodes that know each other.
+type testFleet struct {
+	t     *testing.T
+	nodes []*testNode
+	table *fleet.Table
+}
+
+// testBackend counts what it ran.
+type testBackend struct {
+	mu     sync.Mutex
+	runs   map[string]int
+	handle func(w http.ResponseWriter, r *http.Request)
+}
+
+func (b *testBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(testVocabulary.RequestID)
+	b.mu.Lock()
+	b.runs[id]++
+	handle := b.handle
+	b.mu.Unlock()
+	w.Header().Set(testVocabulary.RequestID, id)
+	w.Header().Set(testVocabulary.Signature, "signed")
+	if handle != nil {
+		handle(w, r)
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	_, _ = io.WriteString(w, "answer to "+id+": "+string(body))
+}
+
+func (b *testBackend) ran(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[id]
+}
+
+// testRoutes has an idempotent route /get/ and one that is not, /post/.
+func testRoutes() *routing.Holder {
+	parts := []routing.Part{{Service: testService, Weight: 1}}
+	route := routing.Route{Host: testHost, Timeout: 2 * time.Second, Objective: 500 * time.Millisecond, MaxAttempts: 2, Parts: parts}
+	get, post := route, route
+	get.Name, get.Prefix, get.Idempotent = "get", "/get/", true
+	post.Name, post.Prefix = "post", "/post/"
+	limits := routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: time.Minute}
+	services := []routing.Service{{Name: testService, HealthPath: "/healthz", MaxConnections: 100}}
+	table, err := routing.NewTable(1, []routing.Route{get, post}, services, limits)
+	if err != nil {
+		panic(err)
+	}
+	holder := &routing.Holder{}
+	holder.Publish(table)
+	return holder
+}
+
+// newTestFleet starts nodes whose servers have a number of slots.
+func newTestFleet(t *testing.T, nodes, slotCount int) *testFleet {
+	f := &testFleet{t: t, table: fleet.NewTable(time.Second)}
+	routes := testRoutes()
+	for i := range nodes {
+		f.nodes = append(f.nodes, f.newNode(string(rune('a'+i)), slotCount, routes))
+	}
+	return f
+}
+
+func (f *testFleet) newNode(name string, slotCount int, routes *routing.Holder) *testNode {
+	n := &testNode{backend: &testBackend{runs: make(map[string]int)}}
+	server := httptest.NewServer(n.backend)
+	f.t.Cleanup(server.Close)
+	n.tracker = instance.NewTracker(testService)
+	_, err := n.tracker.Announce(instance.Announcement{Server: "server-" + name, Service: testService, Slots: slotCount, Born: 1})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n.slots = slots.NewController(time.Now)
+	n.slots.Open(slotCount)
+	balancer, err := balance.New(balance.Config{Domain: "d", Regions: map[string]string{"d": "r"}})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	config := DefaultConfig()
+	config.Service, config.Node, config.Server = testService, name, strings.TrimPrefix(server.URL, "http://")
+	config.BudgetSlack = 1000
+	n.proxy, err = New(config, Deps{
+		Vocabulary: testVocabulary, Routes: routes, View: f.table.View, Balancer: balancer,
+		Server: n.tracker, Slots: n.slots, Dial: (&net.Dialer{}).DialContext, Scope: tally.NoopScope, Log: telemetry.DiscardLogger(),
+		NewerVersion: func(routing.Version) {}, Suspect: func(fleet.Entry) {}, Lost: func(id string) { n.tracker.Gone(id) },
+		Now: time.Now, Random: func() float64 { return 0.5 },
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n.gate = httptest.NewServer(n.proxy.Gate(http.NotFoundHandler()))
+	front := httptest.NewServer(n.proxy.Front())
+	n.front = front.URL
+	f.t.Cleanup(n.gate.Close)
+	f.t.Cleanup(front.Close)
+	f.t.Cleanup(n.proxy.Close)
+	f.table.Merge(fleet.Entry{
+		Node: name, Gate: strings.TrimPrefix(n.gate.URL, "http://"), Domain: "d", Service: testService,
+		Server: "server-" + name, State: fleet.Ready, Slots: slotCount, Incarnation: 1,
+	})
+	return n
+}
+
+// reply is what a caller got; err is set when the connection broke.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// send sends a request to the front of the first node.
+func (f *testFleet) send(ctx context.Context, method, path, id, body string) reply {
+	request, err := http.NewRequestWithContext(ctx, method, f.nodes[0].front+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Error(err)
+		return reply{err: err}
+	}
+	request.Host = testHost
+	request.Header.Set(testVocabulary.RequestID, id)
+	request.Header.Set(testVocabulary.DeadlineMs, "1500")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(content), err: err}
+}
+
+func (f *testFleet) get(id string) reply {
+	return f.send(context.Background(), http.MethodGet, "/get/x", id, "")
+}
+
+func (f *testFleet) post(id, body string) reply {
+	return f.send(context.Background(), http.MethodPost, "/post/x", id, body)
+}
+
+func expectAnswer(g *gomega.WithT, got reply, id, body string) {
+	g.Expect(got.err).NotTo(gomega.HaveOccurred())
+	g.Expect(got.status).To(gomega.Equal(http.StatusOK), got.body)
+	g.Expect(got.body).To(gomega.Equal("answer to " + id + ": " + body))
+	g.Expect(got.header.Get(testVocabulary.Signature)).To(gomega.Equal("signed"))
+}
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -45,8 +45,9 @@
 	ctx, cancel := context.WithDeadline(ctx, j.deadline.Add(g.config.AnswerGrace/2))
 	release, err := g.deps.Slots.Acquire(ctx, slots.Request{Route: j.route, Priority: j.priority, MaxWait: j.maxWait})
 	if err != nil {
+		refused := g.refuseAdmission(ctx, err)
 		cancel()
-		return nil, g.refuseAdmission(ctx, err), 0
+		return nil, refused, 0
 	}
 	// The server may have changed while the request waited.
 	server = g.deps.Server.Server()
--- /dev/null
+++ b/internal/proxy/listener_test.go
@@ -0,0 +1,26 @@
+package proxy
+
+import (
+	"net"
+	"testing"
+)
+
+// newSilentListener accepts connections and never answers, as a host behind a
+// partition that began after the connection was opened.
+func newSilentListener(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { conn.Close() })
+		}
+	}()
+	return listener.Addr().String()
+}
--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,103 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+// TestWholeAnswers guards against an answer of another request, a lost body and a
+// request that runs on a node that does not offer the service.
+func TestWholeAnswers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newTestFleet(t, 3, 4)
+	for i := range 30 {
+		id := "id-" + strconv.Itoa(i)
+		expectAnswer(g, f.get(id), id, "")
+		expectAnswer(g, f.post(id, "order "+id), id, "order "+id)
+	}
+}
+
+// TestOverloadIsRefusedAtOnce guards against a refusal of the gate that is taken
+// for a caller who gave up, which closed the connection without an answer.
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newTestFleet(t, 1, 1)
+	release := make(chan struct{})
+	end := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(end)
+	f.nodes[0].backend.handle = func(w http.ResponseWriter, r *http.Request) { <-release }
+	var running sync.WaitGroup
+	for i := range 1 + 8 {
+		running.Go(func() { f.get("held-" + strconv.Itoa(i)) })
+	}
+	g.Eventually(func() int { return f.nodes[0].slots.Load().Waiting }).Should(gomega.Equal(8))
+	got := f.get("refused")
+	g.Expect(got.err).NotTo(gomega.HaveOccurred())
+	g.Expect(got.status).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(got.header.Get(HeaderResult)).To(gomega.Equal(strconv.Itoa(int(result.Overloaded))))
+	g.Expect(got.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+	end()
+	running.Wait()
+	g.Expect(f.nodes[0].backend.ran("refused")).To(gomega.BeZero())
+}
+
+// TestDrainingServerGetsNothing guards against new work for a server that leaves.
+func TestDrainingServerGetsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newTestFleet(t, 2, 4)
+	f.nodes[1].tracker.Leave("server-b", 0)
+	f.nodes[1].slots.Close(result.Errorf(result.Draining, "leaving"))
+	for i := range 20 {
+		id := "id-" + strconv.Itoa(i)
+		expectAnswer(g, f.post(id, "x"), id, "x")
+		g.Expect(f.nodes[1].backend.ran(id)).To(gomega.BeZero())
+	}
+}
+
+// TestSilentGateDoesNotLoseOrders guards against an order that is lost, or run
+// twice, because the node that was chosen does not answer.
+func TestSilentGateDoesNotLoseOrders(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newTestFleet(t, 2, 4)
+	silent := newSilentListener(t)
+	f.table.Merge(fleet.Entry{
+		Node: "silent", Gate: silent, Domain: "d", Service: testService, Server: "server-silent",
+		State: fleet.Ready, Slots: 100, Incarnation: 1,
+	})
+	for i := range 10 {
+		id := "id-" + strconv.Itoa(i)
+		expectAnswer(g, f.post(id, "x"), id, "x")
+		g.Expect(f.nodes[0].backend.ran(id) + f.nodes[1].backend.ran(id)).To(gomega.Equal(1))
+	}
+}
+
+// TestCancelReachesTheServer guards against a server that works on for a caller
+// who has left.
+func TestCancelReachesTheServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newTestFleet(t, 2, 4)
+	began, ended := make(chan struct{}, 2), make(chan struct{}, 2)
+	for _, node := range f.nodes {
+		node.backend.handle = func(_ http.ResponseWriter, r *http.Request) {
+			began <- struct{}{}
+			<-r.Context().Done()
+			ended <- struct{}{}
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-began
+		cancel()
+	}()
+	f.send(ctx, http.MethodGet, "/get/x", "left", "")
+	g.Eventually(ended).WithTimeout(500 * time.Millisecond).Should(gomega.Receive())
+}
