--- a/internal/proxy/budgets.go
+++ b/internal/proxy/budgets.go
@@ -24,7 +24,7 @@
 // ownShare is the part of the allowed ratio that a node uses for its own repeats.
 // The rest covers the calls that repeated requests make and the restart of nodes,
 // which forget the repeats that they made.
-const ownShare = 0.6
+const ownShare = 0.4
 
 func (b *budgets) of(service string) *retry.ServiceBudget {
 	b.mu.Lock()
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	hopFields = 6
+	hopFields = 7
 	// maxHopTime bounds the times in a hop header, so that they fit a duration.
 	maxHopTime = 24 * time.Hour
 	once       = "once"
@@ -18,9 +18,11 @@
 
 // hop is what a front tells a gate of a request.
 type hop struct {
-	service    string
-	route      string
-	remaining  time.Duration
+	service   string
+	route     string
+	remaining time.Duration
+	// due is the time left to the objective; 0 when it is lost.
+	due        time.Duration
 	maxWait    time.Duration
 	priority   int
 	idempotent bool
@@ -34,6 +36,7 @@
 	return strings.Join([]string{
 		h.service, h.route,
 		strconv.FormatInt(h.remaining.Milliseconds(), 10),
+		strconv.FormatInt(h.due.Milliseconds(), 10),
 		strconv.FormatInt(h.maxWait.Milliseconds(), 10),
 		strconv.Itoa(h.priority), kind,
 	}, " ")
@@ -49,20 +52,24 @@
 	if err != nil {
 		return hop{}, errors.Wrap(err, "hop: remaining time")
 	}
-	maxWait, err := parseMillis(fields[3])
+	due, err := parseMillis(fields[3])
+	if err != nil {
+		return hop{}, errors.Wrap(err, "hop: time to the objective")
+	}
+	maxWait, err := parseMillis(fields[4])
 	if err != nil {
 		return hop{}, errors.Wrap(err, "hop: longest wait")
 	}
-	priority, err := strconv.Atoi(fields[4])
+	priority, err := strconv.Atoi(fields[5])
 	if err != nil || priority < 0 {
-		return hop{}, errors.Errorf("hop: priority %q is not a number from 0", fields[4])
+		return hop{}, errors.Errorf("hop: priority %q is not a number from 0", fields[5])
 	}
-	if fields[5] != once && fields[5] != many {
-		return hop{}, errors.Errorf("hop: unknown kind %q", fields[5])
+	if fields[6] != once && fields[6] != many {
+		return hop{}, errors.Errorf("hop: unknown kind %q", fields[6])
 	}
 	return hop{
-		service: fields[0], route: fields[1], remaining: remaining, maxWait: maxWait,
-		priority: priority, idempotent: fields[5] == many,
+		service: fields[0], route: fields[1], remaining: remaining, due: due, maxWait: maxWait,
+		priority: priority, idempotent: fields[6] == many,
 	}, nil
 }
 
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -24,6 +24,8 @@
 	priority   int
 	// deadline is when the request must be answered, on the steady clock.
 	deadline time.Time
+	// due is when the request should be answered to meet its objective.
+	due time.Time
 	// maxWait is the longest predicted wait for a slot that is worth it.
 	maxWait time.Duration
 	// arrived is the reading of the clock that counts suspensions at the time when
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -47,7 +47,7 @@
 	j := c.job
 	h := hop{
 		service: j.service, route: j.route, remaining: max(j.deadline.Sub(f.deps.Now()), 0),
-		maxWait: j.maxWait, priority: j.priority, idempotent: j.idempotent,
+		due: max(j.due.Sub(f.deps.Now()), 0), maxWait: j.maxWait, priority: j.priority, idempotent: j.idempotent,
 	}
 	return &exchange.Outgoing{
 		Method: j.method, URI: j.uri, Host: j.host, Header: j.header, Skip: f.gate.skips, Body: j.body,
--- a/internal/slots/load.go
+++ b/internal/slots/load.go
@@ -9,6 +9,4 @@
 	Slots   int
 	// Hold is the average time that a request holds a slot.
 	Hold time.Duration
-	// Wait is the predicted wait of a request of the lowest rank.
-	Wait time.Duration
 }
--- a/internal/slots/queue.go
+++ b/internal/slots/queue.go
@@ -11,8 +11,6 @@
 	// waitingPerSlot bounds the queue whatever the predicted wait, because the
 	// prediction knows nothing before the first requests have finished.
 	waitingPerSlot = 8
-	// lowestPriority ranks behind every request.
-	lowestPriority = 1 << 30
 	// maxRoutes bounds the routes whose hold time is kept apart.
 	maxRoutes = 512
 )
@@ -37,14 +35,14 @@
 		return nil, q.closed
 	}
 	t := &ticket{request: request, admitted: make(chan struct{})}
-	if q.running < q.slots && q.ahead(request.Priority) == 0 {
+	if q.running < q.slots && q.ahead(request) == 0 {
 		q.start(now, t)
 		return t, nil
 	}
 	if len(q.waiting) >= waitingPerSlot*q.slots {
 		return nil, result.Errorf(result.Overloaded, "%d requests wait already", len(q.waiting))
 	}
-	if wait := q.predictWait(now, request.Priority); wait > request.MaxWait {
+	if wait := q.predictWait(now, request); wait > request.MaxWait {
 		return nil, result.Errorf(result.Overloaded, "the predicted wait of %s exceeds %s", wait.Round(time.Millisecond), request.MaxWait.Round(time.Millisecond))
 	}
 	q.insert(t)
@@ -110,37 +108,29 @@
 	close(t.admitted)
 }
 
-// insert keeps the order of rank, and of arrival within a rank.
+// insert keeps the order in which the requests run.
 func (q *queue) insert(t *ticket) {
-	i := len(q.waiting)
-	for i > 0 && q.waiting[i-1].request.Priority > t.request.Priority {
-		i--
-	}
-	q.waiting = slices.Insert(q.waiting, i, t)
+	q.waiting = slices.Insert(q.waiting, q.ahead(t.request), t)
 }
 
 // ahead returns the number of waiting requests that go before a new one.
-func (q *queue) ahead(priority int) int {
-	n := 0
-	for _, t := range q.waiting {
-		if t.request.Priority <= priority {
-			n++
-		}
+func (q *queue) ahead(request Request) int {
+	n := len(q.waiting)
+	for n > 0 && request.before(q.waiting[n-1].request) {
+		n--
 	}
 	return n
 }
 
-// predictWait returns how long a new request of a rank would wait: the work ahead
+// predictWait returns how long a new request would wait: the work ahead
 // of it, half of that which runs included, shared by the slots.
-func (q *queue) predictWait(now time.Time, priority int) time.Duration {
+func (q *queue) predictWait(now time.Time, request Request) time.Duration {
 	if q.slots == 0 || (q.running < q.slots && len(q.waiting) == 0) {
 		return 0
 	}
 	work := float64(q.running) * q.overall.at(now) / 2
-	for _, t := range q.waiting {
-		if t.request.Priority <= priority {
-			work += q.expect(now, t.request.Route)
-		}
+	for _, t := range q.waiting[:q.ahead(request)] {
+		work += q.expect(now, t.request.Route)
 	}
 	return time.Duration(work / float64(q.slots))
 }
@@ -171,6 +161,5 @@
 		Waiting: len(q.waiting),
 		Slots:   q.slots,
 		Hold:    time.Duration(q.overall.at(now)),
-		Wait:    q.predictWait(now, lowestPriority),
 	}
 }
--- /dev/null
+++ b/internal/slots/queue_test.go
@@ -0,0 +1,107 @@
+package slots
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+var start = time.Unix(1000, 0)
+
+func request(priority int, due time.Duration) Request {
+	return Request{Route: "r", Priority: priority, Due: start.Add(due), MaxWait: time.Hour}
+}
+
+// TestOrder guards against an urgent request that waits behind one that is due
+// later, and against a rank that is ignored.
+func TestOrder(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := newQueue()
+	q.open(start, 1)
+	running, err := q.offer(start, request(1, time.Second))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	long, _ := q.offer(start, request(1, 500*time.Millisecond))
+	low, _ := q.offer(start, request(2, 100*time.Millisecond))
+	short, _ := q.offer(start, request(1, 120*time.Millisecond))
+	var order []*ticket
+	current := running
+	for range 3 {
+		q.finish(start, current, true)
+		for _, t := range []*ticket{long, low, short} {
+			if t.state == 1 && t != current {
+				order, current = append(order, t), t
+			}
+		}
+	}
+	g.Expect(order).To(gomega.Equal([]*ticket{short, long, low}))
+}
+
+// TestQueueProperties guards against more requests at a server than it has slots,
+// a slot that stays empty while requests wait, and a request that is both refused
+// and run.
+func TestQueueProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := newQueue()
+		slots := rapid.IntRange(1, 5).Draw(t, "slots")
+		now := start
+		q.open(now, slots)
+		var admitted []*ticket
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1, 2:
+				r := request(rapid.IntRange(0, 2).Draw(t, "priority"), now.Sub(start)+time.Duration(rapid.IntRange(0, 500).Draw(t, "due"))*time.Millisecond)
+				r.MaxWait = time.Duration(rapid.IntRange(0, 300).Draw(t, "max wait")) * time.Millisecond
+				if ticket, err := q.offer(now, r); err == nil {
+					admitted = append(admitted, ticket)
+				} else if result.RunStateOf(result.CodeOf(err)) != result.NotRun {
+					t.Fatalf("refused with %v", err)
+				}
+			case 3, 4:
+				finishOne(t, q, now, admitted)
+			case 5:
+				if len(admitted) > 0 {
+					q.abandon(rapid.SampledFrom(admitted).Draw(t, "abandoned"))
+				}
+			}
+			checkQueue(t, q, admitted, slots)
+		}
+		q.close(result.Errorf(result.Draining, "leaving"))
+		for _, ticket := range admitted {
+			if ticket.state == waiting {
+				t.Fatal("a request waits for a closed queue")
+			}
+		}
+	})
+}
+
+func finishOne(t *rapid.T, q *queue, now time.Time, admitted []*ticket) {
+	for _, ticket := range admitted {
+		if ticket.state == running {
+			q.finish(now, ticket, rapid.Bool().Draw(t, "complete"))
+			return
+		}
+	}
+}
+
+func checkQueue(t *rapid.T, q *queue, admitted []*ticket, slots int) {
+	runs, waits := 0, 0
+	for _, ticket := range admitted {
+		switch ticket.state {
+		case running:
+			runs++
+		case waiting:
+			waits++
+		}
+	}
+	if runs != q.running || runs > slots || waits != len(q.waiting) {
+		t.Fatalf("%d of %d slots used, the queue says %d; %d wait, the queue says %d", runs, slots, q.running, waits, len(q.waiting))
+	}
+	if runs < slots && waits > 0 {
+		t.Fatalf("%d requests wait although %d of %d slots are free", waits, slots-runs, slots)
+	}
+}
--- a/internal/slots/request.go
+++ b/internal/slots/request.go
@@ -8,6 +8,18 @@
 	Route string
 	// Priority is the rank in the queue; 0 goes first.
 	Priority int
+	// Due is when the request should be answered to meet its objective. Within a
+	// rank, the request that is due first goes first (earliest deadline first, Liu
+	// and Layland, JACM 20(1), 1973).
+	Due time.Time
 	// MaxWait is the longest predicted wait that is worth queueing for.
 	MaxWait time.Duration
 }
+
+// before reports whether the request goes ahead of another one that came earlier.
+func (r Request) before(other Request) bool {
+	if r.Priority != other.Priority {
+		return r.Priority < other.Priority
+	}
+	return r.Due.Before(other.Due)
+}
