Rank late requests behind those that can meet their objective; refuse new requests at the end of a stop

Change: the front learns how long the callers of a route wait and derives what a returning request has spent. Test: TestStopCutsNoRequest.

--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -24,6 +24,7 @@
 	gate     *gate
 	splitter *routing.Splitter
 	budgets  *budgets
+	patience *patience
 }
 
 // call is one request of a caller with the table and view that it uses from start
@@ -79,9 +80,7 @@
 	c.route = route
 	c.job.route, c.job.idempotent, c.job.priority = route.Name, route.Idempotent, route.Priority
 	c.job.service = f.splitter.Next(route, uint64(f.deps.Random()*splitOffsets))
-	c.job.budget = f.timeLeft(r, route)
-	c.job.deadline = now.Add(c.job.budget)
-	c.job.due = now.Add(route.Objective)
+	f.setTimes(c, r, now)
 	c.budget = f.budgets.of(c.job.service)
 	c.budget.First(now)
 	body, err := readBody(w, r, c.job.deadline, f.config.KeptBytes)
@@ -97,14 +96,24 @@
 // splitOffsets is the range of the random start of a route's rotation.
 const splitOffsets = 1 << 16
 
-// timeLeft returns the time in which the request must be answered: the route's
-// time-out or what the caller says that it waits, whichever is shorter.
-func (f *front) timeLeft(r *http.Request, route *routing.Route) time.Duration {
+// setTimes sets when the request must be answered, the route's time-out or what
+// the caller says that it waits, whichever is shorter, and when it should be.
+func (f *front) setTimes(c *call, r *http.Request, now time.Time) {
+	c.job.budget = c.route.Timeout
+	c.job.due = now.Add(c.route.Objective)
 	millis, err := strconv.ParseInt(r.Header.Get(f.deps.Vocabulary.DeadlineMs), 10, 64)
-	if err != nil || millis <= 0 || millis > maxHopTime.Milliseconds() {
-		return route.Timeout
+	if err == nil && millis > 0 && millis <= maxHopTime.Milliseconds() {
+		stated := time.Duration(millis) * time.Millisecond
+		c.job.budget = min(c.job.budget, stated)
+		c.job.due = c.job.due.Add(-f.patience.spent(now, c.route.Name, stated))
 	}
-	return min(route.Timeout, time.Duration(millis)*time.Millisecond)
+	c.job.deadline = now.Add(c.job.budget)
+}
+
+// refuseUnread refuses a request of which nothing is looked at.
+func (f *front) refuseUnread(w http.ResponseWriter, r *http.Request) {
+	c := &call{started: f.deps.Now(), job: &job{id: r.Header.Get(f.deps.Vocabulary.RequestID)}}
+	f.refuse(w, c, refuse(result.Draining, "node "+f.config.Node+" is stopping"))
 }
 
 // run makes attempts until one is answered or no other may follow.
@@ -196,7 +205,7 @@
 	candidates := f.deps.View().Ready(c.job.service)
 	choice, found := f.deps.Balancer.Choose(now, candidates, balance.Request{
 		Route:     c.job.route,
-		Remaining: c.route.Objective - now.Sub(c.started),
+		Remaining: c.job.due.Sub(now),
 		Objective: c.route.Objective,
 		Excluded:  c.excluded,
 		Random:    f.deps.Random,
@@ -211,16 +220,21 @@
 }
 
 // longestWait returns the predicted wait up to which the request is queued: as
-// long as it can still meet its objective, or, once that is lost, its deadline.
+// long as it can still meet its objective. One that can't goes behind those that
+// can, and is refused rather than held when it would wait long for nothing.
 func (f *front) longestWait(c *call, now time.Time) time.Duration {
-	work := f.deps.Balancer.Expected(c.job.route)
-	left := c.route.Objective - now.Sub(c.started) - work - c.choice.RTT
-	if left <= 0 {
-		left = c.job.deadline.Sub(now) - work - c.choice.RTT
+	spent := f.deps.Balancer.Expected(c.job.route) + c.choice.RTT
+	if left := c.job.due.Sub(now) - spent; left > 0 {
+		return left
 	}
-	return max(left, 0)
+	c.job.late = true
+	return max(min(c.job.deadline.Sub(now)-spent, c.route.Objective/lateWaitShare), 0)
 }
 
+// lateWaitShare is the part of its objective that a late request may be predicted
+// to wait.
+const lateWaitShare = 2
+
 // attempt sends the request to the gate on a node and notes what it showed.
 func (f *front) attempt(ctx context.Context, c *call, entry fleet.Entry) (*answer, *refusal) {
 	c.attempts++
--- a/internal/proxy/gate_handler.go
+++ b/internal/proxy/gate_handler.go
@@ -50,7 +50,7 @@
 		id: r.Header.Get(g.deps.Vocabulary.RequestID), route: h.route, service: h.service,
 		caller: r.Header.Get(g.deps.Vocabulary.CallerService),
 		method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header,
-		idempotent: h.idempotent, priority: h.priority, deadline: now.Add(h.remaining), due: now.Add(h.due), maxWait: h.maxWait,
+		idempotent: h.idempotent, priority: h.priority, deadline: now.Add(h.remaining), due: now.Add(h.due), late: h.due == 0, maxWait: h.maxWait,
 		arrived: sinceBoot(), budget: h.remaining,
 	}
 	if refused := g.check(j, g.deps.Server.Server().State); refused != nil {
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -26,6 +26,8 @@
 	deadline time.Time
 	// due is when the request should be answered to meet its objective.
 	due time.Time
+	// late is set when the objective can't be met any more.
+	late bool
 	// maxWait is the longest predicted wait for a slot that is worth it.
 	maxWait time.Duration
 	// arrived is the reading of the clock that counts suspensions at the time when
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -18,6 +18,10 @@
 	front    *front
 	gate     *gate
 	inFlight atomic.Int64
+	// draining ends each connection of a caller with its next answer.
+	draining atomic.Bool
+	// sealed refuses new requests of callers.
+	sealed atomic.Bool
 }
 
 // New returns a proxy; Close frees its connections.
@@ -30,7 +34,7 @@
 		Dial: dialWithin(deps.Dial, config.ServerConnectTimeout), MaxIdle: maxServerIdle, IdleTimeout: config.ServerIdleTimeout,
 		HeadBytes: config.HeadBytes, Now: deps.Now,
 	})}
-	f := &front{config: config, deps: deps, metrics: m, gate: g, splitter: routing.NewSplitter(), budgets: newBudgets(config, deps.Now)}
+	f := &front{config: config, deps: deps, metrics: m, gate: g, splitter: routing.NewSplitter(), budgets: newBudgets(config, deps.Now), patience: newPatience()}
 	f.client = exchange.NewClient(exchange.Options{
 		Dial: dialWithin(deps.Dial, config.ConnectTimeout), MaxIdle: config.IdlePerPeer, IdleTimeout: config.PeerIdleTimeout,
 		HeadBytes: config.HeadBytes, Now: deps.Now,
@@ -48,10 +52,25 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.inFlight.Add(1)
 		defer p.inFlight.Add(-1)
+		if p.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		if p.sealed.Load() {
+			p.front.refuseUnread(w, r)
+			return
+		}
 		p.front.serve(w, r)
 	})
 }
 
+// Drain ends the connections of callers with their next answers. Idle ones stay
+// open: net/http counts a connection as idle while it reads a request, so closing
+// idle connections would cut requests.
+func (p *Proxy) Drain() { p.draining.Store(true) }
+
+// Seal refuses the callers' new requests; those in flight go on.
+func (p *Proxy) Seal() { p.sealed.Store(true) }
+
 // Gate returns the handler of the gate's port. Requests without a hop go to next.
 func (p *Proxy) Gate(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -101,3 +101,20 @@
 	f.send(ctx, http.MethodGet, "/get/x", "left", "")
 	g.Eventually(ended).WithTimeout(500 * time.Millisecond).Should(gomega.Receive())
 }
+
+// TestStopCutsNoRequest guards against a request on a kept connection that is
+// passed on and then cut because its connection counted as idle, and against one
+// that is taken when the node has no time left for it.
+func TestStopCutsNoRequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newTestFleet(t, 1, 4)
+	expectAnswer(g, f.get("before"), "before", "")
+	f.nodes[0].proxy.Drain()
+	got := f.get("during")
+	expectAnswer(g, got, "during", "")
+	f.nodes[0].proxy.Seal()
+	got = f.post("after", "x")
+	g.Expect(got.err).NotTo(gomega.HaveOccurred())
+	g.Expect(got.status).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(f.nodes[0].backend.ran("after")).To(gomega.BeZero())
+}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/balance"
 	"rosemaryladder.dev/rosemaryladder/internal/exchange"
@@ -45,9 +46,13 @@
 
 func (f *front) outgoing(c *call) *exchange.Outgoing {
 	j := c.job
+	due := max(j.due.Sub(f.deps.Now()), time.Millisecond)
+	if j.late {
+		due = 0
+	}
 	h := hop{
 		service: j.service, route: j.route, remaining: max(j.deadline.Sub(f.deps.Now()), 0),
-		due: max(j.due.Sub(f.deps.Now()), 0), maxWait: j.maxWait, priority: j.priority, idempotent: j.idempotent,
+		due: due, maxWait: j.maxWait, priority: j.priority, idempotent: j.idempotent,
 	}
 	return &exchange.Outgoing{
 		Method: j.method, URI: j.uri, Host: j.host, Header: j.header, Skip: f.gate.skips, Body: j.body,
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"context"
 	"io"
 	"log"
 	"net"
@@ -54,7 +53,6 @@
 		}
 		s.servers = append(s.servers, l)
 	}
-	s.front = s.servers[0]
 	return nil
 }
 
@@ -78,10 +76,4 @@
 	return nil
 }
 
-// drain closes the idle connections and ends the others after their next answer.
-func (l *listener) drain() { l.server.SetKeepAlivesEnabled(false) }
-
-// shutdown waits for the requests in flight until the context ends.
-func (l *listener) shutdown(ctx context.Context) error { return l.server.Shutdown(ctx) }
-
 func (l *listener) close() { l.server.Close() }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -42,7 +42,6 @@
 	registry *registry.Registry
 	prober   *prober
 	servers  []*listener
-	front    *listener
 
 	stopping atomic.Bool
 }
