--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -43,7 +43,7 @@
 		return nil, refused, 0
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline.Add(g.config.AnswerGrace/2))
-	release, err := g.deps.Slots.Acquire(ctx, slots.Request{Route: j.route, Priority: j.priority, Late: j.late, Due: j.due, MaxWait: j.maxWait})
+	release, err := g.deps.Slots.Acquire(ctx, slots.Request{Route: j.route, Priority: j.priority, Late: j.late, Due: j.due, Deadline: j.deadline, MaxWait: j.maxWait})
 	if err != nil {
 		refused := g.refuseAdmission(ctx, err)
 		cancel()
--- a/internal/slots/controller.go
+++ b/internal/slots/controller.go
@@ -48,15 +48,8 @@
 	if err != nil {
 		return nil, err
 	}
-	select {
-	case <-t.admitted:
-	case <-ctx.Done():
-		c.mu.Lock()
-		abandoned := c.queue.abandon(t)
-		c.mu.Unlock()
-		if abandoned {
-			return nil, result.Wrap(ctx.Err(), result.DeadlineNotRun, "the request ended before it got a slot")
-		}
+	if err := c.wait(ctx, t); err != nil {
+		return nil, err
 	}
 	if t.refused != nil {
 		return nil, t.refused
@@ -68,6 +61,43 @@
 	}, nil
 }
 
+// wait waits until the request may run. It ends early when the request could not
+// be served before its deadline any more.
+func (c *Controller) wait(ctx context.Context, t *ticket) error {
+	select {
+	case <-t.admitted:
+		return nil
+	default:
+	}
+	timer := time.NewTimer(c.lastStart(t))
+	defer timer.Stop()
+	select {
+	case <-t.admitted:
+		return nil
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	c.mu.Lock()
+	abandoned := c.queue.abandon(t)
+	c.mu.Unlock()
+	if !abandoned {
+		return nil
+	}
+	if ctx.Err() != nil {
+		return result.Wrap(ctx.Err(), result.DeadlineNotRun, "the request ended before it got a slot")
+	}
+	return result.Errorf(result.DeadlineNotRun, "no slot became free in time for the deadline")
+}
+
+// lastStart returns the time until a request must start to be served before its
+// deadline.
+func (c *Controller) lastStart(t *ticket) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	return t.request.Deadline.Sub(now) - time.Duration(c.queue.expect(now, t.request.Route))
+}
+
 // Load returns the state of the queue.
 func (c *Controller) Load() Load {
 	c.mu.Lock()
--- a/internal/slots/queue.go
+++ b/internal/slots/queue.go
@@ -95,6 +95,9 @@
 }
 
 func (q *queue) dispatch(now time.Time) {
+	if q.running < q.slots && len(q.waiting) > 0 {
+		q.demote(now)
+	}
 	for q.running < q.slots && len(q.waiting) > 0 {
 		next := q.waiting[0]
 		q.waiting = slices.Delete(q.waiting, 0, 1)
@@ -108,6 +111,21 @@
 	close(t.admitted)
 }
 
+// demote puts the requests that lost their objective while they waited behind
+// those of their rank that can still meet it.
+func (q *queue) demote(now time.Time) {
+	demoted := false
+	for _, t := range q.waiting {
+		expected := time.Duration(q.expect(now, t.request.Route))
+		if !t.request.Late && now.Add(expected).After(t.request.Due) {
+			t.request.Late, demoted = true, true
+		}
+	}
+	if demoted {
+		slices.SortStableFunc(q.waiting, func(a, b *ticket) int { return a.request.compare(b.request) })
+	}
+}
+
 // insert keeps the order in which the requests run.
 func (q *queue) insert(t *ticket) {
 	q.waiting = slices.Insert(q.waiting, q.ahead(t.request), t)
@@ -116,7 +134,7 @@
 // ahead returns the number of waiting requests that go before a new one.
 func (q *queue) ahead(request Request) int {
 	n := len(q.waiting)
-	for n > 0 && request.before(q.waiting[n-1].request) {
+	for n > 0 && request.compare(q.waiting[n-1].request) < 0 {
 		n--
 	}
 	return n
--- a/internal/slots/queue_test.go
+++ b/internal/slots/queue_test.go
@@ -40,6 +40,20 @@
 	g.Expect(order).To(gomega.Equal([]*ticket{short, long, low}))
 }
 
+// TestLateRequestsMakeRoom guards against requests that all miss their objective
+// because each waits behind one that has missed it already.
+func TestLateRequestsMakeRoom(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := newQueue()
+	q.open(start, 1)
+	running, _ := q.offer(start, request(1, time.Second))
+	early, _ := q.offer(start, request(1, 100*time.Millisecond))
+	fresh, _ := q.offer(start, request(1, 600*time.Millisecond))
+	q.finish(start.Add(200*time.Millisecond), running, true)
+	g.Expect(fresh.state).To(gomega.Equal(ticketState(1)))
+	g.Expect(early.state).To(gomega.Equal(ticketState(0)))
+}
+
 // TestQueueProperties guards against more requests at a server than it has slots,
 // a slot that stays empty while requests wait, and a request that is both refused
 // and run.
--- a/internal/slots/request.go
+++ b/internal/slots/request.go
@@ -1,6 +1,9 @@
 package slots
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Request describes a request that wants a slot.
 type Request struct {
@@ -15,17 +18,19 @@
 	// rank, the request that is due first goes first (earliest deadline first, Liu
 	// and Layland, JACM 20(1), 1973).
 	Due time.Time
+	// Deadline is when the request must be answered.
+	Deadline time.Time
 	// MaxWait is the longest predicted wait that is worth queueing for.
 	MaxWait time.Duration
 }
 
-// before reports whether the request goes ahead of another one that came earlier.
-func (r Request) before(other Request) bool {
-	if r.Priority != other.Priority {
-		return r.Priority < other.Priority
+// compare orders requests as they run.
+func (r Request) compare(other Request) int {
+	if r.Late != other.Late && r.Priority == other.Priority {
+		if r.Late {
+			return 1
+		}
+		return -1
 	}
-	if r.Late != other.Late {
-		return other.Late
-	}
-	return r.Due.Before(other.Due)
+	return cmp.Or(cmp.Compare(r.Priority, other.Priority), r.Due.Compare(other.Due))
 }
