--- a/internal/slots/queue.go
+++ b/internal/slots/queue.go
@@ -140,17 +140,14 @@
 	return n
 }
 
-// predictWait returns how long a new request would wait: the work ahead
-// of it, half of that which runs included, shared by the slots.
+// predictWait returns how long a new request would wait: a slot becomes free once
+// in the average hold time divided by the slots, and the requests ahead get the
+// first ones.
 func (q *queue) predictWait(now time.Time, request Request) time.Duration {
 	if q.slots == 0 || (q.running < q.slots && len(q.waiting) == 0) {
 		return 0
 	}
-	work := float64(q.running) * q.overall.at(now) / 2
-	for _, t := range q.waiting[:q.ahead(request)] {
-		work += q.expect(now, t.request.Route)
-	}
-	return time.Duration(work / float64(q.slots))
+	return time.Duration(q.overall.at(now) * float64(q.ahead(request)+1) / float64(q.slots))
 }
 
 // expect returns the predicted hold time of a route's request.
--- a/internal/slots/queue_test.go
+++ b/internal/slots/queue_test.go
@@ -54,6 +54,26 @@
 	g.Expect(early.state).To(gomega.Equal(ticketState(0)))
 }
 
+// TestNextSlotIsNear guards against an urgent request that is refused because all
+// slots are busy with long ones, although one of them ends soon.
+func TestNextSlotIsNear(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := newQueue()
+	q.open(start, 6)
+	for range 20 {
+		ticket, _ := q.offer(start, request(1, time.Second))
+		q.finish(start.Add(250*time.Millisecond), ticket, true)
+	}
+	for range 6 {
+		_, err := q.offer(start, request(1, time.Second))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	urgent := request(1, 120*time.Millisecond)
+	urgent.MaxWait = 80 * time.Millisecond
+	_, err := q.offer(start, urgent)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
 // TestQueueProperties guards against more requests at a server than it has slots,
 // a slot that stays empty while requests wait, and a request that is both refused
 // and run.
