--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -18,7 +18,9 @@
 	LeaseTTL time.Duration
 	// KeepInterval is the time between two renewals of the lease.
 	KeepInterval time.Duration
-	// WatchWait is how long one watch waits for a change.
+	// WatchWait is how long one watch waits for a change. A watch that began while
+	// the store dropped its history hears nothing until it ends, so this is below
+	// the time after which the operators expect a calm store to be followed.
 	WatchWait time.Duration
 	// WatchPause is the time between a change and the next watch, so that changes
 	// that come together cost one call.
@@ -40,8 +42,8 @@
 	return Config{
 		LeaseTTL:     6 * time.Second,
 		KeepInterval: 1500 * time.Millisecond,
-		WatchWait:    4 * time.Second,
-		WatchPause:   150 * time.Millisecond,
+		WatchWait:    1500 * time.Millisecond,
+		WatchPause:   350 * time.Millisecond,
 		CallTimeout:  time.Second,
 		FirstRetry:   100 * time.Millisecond,
 		MaxRetry:     800 * time.Millisecond,
--- /dev/null
+++ b/internal/registry/fake_store_test.go
@@ -0,0 +1,177 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+)
+
+var errStoreDown = errors.New("the store is down")
+
+// change is an event with its revision.
+type change struct {
+	event    Event
+	revision Revision
+}
+
+// fakeStore is a store in memory with faults.
+type fakeStore struct {
+	mu       sync.Mutex
+	values   map[string][]byte
+	leases   map[Lease][]string
+	history  []change
+	revision Revision
+	next     Lease
+	down     bool
+	// deaf makes watches wait their full time and then fail as compacted.
+	deaf  bool
+	calls int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{values: make(map[string][]byte), leases: make(map[Lease][]string), revision: 1}
+}
+
+// enter counts a call and fails while the store is down.
+func (s *fakeStore) enter() error {
+	s.calls++
+	if s.down {
+		return errStoreDown
+	}
+	return nil
+}
+
+func (s *fakeStore) List(_ context.Context, prefix string) ([]Item, Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(); err != nil {
+		return nil, 0, err
+	}
+	var items []Item
+	for key, value := range s.values {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, Item{Key: key, Value: value})
+		}
+	}
+	return items, s.revision, nil
+}
+
+func (s *fakeStore) Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Event, Revision, error) {
+	s.mu.Lock()
+	deaf := s.deaf
+	s.mu.Unlock()
+	for deadline := time.Now().Add(wait); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if ctx.Err() != nil {
+			return nil, 0, ctx.Err()
+		}
+		events, at, err := s.since(prefix, after)
+		if err != nil || (len(events) > 0 && !deaf) {
+			return events, at, err
+		}
+	}
+	if deaf {
+		return nil, 0, ErrCompacted
+	}
+	return nil, after, nil
+}
+
+func (s *fakeStore) since(prefix string, after Revision) ([]Event, Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, errStoreDown
+	}
+	var events []Event
+	for _, c := range s.history {
+		if c.revision > after && strings.HasPrefix(c.event.Key, prefix) {
+			events = append(events, c.event)
+		}
+	}
+	return events, s.revision, nil
+}
+
+func (s *fakeStore) Put(_ context.Context, key string, value []byte, lease Lease) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(); err != nil {
+		return err
+	}
+	if lease != 0 {
+		if _, found := s.leases[lease]; !found {
+			return ErrLeaseEnded
+		}
+		s.leases[lease] = append(s.leases[lease], key)
+	}
+	s.write(Event{Key: key, Value: value})
+	return nil
+}
+
+func (s *fakeStore) Delete(_ context.Context, key string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(); err != nil {
+		return err
+	}
+	s.write(Event{Key: key, Removed: true})
+	return nil
+}
+
+func (s *fakeStore) Grant(context.Context, time.Duration) (Lease, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(); err != nil {
+		return 0, err
+	}
+	s.next++
+	s.leases[s.next] = nil
+	return s.next, nil
+}
+
+func (s *fakeStore) Keep(_ context.Context, lease Lease) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(); err != nil {
+		return err
+	}
+	if _, found := s.leases[lease]; !found {
+		return ErrLeaseEnded
+	}
+	return nil
+}
+
+// write changes a key.
+func (s *fakeStore) write(event Event) {
+	s.revision++
+	s.history = append(s.history, change{event, s.revision})
+	if event.Removed {
+		delete(s.values, event.Key)
+		return
+	}
+	s.values[event.Key] = event.Value
+}
+
+// revoke ends all leases and removes their keys.
+func (s *fakeStore) revoke() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, keys := range s.leases {
+		for _, key := range keys {
+			s.write(Event{Key: key, Removed: true})
+		}
+	}
+	clear(s.leases)
+}
+
+func (s *fakeStore) set(change func(*fakeStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+func (s *fakeStore) has(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.values[key] != nil
+}
--- a/internal/registry/lease_loop.go
+++ b/internal/registry/lease_loop.go
@@ -13,6 +13,14 @@
 	retry := r.newBackoff()
 	var lease Lease
 	for ctx.Err() == nil {
+		if r.Own().Server == "" {
+			// An entry without a server tells the fleet nothing, and each write wakes
+			// every node.
+			if !r.waitForChange(ctx, r.config.KeepInterval) {
+				return
+			}
+			continue
+		}
 		var err error
 		lease, err = r.maintain(ctx, lease)
 		wait := r.config.KeepInterval
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -56,6 +56,7 @@
 		return nil, err
 	}
 	scope := deps.Scope.SubScope("registry")
+	deps.Fleet.Merge(own)
 	return &Registry{
 		config: config, deps: deps, own: own, started: deps.Now(),
 		hurry: make(chan struct{}, 1), changed: make(chan struct{}, 1),
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,143 @@
+package registry
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+	"rosemaryladder.dev/rosemaryladder/internal/routing"
+	"rosemaryladder.dev/rosemaryladder/internal/telemetry"
+)
+
+// settle is the time within which a node must be up to date again after the store
+// is; it stands for the operators' bound.
+const settle = 3 * time.Second
+
+const configurationKey = "configuration"
+
+// testRegistry is a running registry.
+type testRegistry struct {
+	*Registry
+	routes *routing.Holder
+	fleet  *fleet.Table
+	gate   *httptest.Server
+}
+
+// decodeTest reads a configuration that is only a version.
+func decodeTest(data []byte) (*routing.Table, error) {
+	version, err := strconv.ParseUint(string(data), 10, 64)
+	if err != nil {
+		return nil, errors.Wrap(err, "not a version")
+	}
+	limits := routing.Limits{HeaderBytes: 1, BodyBytes: 1, HeaderTimeout: 1, IdleTimeout: 1}
+	return routing.NewTable(routing.Version(version), nil, nil, limits)
+}
+
+func startRegistry(t *testing.T, store Store, name string) *testRegistry {
+	r := &testRegistry{routes: &routing.Holder{}, fleet: fleet.NewTable(500 * time.Millisecond)}
+	r.gate = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) { r.ServeHTTP(w, request) }))
+	t.Cleanup(r.gate.Close)
+	config := DefaultConfig()
+	config.ConfigurationKey, config.EntriesPrefix = configurationKey, "nodes/"
+	config.WatchPause, config.KeepInterval = 10*time.Millisecond, 100*time.Millisecond
+	config.PeerAfter, config.PeerInterval = 200*time.Millisecond, 50*time.Millisecond
+	own := fleet.Entry{
+		Node: name, Gate: strings.TrimPrefix(r.gate.URL, "http://"), Domain: "d", Service: "s", Server: "server-" + name,
+		State: fleet.Ready, Slots: 1, Incarnation: time.Now().UnixMilli(),
+	}
+	var err error
+	r.Registry, err = New(config, Deps{
+		Store: store, Decode: decodeTest, Routes: r.routes, Fleet: r.fleet, Peers: http.DefaultClient,
+		Log: telemetry.DiscardLogger(), Scope: tally.NoopScope, Now: time.Now, Random: func() float64 { return 0.5 },
+		Reached: func(string) {},
+	}, own)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return r
+}
+
+func (s *fakeStore) configure(version int) {
+	s.set(func(s *fakeStore) { s.write(Event{Key: configurationKey, Value: []byte(strconv.Itoa(version))}) })
+}
+
+func (r *testRegistry) nodes() int { return len(r.fleet.View().Ready("s")) }
+
+// TestNodesFindEachOther guards against a fleet or a configuration that does not
+// reach a node, and against a refused configuration that stops the watch.
+func TestNodesFindEachOther(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := newFakeStore()
+	a, b := startRegistry(t, store, "a"), startRegistry(t, store, "b")
+	store.configure(3)
+	g.Eventually(a.nodes).WithTimeout(settle).Should(gomega.Equal(2))
+	g.Eventually(b.nodes).WithTimeout(settle).Should(gomega.Equal(2))
+	store.set(func(s *fakeStore) { s.write(Event{Key: configurationKey, Value: []byte("cut sho")}) })
+	store.configure(2)
+	store.configure(5)
+	g.Eventually(a.routes.Version).WithTimeout(settle).Should(gomega.Equal(routing.Version(5)))
+	g.Expect(a.Ready()).To(gomega.BeTrue())
+}
+
+// TestDeafWatch guards against a configuration that stays out of force because a
+// watch began while the store dropped its history.
+func TestDeafWatch(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := newFakeStore()
+	store.configure(1)
+	store.set(func(s *fakeStore) { s.deaf = true })
+	a := startRegistry(t, store, "a")
+	g.Eventually(a.routes.Version).WithTimeout(settle).Should(gomega.Equal(routing.Version(1)))
+	time.Sleep(50 * time.Millisecond)
+	store.set(func(s *fakeStore) { s.deaf = false })
+	store.configure(2)
+	g.Eventually(a.routes.Version).WithTimeout(settle).Should(gomega.Equal(routing.Version(2)))
+}
+
+// TestLapsedEntryReturns guards against a node that stays unknown after the store
+// ended its lease.
+func TestLapsedEntryReturns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := newFakeStore()
+	a, b := startRegistry(t, store, "a"), startRegistry(t, store, "b")
+	g.Eventually(a.nodes).WithTimeout(settle).Should(gomega.Equal(2))
+	store.revoke()
+	g.Eventually(func() bool { return store.has("nodes/a") && store.has("nodes/b") }).WithTimeout(2 * time.Second).Should(gomega.BeTrue())
+	g.Consistently(b.nodes).WithTimeout(700 * time.Millisecond).Should(gomega.Equal(2))
+}
+
+// TestPeersWhileTheStoreIsAway guards against a node that starts without a
+// configuration because the store is down, although a peer holds one.
+func TestPeersWhileTheStoreIsAway(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store, away := newFakeStore(), newFakeStore()
+	away.down = true
+	store.configure(7)
+	a := startRegistry(t, store, "a")
+	g.Eventually(a.routes.Version).WithTimeout(settle).Should(gomega.Equal(routing.Version(7)))
+	b := startRegistry(t, away, "b")
+	a.Suspect(b.Own())
+	a.fleet.Merge(b.Own())
+	g.Eventually(b.routes.Version).WithTimeout(settle).Should(gomega.Equal(routing.Version(7)))
+	g.Eventually(b.Ready).WithTimeout(settle).Should(gomega.BeTrue())
+	g.Eventually(b.nodes).WithTimeout(settle).Should(gomega.Equal(2))
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -83,6 +83,7 @@
 	config.ConfigurationKey = s.adapter.ConfigurationKey
 	config.EntriesPrefix = s.adapter.EntriesPrefix
 	config.WatchPrefix = s.adapter.WatchPrefix
+	config.WatchWait = loaded.Bounds.Settle / 2
 	config.LeaseTTL = max(config.LeaseTTL, loaded.Store.MinLease)
 	dialer := dial.Dialer{LocalIP: loaded.Node.IP, Timeout: config.CallTimeout}
 	own := fleet.Entry{
