Test the choice of the node; note a failed try

Failed try, reverted: a gate that refused a route's request for lack of room was left alone for 100 ms, to save the bytes of requests that go from gate to gate. Conclusion: room becomes free every few tens of milliseconds, and a node that holds back leaves it to chance who gets it.

--- /dev/null
+++ b/internal/balance/balancer_test.go
@@ -0,0 +1,158 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+)
+
+var start = time.Unix(1000, 0)
+
+func testConfig() Config {
+	config := DefaultConfig()
+	config.Domain = "a1"
+	config.Regions = map[string]string{"a1": "a", "a2": "a", "b1": "b"}
+	return config
+}
+
+func entry(node, domain string) fleet.Entry {
+	return fleet.Entry{Node: node, Domain: domain, Server: "s-" + node, State: fleet.Ready, Slots: 4}
+}
+
+func testRequest() Request {
+	return Request{Route: "r", Remaining: 400 * time.Millisecond, Objective: 400 * time.Millisecond, Random: func() float64 { return 0 }}
+}
+
+// learn tells the balancer the time and size of the route's requests.
+func learn(b *Balancer, e fleet.Entry, ran time.Duration, bytes int64) {
+	for range 30 {
+		request := testRequest()
+		if _, ok := b.Choose(start, []fleet.Entry{e}, request); !ok {
+			panic("no choice")
+		}
+		b.Done(start, e.Node, "r", &Report{Slots: 4, Hold: ran, Spent: ran, Ran: ran}, ran+time.Millisecond)
+		b.Sized("r", bytes)
+	}
+}
+
+// TestNearServersGoFirst guards against bytes on the paid link while servers in
+// the own failure domain can meet the objective.
+func TestNearServersGoFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b, err := New(testConfig())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	near, region, far := entry("near", "a1"), entry("region", "a2"), entry("far", "b1")
+	all := []fleet.Entry{far, region, near}
+	for _, e := range all {
+		learn(b, e, 100*time.Millisecond, 5000)
+	}
+	choice, ok := b.Choose(start, all, testRequest())
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(choice.Entry.Node).To(gomega.Equal("near"))
+}
+
+// TestBusyServersPassOn guards against requests that queue at a busy server while
+// another one can meet the objective.
+func TestBusyServersPassOn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b, err := New(testConfig())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	near, region := entry("near", "a1"), entry("region", "a2")
+	learn(b, near, 100*time.Millisecond, 5000)
+	learn(b, region, 100*time.Millisecond, 5000)
+	for range 25 {
+		b.Choose(start, []fleet.Entry{near}, testRequest())
+	}
+	choice, _ := b.Choose(start, []fleet.Entry{near, region}, testRequest())
+	g.Expect(choice.Entry.Node).To(gomega.Equal("region"))
+}
+
+// TestNewServersAreChosen guards against a server that joins and gets nothing.
+func TestNewServersAreChosen(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b, err := New(testConfig())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	old, joined := entry("old", "a1"), entry("joined", "a1")
+	learn(b, old, 100*time.Millisecond, 5000)
+	got := 0
+	for range 20 {
+		request := testRequest()
+		if choice, _ := b.Choose(start, []fleet.Entry{old, joined}, request); choice.Entry.Node == "joined" {
+			got++
+		}
+	}
+	g.Expect(got).To(gomega.BeNumerically(">", 0))
+}
+
+// TestChooseProperties guards against a choice among the excluded, an unreachable
+// node that is preferred to a reachable one, and a count of requests in flight
+// that drifts.
+func TestChooseProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, err := New(testConfig())
+		if err != nil {
+			t.Fatal(err)
+		}
+		var all []fleet.Entry
+		for i := range rapid.IntRange(1, 6).Draw(t, "nodes") {
+			all = append(all, entry(fmt.Sprint(i), rapid.SampledFrom([]string{"a1", "a2", "b1"}).Draw(t, "domain")))
+		}
+		now := start
+		inFlight := make(map[string]int)
+		down := make(map[string]time.Time)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 80).Draw(t, "ms")) * time.Millisecond)
+			request := testRequest()
+			if rapid.Bool().Draw(t, "exclude") {
+				request.Excluded = []string{rapid.SampledFrom(all).Draw(t, "excluded").Node}
+			}
+			choice, ok := b.Choose(now, all, request)
+			if !ok {
+				continue
+			}
+			node := choice.Entry.Node
+			if len(request.Excluded) > 0 && node == request.Excluded[0] {
+				t.Fatalf("chose the excluded node %s", node)
+			}
+			checkDown(t, all, down, now, request.Excluded, node)
+			inFlight[node]++
+			switch rapid.IntRange(0, 3).Draw(t, "end") {
+			case 0:
+				b.Done(now, node, "r", &Report{Slots: 4, Hold: time.Millisecond, Ran: time.Millisecond, Spent: time.Millisecond}, 2*time.Millisecond)
+				inFlight[node]--
+				delete(down, node)
+			case 1:
+				b.Unreachable(now, node)
+				down[node] = now.Add(firstBackoff)
+				b.Done(now, node, "r", nil, time.Millisecond)
+				inFlight[node]--
+			}
+		}
+		for node, want := range inFlight {
+			if got := b.peers[node].inFlight; got != want {
+				t.Fatalf("node %s has %d requests in flight, the balancer says %d", node, want, got)
+			}
+		}
+	})
+}
+
+// checkDown fails when a node that was just unreachable was chosen although one
+// that was not stood beside it.
+func checkDown(t *rapid.T, all []fleet.Entry, down map[string]time.Time, now time.Time, excluded []string, chosen string) {
+	if !now.Before(down[chosen]) {
+		return
+	}
+	for _, e := range all {
+		if len(excluded) > 0 && e.Node == excluded[0] {
+			continue
+		}
+		if down[e.Node].IsZero() {
+			t.Fatalf("chose %s, which is unreachable, and not %s", chosen, e.Node)
+		}
+	}
+}
