--- /dev/null
+++ b/internal/standin/platformscenario/deployment.go
@@ -0,0 +1,220 @@
+// Package platformscenario runs a deployment on the users' platform as separate
+// processes: sidecars, with stand-ins for the store, the backend servers and the
+// callers in the process that drives them.
+package platformscenario
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/standin/app"
+	"rosemaryladder.dev/rosemaryladder/internal/standin/platformstore"
+)
+
+// Service is the service of all backend servers.
+const Service = "orders"
+
+// host is one host with a sidecar and a backend server.
+type host struct {
+	ip       string
+	settings string
+	front    string
+	ready    string
+	app      *app.App
+	options  app.Options
+	process  *exec.Cmd
+	exited   chan error
+}
+
+// Deployment is a store and hosts in two failure domains.
+type Deployment struct {
+	Store   *platformstore.Store
+	program string
+	folder  string
+	hosts   []*host
+	server  *http.Server
+	address string
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// Start starts a deployment of hosts that run a program.
+func Start(program, folder string, hosts int) (*Deployment, error) {
+	d := &Deployment{Store: platformstore.New(), program: program, folder: folder, runs: make(map[string]int)}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	d.address = listener.Addr().String()
+	d.server = &http.Server{Handler: d.Store}
+	go func() { _ = d.server.Serve(listener) }()
+	for i := range hosts {
+		if err := d.addHost(i); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+// freeAddress returns an address of the IP that the kernel picked.
+func freeAddress(ip string) (string, error) {
+	listener, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+func (d *Deployment) addHost(number int) error {
+	h := &host{ip: fmt.Sprintf("127.0.%d.1", number+10)}
+	var addresses [6]string
+	for i := range addresses {
+		address, err := freeAddress(h.ip)
+		if err != nil {
+			return err
+		}
+		addresses[i] = address
+	}
+	h.front, h.ready = addresses[0], addresses[2]
+	_, metrics, err := net.SplitHostPort(addresses[5])
+	if err != nil {
+		return err
+	}
+	h.settings = filepath.Join(d.folder, fmt.Sprintf("host-%d.ini", number))
+	text := fmt.Sprintf(`[node]
+host = host-%d
+ip = %s
+failure_domain = domain-%d
+regions = domain-0:region,domain-1:region
+service = %s
+server = %s
+[listen]
+front = %s
+gate = %s
+ready = %s
+announce = %s
+metrics = %s
+[store]
+address = %s
+[bounds]
+retry_slack = 100
+`, number, h.ip, number%2, Service, addresses[4], h.front, addresses[1], h.ready, addresses[3], metrics, d.address)
+	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
+		return err
+	}
+	h.options = app.Options{
+		ID: fmt.Sprintf("i-%d", number), Service: Service, Address: addresses[4], Control: addresses[3],
+		Slots: 4, Work: 20 * time.Millisecond, Ran: d.ran,
+	}
+	d.hosts = append(d.hosts, h)
+	if h.app, err = app.Start(h.options); err != nil {
+		return err
+	}
+	return d.StartNode(number)
+}
+
+// StartNode starts the sidecar of a host.
+func (d *Deployment) StartNode(number int) error {
+	h := d.hosts[number]
+	out, err := os.OpenFile(h.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	h.process = exec.Command(d.program, h.settings)
+	h.process.Stdout, h.process.Stderr = out, out
+	if err := h.process.Start(); err != nil {
+		return err
+	}
+	h.exited = make(chan error, 1)
+	go func(process *exec.Cmd, exited chan<- error) { exited <- process.Wait() }(h.process, h.exited)
+	return nil
+}
+
+// Signal sends a signal to the sidecar of a host.
+func (d *Deployment) Signal(number int, signal syscall.Signal) error {
+	return d.hosts[number].process.Process.Signal(signal)
+}
+
+// WaitExit waits until the sidecar of a host has ended.
+func (d *Deployment) WaitExit(number int, timeout time.Duration) error {
+	select {
+	case <-d.hosts[number].exited:
+		return nil
+	case <-time.After(timeout):
+		return fmt.Errorf("the sidecar of host %d still runs after %s", number, timeout)
+	}
+}
+
+// Ready reports whether the sidecar of a host takes requests.
+func (d *Deployment) Ready(number int) bool {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + d.hosts[number].ready + "/api/ready")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// Configure writes a version of the configuration with an idempotent route and
+// one that is not, and the given number of further routes.
+func (d *Deployment) Configure(version, further int) {
+	routes := `{"name":"get","prefix":"/get/","kind":"safe","timeout":"2s","targetLatency":"500ms","priority":1,"service":"orders","maxAttempts":3},
+{"name":"post","prefix":"/post/","kind":"unsafe","timeout":"2s","targetLatency":"500ms","priority":1,"service":"orders","maxAttempts":3}`
+	for i := range further {
+		routes += fmt.Sprintf(`,{"name":"more-%d","prefix":"/more-%d/","kind":"safe","timeout":"1s","targetLatency":"500ms","priority":2,"service":"orders","maxAttempts":1}`, i, i)
+	}
+	d.Store.Write("op/config", []byte(fmt.Sprintf(`{"version":"r%d","services":[{"name":"orders","healthPath":"/healthz","maxConnections":100}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeout":"3s","idleTimeout":"15s"},
+"virtualHosts":[{"host":"orders.example","pathMatches":[%s]}]}`, version, routes)))
+}
+
+// App returns the backend server of a host.
+func (d *Deployment) App(number int) *app.App { return d.hosts[number].app }
+
+// StopApp ends the backend server of a host at once; StartApp starts another run.
+func (d *Deployment) StopApp(number int) { d.hosts[number].app.Stop() }
+
+// StartApp starts a new run of the backend server of a host.
+func (d *Deployment) StartApp(number int) error {
+	h := d.hosts[number]
+	h.options.ID += "x"
+	var err error
+	h.app, err = app.Start(h.options)
+	return err
+}
+
+func (d *Deployment) ran(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.runs[id]++
+}
+
+// Runs returns how often a request ran.
+func (d *Deployment) Runs(id string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.runs[id]
+}
+
+// Close ends everything that the deployment started.
+func (d *Deployment) Close() {
+	for i, h := range d.hosts {
+		if h.process != nil {
+			_ = h.process.Process.Kill()
+			_ = d.WaitExit(i, 5*time.Second)
+		}
+		h.app.Stop()
+	}
+	_ = d.server.Close()
+}
--- /dev/null
+++ b/internal/standin/platformscenario/scenario_test.go
@@ -0,0 +1,187 @@
+package platformscenario
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// program is the sidecar that the scenarios run.
+var program string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+// runTests builds the sidecar once for all scenarios.
+func runTests(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "sidecar")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(folder)
+	program = filepath.Join(folder, "rosemaryladder-sidecar")
+	build := exec.Command("go", "build", "-o", program, "rosemaryladder.dev/rosemaryladder/cmd/rosemaryladder-sidecar")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	return m.Run()
+}
+
+// world is the deployment of one script.
+type world struct {
+	deployment *Deployment
+	load       *Load
+}
+
+const worldKey = "world"
+
+// TestScenarios runs the scripts of testdata. They guard against requests that are
+// lost, doubled, truncated or refused falsely while processes and the store fail.
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			w := &world{}
+			env.Values[worldKey] = w
+			env.Defer(func() {
+				if w.deployment != nil {
+					w.deployment.Close()
+				}
+			})
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"deploy": deploy, "configure": configure, "ready": ready, "load": load, "check": check,
+			"signal": signal, "node": node, "store": store, "app": appCommand, "pause": pause,
+		},
+	})
+}
+
+func worldOf(ts *testscript.TestScript) *world { return ts.Value(worldKey).(*world) }
+
+func number(ts *testscript.TestScript, text string) int {
+	n, err := strconv.Atoi(text)
+	ts.Check(err)
+	return n
+}
+
+// deploy HOSTS starts a deployment.
+func deploy(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := Start(program, ts.MkAbs("."), number(ts, args[0]))
+	ts.Check(err)
+	worldOf(ts).deployment = d
+}
+
+// configure VERSION [ROUTES] writes a configuration.
+func configure(ts *testscript.TestScript, _ bool, args []string) {
+	further := 0
+	if len(args) > 1 {
+		further = number(ts, args[1])
+	}
+	worldOf(ts).deployment.Configure(number(ts, args[0]), further)
+}
+
+// ready HOST... waits until the hosts take requests.
+func ready(ts *testscript.TestScript, _ bool, args []string) {
+	deadline := time.Now().Add(15 * time.Second)
+	for _, arg := range args {
+		for !worldOf(ts).deployment.Ready(number(ts, arg)) {
+			if time.Now().After(deadline) {
+				ts.Fatalf("host %s is not ready", arg)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+// load CALLERS starts callers.
+func load(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	w.load = w.deployment.StartLoad(number(ts, args[0]))
+}
+
+// check [failed] stops the callers; without "failed" no request may have failed.
+func check(ts *testscript.TestScript, _ bool, args []string) {
+	l := worldOf(ts).load
+	l.Stop()
+	ts.Logf("sent %d, served %d, refused %d, failed %d", l.Sent, l.Served, l.Refused, l.Failed)
+	for _, wrong := range l.Wrong {
+		ts.Logf("%s", wrong)
+	}
+	if len(l.Wrong) > 0 || (l.Failed > 0 && len(args) == 0) || l.Served*2 < l.Sent {
+		ts.Fatalf("%d wrong, %d failed, %d of %d served", len(l.Wrong), l.Failed, l.Served, l.Sent)
+	}
+}
+
+// signal HOST term|kill|stop|cont|hup signals a sidecar.
+func signal(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]syscall.Signal{
+		"term": syscall.SIGTERM, "kill": syscall.SIGKILL, "stop": syscall.SIGSTOP, "cont": syscall.SIGCONT, "hup": syscall.SIGHUP,
+	}
+	ts.Check(worldOf(ts).deployment.Signal(number(ts, args[0]), signals[args[1]]))
+}
+
+// node HOST exited|start waits for the end of a sidecar or starts it.
+func node(ts *testscript.TestScript, _ bool, args []string) {
+	d, n := worldOf(ts).deployment, number(ts, args[0])
+	if args[1] == "start" {
+		ts.Check(d.StartNode(n))
+		return
+	}
+	// The platform's grace is 6 s.
+	ts.Check(d.WaitExit(n, 6*time.Second))
+}
+
+// store down|up|compact|revoke makes the store fail.
+func store(ts *testscript.TestScript, _ bool, args []string) {
+	s := worldOf(ts).deployment.Store
+	switch args[0] {
+	case "down", "up":
+		s.Down.Store(args[0] == "down")
+	case "compact":
+		s.Compact()
+	case "revoke":
+		s.Revoke()
+	}
+}
+
+// app HOST drain|stop|start changes a backend server.
+func appCommand(ts *testscript.TestScript, _ bool, args []string) {
+	d, n := worldOf(ts).deployment, number(ts, args[0])
+	switch args[1] {
+	case "stop":
+		d.StopApp(n)
+	case "start":
+		ts.Check(d.StartApp(n))
+	case "drain":
+		d.App(n).Drain()
+	case "drained":
+		ts.Check(drained(d, n))
+	}
+}
+
+// drained reports a server that was not acknowledged or got work afterwards.
+func drained(d *Deployment, n int) error {
+	if !d.App(n).Acknowledged() {
+		return fmt.Errorf("the leaving of host %d's server was not acknowledged", n)
+	}
+	if late := d.App(n).Late(); late > 0 {
+		return fmt.Errorf("%d requests reached the server of host %d after its leaving was acknowledged", late, n)
+	}
+	return nil
+}
+
+// pause DURATION waits.
+func pause(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	time.Sleep(d)
+}
