Refuse late requests that can't be served before their deadline when they lose their objective

Cause: requests that lost their objective in the queue were held until shortly before their deadline although the requests ahead left them no time. Test: TestHopelessLateRequestIsRefused.

--- a/internal/slots/queue.go
+++ b/internal/slots/queue.go
@@ -95,8 +95,7 @@
 func (q *queue) close(reason error) {
 	q.closed = reason
 	for _, t := range q.waiting {
-		t.state, t.refused = done, reason
-		close(t.admitted)
+		t.refuse(reason)
 	}
 	q.waiting = nil
 }
@@ -130,9 +129,27 @@
 	}
 	if demoted {
 		slices.SortStableFunc(q.waiting, func(a, b *ticket) int { return a.request.compare(b.request) })
+		q.refuseHopeless(now)
 	}
 }
 
+// refuseHopeless refuses the late requests that would not be served before their
+// deadline from their place in the queue, instead of holding them until then.
+func (q *queue) refuseHopeless(now time.Time) {
+	interval := time.Duration(q.overall.at(now) / float64(q.slots))
+	kept := q.waiting[:0]
+	for _, t := range q.waiting {
+		done := now.Add(interval*time.Duration(len(kept)+1) + time.Duration(q.expect(now, t.request.Route)))
+		if t.request.Late && done.After(t.request.Deadline) {
+			t.refuse(result.Errorf(result.DeadlineNotRun, "the requests ahead leave no time before the deadline"))
+			continue
+		}
+		kept = append(kept, t)
+	}
+	clear(q.waiting[len(kept):])
+	q.waiting = kept
+}
+
 // insert keeps the order in which the requests run.
 func (q *queue) insert(t *ticket) {
 	q.waiting = slices.Insert(q.waiting, q.ahead(t.request), t)
--- a/internal/slots/queue_test.go
+++ b/internal/slots/queue_test.go
@@ -13,7 +13,7 @@
 var start = time.Unix(1000, 0)
 
 func request(priority int, due time.Duration) Request {
-	return Request{Route: "r", Priority: priority, Due: start.Add(due), MaxWait: time.Hour}
+	return Request{Route: "r", Priority: priority, Due: start.Add(due), Deadline: start.Add(due + time.Second), MaxWait: time.Hour}
 }
 
 // TestOrder guards against an urgent request that waits behind one that is due
@@ -47,7 +47,9 @@
 	q := newQueue()
 	q.open(start, 1)
 	running, _ := q.offer(start, request(1, time.Second))
-	early, _ := q.offer(start, request(1, 100*time.Millisecond))
+	urgent := request(1, 100*time.Millisecond)
+	urgent.Deadline = start.Add(time.Minute)
+	early, _ := q.offer(start, urgent)
 	fresh, _ := q.offer(start, request(1, 600*time.Millisecond))
 	q.finish(start.Add(200*time.Millisecond), running, true)
 	g.Expect(fresh.state).To(gomega.Equal(ticketState(1)))
@@ -74,6 +76,31 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 }
 
+// TestHopelessLateRequestIsRefused guards against a late request that is held to
+// its deadline behind requests that leave it no time.
+func TestHopelessLateRequestIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := newQueue()
+	q.open(start, 1)
+	first, _ := q.offer(start, request(1, time.Second))
+	q.finish(start.Add(200*time.Millisecond), first, true)
+	now := start.Add(200 * time.Millisecond)
+	running, _ := q.offer(now, request(1, time.Second))
+	early := request(1, 300*time.Millisecond)
+	early.Deadline = start.Add(900 * time.Millisecond)
+	late, err := q.offer(now, early)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for range 3 {
+		r := request(1, 5*time.Second)
+		r.Deadline = start.Add(10 * time.Second)
+		_, err := q.offer(now, r)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	q.finish(start.Add(400*time.Millisecond), running, true)
+	g.Expect(late.state).To(gomega.Equal(ticketState(2)))
+	g.Expect(result.CodeOf(late.refused)).To(gomega.Equal(result.DeadlineNotRun))
+}
+
 // TestShortRequestsAreServed guards against the refusal, or the last place, of a
 // short request that could be served before its deadline.
 func TestShortRequestsAreServed(t *testing.T) {
