--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -118,3 +118,20 @@
 	g.Expect(got.status).To(gomega.Equal(http.StatusServiceUnavailable))
 	g.Expect(f.nodes[0].backend.ran("after")).To(gomega.BeZero())
 }
+
+// TestFailuresAreRepeated guards against a failure that reaches the caller although
+// another server would have answered in time.
+func TestFailuresAreRepeated(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newTestFleet(t, 2, 4)
+	f.nodes[0].backend.handle = func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+	for i := range 10 {
+		id := "id-" + strconv.Itoa(i)
+		expectAnswer(g, f.get(id), id, "")
+	}
+	f.nodes[0].backend.handle = func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	for i := range 10 {
+		id := "cut-" + strconv.Itoa(i)
+		expectAnswer(g, f.get(id), id, "")
+	}
+}
