--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,8 +3,10 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -74,13 +76,63 @@
 	It("has exactly one row for each key", func() {
 		page, err := os.ReadFile("../../docs/SETTINGS.md")
 		Expect(err).NotTo(HaveOccurred())
-		rows := 0
-		for section, keys := range settings.Keys() {
-			for key := range keys {
-				rows++
-				Expect(string(page)).To(ContainSubstring("| `[" + section + "]` | `" + key + "` |"))
-			}
+		daemon, sidecar, found := strings.Cut(string(page), "# Settings of the sidecar")
+		Expect(found).To(BeTrue())
+		expectRows(daemon, settings.Keys())
+		expectRows(sidecar, settings.SidecarKeys())
+	})
+})
+
+// expectRows checks that a part of the page has exactly one row for each key.
+func expectRows(part string, known map[string]map[string]reflect.Type) {
+	rows := 0
+	for section, keys := range known {
+		for key := range keys {
+			rows++
+			Expect(part).To(ContainSubstring("| `[" + section + "]` | `" + key + "` |"))
 		}
-		Expect(strings.Count(string(page), "\n| `[")).To(Equal(rows))
+	}
+	Expect(strings.Count(part, "\n| `[")).To(Equal(rows))
+}
+
+// Guards against a template whose result a sidecar refuses.
+var _ = Describe("the sidecar's settings", func() {
+	const valid = `[node]
+host = h
+ip = 127.0.0.1
+failure_domain = a
+regions = a:r,b:r
+service = s
+server = 127.0.0.1:1
+[listen]
+front = 127.0.0.1:2
+gate = 127.0.0.1:3
+ready = 127.0.0.1:4
+announce = 127.0.0.1:5
+[store]
+address = 127.0.0.1:6
+[bounds]
+grace = 6s
+`
+	load := func(text string) (settings.Sidecar, error) {
+		path := filepath.Join(GinkgoT().TempDir(), "sidecar.ini")
+		Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+		return settings.LoadSidecar(path)
+	}
+	It("are read with their defaults", func() {
+		loaded, err := load(valid)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(loaded.Bounds.Grace).To(Equal(6 * time.Second))
+		Expect(loaded.RegionOf()).To(Equal(map[string]string{"a": "r", "b": "r"}))
 	})
+	DescribeTable("name the wrong key", func(old, replacement, key string) {
+		_, err := load(strings.Replace(valid, old, replacement, 1))
+		Expect(err).To(MatchError(ContainSubstring(key)))
+	},
+		Entry("unknown key", "host = h", "hots = h", "hots"),
+		Entry("domain without a region", "failure_domain = a", "failure_domain = c", "failure_domain"),
+		Entry("malformed regions", "regions = a:r,b:r", "regions = a-r", "regions"),
+		Entry("malformed duration", "grace = 6s", "grace = soon", "grace"),
+		Entry("bad address", "front = 127.0.0.1:2", "front = somewhere", "front"),
+	)
 })
