Let two nodes of each failure domain watch the store and the others follow them

Change: leaders by rendezvous hash of the failure domain; followers wait at a leader for changes, which crosses no domain, and get the configuration compressed. Test: TestFollowersSpareTheStore.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -67,6 +67,28 @@
 	t.publish()
 }
 
+// Adopt takes over the list of a node that follows the store: entries that it
+// lacks are gone, because that node has kept them for long enough. own is the
+// entry of this node, which stays.
+func (t *Table) Adopt(entries []Entry, own Entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listed := map[string]bool{own.Node: true}
+	for _, entry := range entries {
+		listed[entry.Node] = true
+		if entry.Node != own.Node {
+			t.merge(entry)
+		}
+	}
+	t.merge(own)
+	for node := range t.entries {
+		if !listed[node] {
+			delete(t.entries, node)
+		}
+	}
+	t.publish()
+}
+
 // Lapsed notes that the store no longer has the entry of a node.
 func (t *Table) Lapsed(node string, now time.Time) {
 	t.mu.Lock()
--- a/internal/registry/deps.go
+++ b/internal/registry/deps.go
@@ -20,9 +20,11 @@
 	Fleet  *fleet.Table
 	// Peers sends the questions to peers.
 	Peers *http.Client
-	Log   *logrus.Entry
-	Scope tally.Scope
-	Now   func() time.Time
+	// Leader keeps the connection to the node that this one follows.
+	Leader *http.Client
+	Log    *logrus.Entry
+	Scope  tally.Scope
+	Now    func() time.Time
 	// Random returns a number from 0 to 1.
 	Random func() float64
 	// Reached is called when a suspected node answered.
--- /dev/null
+++ b/internal/registry/leaders.go
@@ -0,0 +1,41 @@
+package registry
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+)
+
+// leadersPerDomain is the number of nodes of a failure domain that watch the
+// store. The others follow one of them, so that neither the store's calls nor the
+// bytes between domains grow with the nodes of a domain. Two, so that the loss of
+// one leaves one.
+const leadersPerDomain = 2
+
+// leaders returns the nodes of a failure domain that watch the store, best first:
+// those with the highest hash of domain and node (rendezvous hashing, Thaler and
+// Ravishankar, IEEE/ACM Transactions on Networking 6(1), 1998). Every node that
+// knows the same fleet names the same ones; where they differ, a node more or less
+// watches the store.
+func leaders(entries []fleet.Entry, domain string) []fleet.Entry {
+	members := slices.DeleteFunc(slices.Clone(entries), func(e fleet.Entry) bool { return e.Domain != domain })
+	slices.SortFunc(members, func(a, b fleet.Entry) int {
+		return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a.Node, b.Node))
+	})
+	return members[:min(len(members), leadersPerDomain)]
+}
+
+func rank(e fleet.Entry) uint64 { return xxhash.Sum64String(e.Domain + "/" + e.Node) }
+
+// digest returns a hash of the entries, which are ordered by node.
+func digest(entries []fleet.Entry) uint64 {
+	hash := xxhash.New()
+	for _, e := range entries {
+		// Writes to a hash never fail.
+		_, _ = hash.Write(e.Encode())
+	}
+	return hash.Sum64()
+}
--- /dev/null
+++ b/internal/registry/notifier.go
@@ -0,0 +1,25 @@
+package registry
+
+import "sync"
+
+// notifier wakes everyone who waits for a change.
+type notifier struct {
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+func newNotifier() *notifier { return &notifier{changed: make(chan struct{})} }
+
+// next returns a channel that is closed at the next change.
+func (n *notifier) next() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.changed
+}
+
+func (n *notifier) notify() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
--- a/internal/registry/peer_loop.go
+++ b/internal/registry/peer_loop.go
@@ -107,14 +107,16 @@
 // ask exchanges states with a node and reports whether it answered. A node with
 // an older configuration gets this one's.
 func (r *Registry) ask(ctx context.Context, entry fleet.Entry) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*r.config.PeerTimeout)
+	defer cancel()
 	r.peers.Inc(1)
-	theirs, err := r.exchange(ctx, entry, r.state(uint64(r.deps.Routes.Version())))
+	theirs, err := r.exchange(ctx, r.deps.Peers, entry, r.state(peerState{Version: uint64(r.deps.Routes.Version())}))
 	if err != nil {
 		return false
 	}
 	r.takeOver(theirs, "peer "+entry.Node)
 	if routing.Version(theirs.Version) < r.deps.Routes.Version() {
-		if _, err := r.exchange(ctx, entry, r.state(theirs.Version)); err != nil {
+		if _, err := r.exchange(ctx, r.deps.Peers, entry, r.state(theirs)); err != nil {
 			r.deps.Log.WithError(err).WithField("peer", entry.Node).Info("configuration not passed on")
 		}
 	}
@@ -122,9 +124,7 @@
 }
 
 // exchange sends a state and returns that of the node.
-func (r *Registry) exchange(ctx context.Context, entry fleet.Entry, ours peerState) (peerState, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.config.PeerTimeout)
-	defer cancel()
+func (r *Registry) exchange(ctx context.Context, client *http.Client, entry fleet.Entry, ours peerState) (peerState, error) {
 	encoded, err := json.Marshal(ours)
 	if err != nil {
 		return peerState{}, errors.Wrap(err, "encode the own state")
@@ -133,7 +133,7 @@
 	if err != nil {
 		return peerState{}, errors.Wrapf(err, "ask node %s", entry.Node)
 	}
-	response, err := r.deps.Peers.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return peerState{}, errors.Wrapf(err, "ask node %s", entry.Node)
 	}
@@ -144,21 +144,31 @@
 	return decodeState(response.Body)
 }
 
-// state returns the own state for a node that holds a version.
-func (r *Registry) state(version uint64) peerState {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	state := peerState{Version: uint64(r.deps.Routes.Version()), Entries: r.deps.Fleet.View().Entries()}
-	if version < state.Version {
-		state.Configuration = r.raw
+// state returns the own state for a node: the configuration when it holds an older
+// one, the entries when it holds others.
+func (r *Registry) state(theirs peerState) peerState {
+	entries := r.deps.Fleet.View().Entries()
+	state := peerState{Version: uint64(r.deps.Routes.Version()), Digest: digest(entries), SilentMs: r.silence().Milliseconds()}
+	if state.Digest != theirs.Digest {
+		state.Entries = entries
+	}
+	if theirs.Version < state.Version {
+		state.Configuration = r.packed()
 	}
 	return state
 }
 
+// packed returns the newest configuration, compressed.
+func (r *Registry) packed() []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.configuration
+}
+
 // takeOver merges the state of a peer.
 func (r *Registry) takeOver(theirs peerState, source string) {
 	if len(theirs.Configuration) > 0 && routing.Version(theirs.Version) > r.deps.Routes.Version() {
-		r.applyConfiguration(theirs.Configuration, source)
+		r.applyPacked(theirs.Configuration, source)
 	}
 	for _, entry := range theirs.Entries {
 		if err := entry.Validate(); err != nil {
@@ -187,8 +197,9 @@
 		return
 	}
 	r.takeOver(theirs, "peer "+request.RemoteAddr)
+	r.waitForNews(request, theirs)
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(r.state(theirs.Version)); err != nil {
+	if err := json.NewEncoder(w).Encode(r.state(theirs)); err != nil {
 		r.deps.Log.WithError(err).WithField("peer", request.RemoteAddr).Info("state not sent to a peer")
 	}
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -28,6 +28,10 @@
 	// when it was newer than the own one at the last look of the peer loop.
 	hinted  atomic.Uint64
 	overdue bool
+	// news wakes the followers' questions.
+	news *notifier
+	// distrusted is until when a leader is passed over; only the watch loop uses it.
+	distrusted map[string]time.Time
 	// hurry wakes the peer loop.
 	hurry chan struct{}
 	// changed wakes the lease loop.
@@ -38,8 +42,9 @@
 	lost    tally.Counter
 
 	mu sync.Mutex
-	// raw is the newest configuration as the operators wrote it.
-	raw []byte
+	// configuration is the newest configuration as the operators wrote it,
+	// compressed.
+	configuration []byte
 	// own is the node's entry.
 	own fleet.Entry
 	// written is the newest own entry that the store has.
@@ -60,8 +65,8 @@
 	return &Registry{
 		config: config, deps: deps, own: own, started: deps.Now(),
 		hurry: make(chan struct{}, 1), changed: make(chan struct{}, 1),
-		suspects: make(map[string]fleet.Entry),
-		refused:  scope.Counter("refused_values"), peers: scope.Counter("peer_questions"), lost: scope.Counter("store_lost"),
+		news: newNotifier(), distrusted: make(map[string]time.Time), suspects: make(map[string]fleet.Entry),
+		refused: scope.Counter("refused_values"), peers: scope.Counter("peer_questions"), lost: scope.Counter("store_lost"),
 	}, nil
 }
 
@@ -85,6 +90,7 @@
 	own := r.own
 	r.mu.Unlock()
 	r.deps.Fleet.Merge(own)
+	r.news.notify()
 	wake(r.changed)
 }
 
@@ -125,14 +131,31 @@
 	if !r.deps.Routes.Publish(table) {
 		return
 	}
+	packed, err := pack(raw)
+	if err != nil {
+		// Peers ask again; this node has the configuration in force.
+		r.deps.Log.WithError(err).Warn("configuration not kept for peers")
+	}
 	r.mu.Lock()
-	r.raw = raw
+	r.configuration = packed
 	r.mu.Unlock()
+	r.news.notify()
 	r.deps.Log.WithFields(map[string]any{
 		"version": uint64(table.Version()), "previous": uint64(previous), "routes": table.Routes(), "source": source,
 	}).Info("configuration in force")
 }
 
+// applyPacked publishes a configuration of a peer.
+func (r *Registry) applyPacked(packed []byte, source string) {
+	raw, err := unpack(packed)
+	if err != nil {
+		r.refused.Inc(1)
+		r.deps.Log.WithError(err).WithField("source", source).Warn("configuration refused; the previous one stays in force")
+		return
+	}
+	r.applyConfiguration(raw, source)
+}
+
 // applyEntry merges an entry of the store or of a peer.
 func (r *Registry) applyEntry(raw []byte, source string) {
 	entry, err := fleet.Decode(raw)
@@ -150,6 +173,7 @@
 		return
 	}
 	if r.deps.Fleet.Merge(entry) {
+		r.news.notify()
 		r.deps.Log.WithFields(map[string]any{
 			"peer": entry.Node, "peer_server": entry.Server, "state": entry.State, "service": entry.Service,
 			"domain": entry.Domain, "incarnation": entry.Incarnation, "sequence": entry.Sequence, "source": source,
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -56,7 +56,7 @@
 	}
 	var err error
 	r.Registry, err = New(config, Deps{
-		Store: store, Decode: decodeTest, Routes: r.routes, Fleet: r.fleet, Peers: http.DefaultClient,
+		Store: store, Decode: decodeTest, Routes: r.routes, Fleet: r.fleet, Peers: http.DefaultClient, Leader: http.DefaultClient,
 		Log: telemetry.DiscardLogger(), Scope: tally.NoopScope, Now: time.Now, Random: func() float64 { return 0.5 },
 		Reached: func(string) {},
 	}, own)
@@ -141,3 +141,39 @@
 	g.Eventually(b.Ready).WithTimeout(settle).Should(gomega.BeTrue())
 	g.Eventually(b.nodes).WithTimeout(settle).Should(gomega.Equal(2))
 }
+
+// TestFollowersSpareTheStore guards against store calls that grow with the nodes of
+// a failure domain, and against a follower that stays behind its leader or does
+// not notice that it is cut from the store.
+func TestFollowersSpareTheStore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := newFakeStore()
+	store.configure(1)
+	var all []*testRegistry
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		all = append(all, startRegistry(t, store, name))
+	}
+	for _, r := range all {
+		g.Eventually(r.nodes).WithTimeout(settle).Should(gomega.Equal(len(all)))
+	}
+	watching := func() int {
+		n := 0
+		for _, r := range all {
+			for _, leader := range leaders(r.fleet.View().Entries(), "d") {
+				if leader.Node == r.Own().Node {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	g.Eventually(watching).WithTimeout(settle).Should(gomega.Equal(leadersPerDomain))
+	store.configure(9)
+	for _, r := range all {
+		g.Eventually(r.routes.Version).WithTimeout(settle).Should(gomega.Equal(routing.Version(9)))
+	}
+	store.revoke()
+	for _, r := range all {
+		g.Eventually(r.nodes).WithTimeout(settle).Should(gomega.Equal(len(all)))
+	}
+}
--- a/internal/registry/watch_loop.go
+++ b/internal/registry/watch_loop.go
@@ -11,6 +11,10 @@
 func (r *Registry) watchLoop(ctx context.Context) {
 	retry := r.newBackoff()
 	for ctx.Err() == nil {
+		if leader, found := r.pickLeader(); found {
+			r.followLeader(ctx, leader)
+			continue
+		}
 		at, err := r.list(ctx)
 		if err == nil {
 			retry.reset()
@@ -19,6 +23,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil {
+			continue
+		}
 		if errors.Is(err, ErrCompacted) {
 			r.deps.Log.Info("store dropped its history; listing again")
 			continue
@@ -61,13 +68,14 @@
 		entries = append(entries, entry)
 	}
 	r.deps.Fleet.Listed(append(entries, r.Own()), r.deps.Now())
+	r.news.notify()
 	if !r.listed.Swap(true) {
 		r.deps.Log.WithField("entries", len(entries)).Info("fleet listed")
 	}
 	return at, nil
 }
 
-// follow takes over changes until the watch fails.
+// follow takes over changes until the watch fails or a leader can be followed.
 func (r *Registry) follow(ctx context.Context, at Revision) error {
 	for {
 		events, next, err := r.watch(ctx, at)
@@ -80,6 +88,9 @@
 			r.apply(event)
 		}
 		r.expire()
+		if _, found := r.pickLeader(); found {
+			return nil
+		}
 		if len(events) > 0 && !pause(ctx, r.config.WatchPause) {
 			return ctx.Err()
 		}
@@ -110,6 +121,7 @@
 // expire removes the nodes that did not write their entry again.
 func (r *Registry) expire() {
 	for _, node := range r.deps.Fleet.Expire(r.deps.Now()) {
+		r.news.notify()
 		r.deps.Log.WithField("peer", node).Info("fleet entry expired")
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -94,8 +94,8 @@
 	s.registry, err = registry.New(config, registry.Deps{
 		Store:  s.adapter.Store(loaded.Store.Address, storeTransport(dialer), s.metrics.Scope),
 		Decode: s.adapter.Decode, Routes: s.routes, Fleet: s.fleet,
-		Peers: &http.Client{Transport: peerTransport(dialer)},
-		Log:   s.log, Scope: s.metrics.Scope, Now: time.Now, Random: rand.Float64,
+		Peers: &http.Client{Transport: peerTransport(dialer)}, Leader: &http.Client{Transport: leaderTransport(dialer)},
+		Log: s.log, Scope: s.metrics.Scope, Now: time.Now, Random: rand.Float64,
 		Reached: s.balancer.Reached,
 	}, own)
 	return err
--- a/internal/sidecar/transport.go
+++ b/internal/sidecar/transport.go
@@ -28,3 +28,12 @@
 func peerTransport(dialer dial.Dialer) *http.Transport {
 	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: true}
 }
+
+// leaderTransport keeps the connection to the node that this one follows. A silent
+// one ends with the question's time limit and is replaced.
+func leaderTransport(dialer dial.Dialer) *http.Transport {
+	return &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1,
+		IdleConnTimeout: idleConnTimeout, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
+	}
+}
