Weigh large answers against the host's link, and the throughput of each node

Change: a gate admits a large answer only while less than 150 ms of answers are on its link; the choice of the node counts the measured throughput. Tests: TestLinkKeepsRoomForSmallAnswers, TestThinLinksAreAvoided.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -22,6 +22,8 @@
 	timeWorth = 0.05
 	// spread is the largest random part of a cost, so that equal servers share.
 	spread = 0.01
+	// minTransfer is the size of an answer from which its throughput is measured.
+	minTransfer = 32 << 10
 	// bytesPerMB converts to the unit of the prices.
 	bytesPerMB = 1 << 20
 	// maxRoutes bounds the routes with averages of their own.
@@ -80,7 +82,7 @@
 		rtt = b.assumedRTT(distance)
 	}
 	work := time.Duration(stats.work * p.relativeSpeed(now))
-	predicted := rtt + p.wait(now, entry.Slots) + work
+	predicted := rtt + p.wait(now, entry.Slots) + work + p.transferTime(now, stats.bytes)
 	late := chanceLate(predicted, request.Remaining, request.Objective)
 	cost := lateWorth*late + p.failing(now) + b.price(distance)*stats.bytes/bytesPerMB
 	cost += timeWorth * float64(predicted) / float64(max(request.Objective, 1))
@@ -140,6 +142,19 @@
 	b.route(route).addBytes(float64(bytes))
 }
 
+// Transferred notes how long the body of an answer took. Small ones say nothing
+// about the throughput.
+func (b *Balancer) Transferred(now time.Time, node string, bytes int64, elapsed time.Duration) {
+	if bytes < minTransfer || elapsed <= 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p, found := b.peers[node]; found {
+		p.transferred(now, float64(bytes)/elapsed.Seconds())
+	}
+}
+
 // Unreachable passes a node over for a time that grows with each failure.
 func (b *Balancer) Unreachable(now time.Time, node string) {
 	b.mu.Lock()
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -72,6 +72,22 @@
 	g.Expect(choice.Entry.Node).To(gomega.Equal("region"))
 }
 
+// TestThinLinksAreAvoided guards against large answers from a host whose link is
+// too slow for them, while another host can meet the objective.
+func TestThinLinksAreAvoided(t *testing.T) {
+	g := gomega.NewWithT(t)
+	config := testConfig()
+	config.CrossDomainPerMB = 1
+	b, err := New(config)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	near, region := entry("near", "a1"), entry("region", "a2")
+	learn(b, near, 50*time.Millisecond, 90_000)
+	learn(b, region, 50*time.Millisecond, 90_000)
+	b.Transferred(start, "near", 90_000, 500*time.Millisecond)
+	choice, _ := b.Choose(start, []fleet.Entry{near, region}, testRequest())
+	g.Expect(choice.Entry.Node).To(gomega.Equal("region"))
+}
+
 // TestNewServersAreChosen guards against a server that joins and gets nothing.
 func TestNewServersAreChosen(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/balance/peer.go
+++ b/internal/balance/peer.go
@@ -8,6 +8,8 @@
 	// observationGain is the weight of a new sample of a node's speed and round
 	// trip, so that about the last ten count.
 	observationGain = 0.12
+	// transferGain is the weight of a new sample of a node's throughput.
+	transferGain = 0.3
 	// speedMemory is how long a node that was measured as slow is held to be so
 	// without new samples.
 	speedMemory = 4 * time.Second
@@ -36,6 +38,9 @@
 	speed   float64
 	sampled time.Time
 	rtt     time.Duration
+	// rate is the throughput of large answers in bytes a second, 0 before the first.
+	rate     float64
+	transfer time.Time
 	// server is the identity that the observations belong to.
 	server string
 
@@ -63,6 +68,25 @@
 	return p.speed + (1-p.speed)*float64(idle)/float64(speedMemory)
 }
 
+// transferTime returns the predicted time of an answer's bytes, 0 when nothing is
+// known of late.
+func (p *peer) transferTime(now time.Time, bytes float64) time.Duration {
+	if p.rate <= 0 || now.Sub(p.transfer) >= speedMemory {
+		return 0
+	}
+	return time.Duration(bytes / p.rate * float64(time.Second))
+}
+
+// transferred notes the throughput of a large answer.
+func (p *peer) transferred(now time.Time, rate float64) {
+	if p.rate <= 0 || now.Sub(p.transfer) >= speedMemory {
+		p.rate = rate
+	} else {
+		p.rate += transferGain * (rate - p.rate)
+	}
+	p.transfer = now
+}
+
 func (p *peer) failing(now time.Time) float64 {
 	idle := now.Sub(p.reported)
 	if p.reported.IsZero() || idle >= failureMemory {
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -14,6 +14,9 @@
 	Node string
 	// Server is the address of the server beside the node.
 	Server string
+	// LinkMbps is the rate of the host's link in megabits a second; 0 when it is not
+	// known.
+	LinkMbps float64
 	// KeptBytes bounds the part of a request body, and of an answer, that is kept
 	// in memory so that an attempt can be repeated.
 	KeptBytes int
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -254,10 +254,15 @@
 		f.noteRefusal(now, entry, refused)
 	}
 	f.deps.Balancer.Done(now, entry.Node, c.job.route, report, now.Sub(sent))
-	if refused == nil {
-		return f.keep(c, found)
+	if refused != nil {
+		return nil, refused
+	}
+	kept, refused := f.keep(c, found)
+	if refused == nil && entry.Node != f.config.Node {
+		read := f.deps.Now()
+		f.deps.Balancer.Transferred(read, entry.Node, kept.length, read.Sub(now))
 	}
-	return nil, refused
+	return kept, refused
 }
 
 // noteRefusal tells the balancer about a node that takes no requests.
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -23,6 +23,7 @@
 	metrics  *metrics
 	client   *exchange.Client
 	failures failureRate
+	link     *link
 }
 
 // run admits a request, hands it over and returns the head of the answer. The
--- a/internal/proxy/gate_handler.go
+++ b/internal/proxy/gate_handler.go
@@ -19,6 +19,15 @@
 		return
 	}
 	defer j.body.Free()
+	release, ok := g.link.admit(j.route)
+	if !ok {
+		refused := refuse(result.Overloaded, "the link of the host is occupied by large answers")
+		report := g.report(g.deps.Now())
+		g.log(j, refused, report)
+		g.refuse(w, refused, report)
+		return
+	}
+	defer release()
 	found, refused, report := g.run(r.Context(), j)
 	g.log(j, refused, report)
 	if refused != nil {
@@ -31,6 +40,9 @@
 		w.Header()["Content-Length"] = []string{strconv.FormatInt(found.length, 10)}
 	}
 	w.WriteHeader(found.status)
+	if found.length > 0 {
+		g.link.sized(j.route, found.length)
+	}
 	whole := copyBody(w, found)
 	found.finish(whole)
 	if !whole {
--- /dev/null
+++ b/internal/proxy/link_test.go
@@ -0,0 +1,27 @@
+package proxy
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+// TestLinkKeepsRoomForSmallAnswers guards against large answers that queue on a thin
+// link until the small ones behind them are too late.
+func TestLinkKeepsRoomForSmallAnswers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := newLink(8)
+	l.sized("large", 100_000)
+	l.sized("small", 500)
+	first, ok := l.admit("large")
+	g.Expect(ok).To(gomega.BeTrue())
+	_, ok = l.admit("large")
+	g.Expect(ok).To(gomega.BeTrue(), "100 ms are on the way")
+	_, ok = l.admit("large")
+	g.Expect(ok).To(gomega.BeFalse(), "200 ms are on the way")
+	_, ok = l.admit("small")
+	g.Expect(ok).To(gomega.BeTrue())
+	first()
+	_, ok = l.admit("large")
+	g.Expect(ok).To(gomega.BeTrue())
+}
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -23,6 +23,9 @@
 	// Service is the service of the backend server, Server its address.
 	Service string `ini:"service"`
 	Server  string `ini:"server"`
+	// LinkMbps is the rate of the host's link in megabits a second; 0 when it is not
+	// known.
+	LinkMbps float64 `ini:"link_mbps"`
 }
 
 // SidecarListen holds the addresses that the node listens on.
--- a/internal/settings/validate_sidecar.go
+++ b/internal/settings/validate_sidecar.go
@@ -20,6 +20,7 @@
 		{"node", "failure_domain", regions[s.Node.FailureDomain] != "", "a failure domain that regions names"},
 		{"node", "service", s.Node.Service != "", "the service of the backend server"},
 		{"node", "server", validAddress(s.Node.Server), "an IP address and a port"},
+		{"node", "link_mbps", s.Node.LinkMbps >= 0, "0 or more"},
 		{"listen", "front", validAddress(s.Listen.Front), "an IP address and a port"},
 		{"listen", "gate", validAddress(s.Listen.Gate), "an IP address and a port"},
 		{"listen", "ready", validAddress(s.Listen.Ready), "an IP address and a port"},
