Renew the lease more often than a silent leader is distrusted

Cause: a leader in a watch of 2 s heard the store every 1.5 s only, which is when its followers left it (grown deployments, calm times).

--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -16,7 +16,8 @@
 	WatchPrefix string
 	// LeaseTTL is how long the entry of a node outlives it.
 	LeaseTTL time.Duration
-	// KeepInterval is the time between two renewals of the lease.
+	// KeepInterval is the time between two renewals of the lease. It is below
+	// PeerAfter, so that a node that waits in a watch still hears the store.
 	KeepInterval time.Duration
 	// WatchWait is how long one watch waits for a change. A watch that began while
 	// the store dropped its history hears nothing until it ends, so this is below
@@ -41,7 +42,7 @@
 func DefaultConfig() Config {
 	return Config{
 		LeaseTTL:     6 * time.Second,
-		KeepInterval: 1500 * time.Millisecond,
+		KeepInterval: time.Second,
 		WatchWait:    1500 * time.Millisecond,
 		WatchPause:   350 * time.Millisecond,
 		CallTimeout:  time.Second,
@@ -74,5 +75,8 @@
 	if c.KeepInterval >= c.LeaseTTL {
 		return errors.Errorf("registry: KeepInterval %s must be below LeaseTTL %s", c.KeepInterval, c.LeaseTTL)
 	}
+	if c.KeepInterval >= c.PeerAfter {
+		return errors.Errorf("registry: KeepInterval %s must be below PeerAfter %s", c.KeepInterval, c.PeerAfter)
+	}
 	return nil
 }
