Count answers to callers on the link, and admit a large one only behind 80 ms of others

Cause: hosts of templatevault sent the answers of their own callers beside those for other nodes; connections to them timed out after 200 ms (222 of the refusals named one host). Test: TestAnswersToCallersCount.

--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -12,7 +12,7 @@
 	// maxLinkWait is how long the answers that are on their way may occupy the link
 	// before another large one is admitted. Behind a longer queue, the short calls of
 	// running requests miss their deadline.
-	maxLinkWait = 150 * time.Millisecond
+	maxLinkWait = 80 * time.Millisecond
 	// answerGain is the weight of a new sample of a route's answer size.
 	answerGain = 0.05
 	// maxLinkRoutes bounds the routes whose answer size is known.
@@ -49,12 +49,28 @@
 	if l.outstanding/l.rate > maxLinkWait.Seconds() {
 		return nil, false
 	}
-	l.outstanding += size
+	return l.occupy(size), true
+}
+
+// occupy takes bytes onto the link and returns a function that takes them off. The
+// lock is held.
+func (l *link) occupy(bytes float64) func() {
+	l.outstanding += bytes
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.outstanding = max(l.outstanding-size, 0)
-	}, true
+		l.outstanding = max(l.outstanding-bytes, 0)
+	}
+}
+
+// carry takes an answer to a caller onto the link, which is never refused.
+func (l *link) carry(bytes int64) (release func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if bytes < largeAnswer {
+		return func() {}
+	}
+	return l.occupy(float64(bytes))
 }
 
 // sized notes the size of an answer.
--- a/internal/proxy/respond.go
+++ b/internal/proxy/respond.go
@@ -17,7 +17,9 @@
 		f.deps.Balancer.Sized(c.job.route, found.length+max(c.job.body.Length, 0))
 	}
 	w.WriteHeader(found.status)
+	release := f.gate.link.carry(found.length)
 	whole := copyBody(w, found)
+	release()
 	found.finish(whole)
 	f.log(c, nil, found.status)
 	if !whole {
