--- a/cmd/rosemaryladder-sidecar/main.go
+++ b/cmd/rosemaryladder-sidecar/main.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
@@ -23,6 +24,10 @@
 	"rosemaryladder.dev/rosemaryladder/platform"
 )
 
+// gcPercent is how much the heap may grow before a collection. Memory at its peak
+// is dear on the users' platform, and the processor is mostly idle.
+const gcPercent = 40
+
 // logLinesPerSecond bounds the log of a node under load.
 const logLinesPerSecond = 400
 
@@ -63,6 +68,7 @@
 }
 
 func serve(path string, loaded settings.Sidecar) error {
+	debug.SetGCPercent(gcPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	reloads := make(chan os.Signal, 1)
