Remove unused settings and fields; refuse bodies beyond the operators' limit; keep scenarios apart

The scenarios failed in 6 of 18 runs: scripts that run at the same time used the same loopback addresses, one address was picked twice, and a process that was being started held a copy of the picked sockets (bind: address already in use). Measurements of nodes that left the fleet are dropped every 30 s. Test: TestLargeBodiesAreRefused.

--- a/internal/instance/announcement.go
+++ b/internal/instance/announcement.go
@@ -1,8 +1,6 @@
 package instance
 
 import (
-	"time"
-
 	"github.com/pkg/errors"
 )
 
@@ -12,8 +10,6 @@
 	Server string
 	// Service is the service that it offers.
 	Service string
-	// Address takes its requests.
-	Address string
 	// Born is when the run began, by the server's clock; 0 when it is not stated.
 	Born int64
 	// Sequence grows with each announcement of the run.
@@ -22,8 +18,6 @@
 	Draining bool
 	// Slots is the number of requests that it runs at once.
 	Slots int
-	// ColdFor is how much longer it is slow after its start.
-	ColdFor time.Duration
 }
 
 // Validate names the first field that is wrong.
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -83,6 +84,9 @@
 	f.setTimes(c, r, now)
 	c.budget = f.budgets.of(c.job.service)
 	c.budget.First(now)
+	if limit := c.table.Limits().BodyBytes; r.ContentLength > limit {
+		return c, refuse(result.BodyTooLarge, fmt.Sprintf("the body of %d bytes exceeds the limit of %d", r.ContentLength, limit))
+	}
 	body, err := readBody(w, r, c.job.deadline, f.config.KeptBytes)
 	if err != nil {
 		refused := refuse(result.BadRequest, "the body of the request ended early: "+err.Error())
@@ -303,6 +307,8 @@
 		return http.StatusNotFound
 	case result.BadRequest:
 		return http.StatusBadRequest
+	case result.BodyTooLarge:
+		return http.StatusRequestEntityTooLarge
 	case result.DeadlineUnknown:
 		return http.StatusGatewayTimeout
 	}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -24,7 +24,6 @@
 	cancelled tally.Counter
 	gated     tally.Counter
 	latency   tally.Histogram
-	hold      tally.Histogram
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -39,7 +38,6 @@
 		cancelled: scope.Counter("cancelled"),
 		gated:     scope.Counter("gated"),
 		latency:   scope.Histogram("latency", latencyBuckets),
-		hold:      scope.Histogram("hold", latencyBuckets),
 	}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/exchange"
-	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 	"rosemaryladder.dev/rosemaryladder/internal/routing"
 )
 
@@ -93,9 +92,6 @@
 	p.gate.client.DropIdle(p.gate.config.Server)
 }
 
-// Forget drops the idle connections to a node that is gone.
-func (p *Proxy) Forget(entry fleet.Entry) { p.front.client.DropIdle(entry.Gate) }
-
 // Close drops the idle connections.
 func (p *Proxy) Close() {
 	p.front.client.Close()
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -119,6 +120,15 @@
 	g.Expect(f.nodes[0].backend.ran("after")).To(gomega.BeZero())
 }
 
+// TestLargeBodiesAreRefused guards against a body beyond the operators' limit.
+func TestLargeBodiesAreRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newTestFleet(t, 1, 4)
+	got := f.post("large", strings.Repeat("x", 1<<20+1))
+	g.Expect(got.status).To(gomega.Equal(http.StatusRequestEntityTooLarge))
+	g.Expect(f.nodes[0].backend.ran("large")).To(gomega.BeZero())
+}
+
 // TestFailuresAreRepeated guards against a failure that reaches the caller although
 // another server would have answered in time.
 func TestFailuresAreRepeated(t *testing.T) {
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -51,9 +51,6 @@
 
 // SidecarBounds are the times and shares that the operators agreed on.
 type SidecarBounds struct {
-	// Drain is how long a backend server serves on after its leaving was
-	// acknowledged.
-	Drain time.Duration `ini:"drain"`
 	// Settle is the time after a disturbance within which a calm node must be up to
 	// date again.
 	Settle time.Duration `ini:"settle"`
@@ -77,7 +74,7 @@
 	return Sidecar{
 		Listen: SidecarListen{Metrics: 9464},
 		Store:  SidecarStore{MinLease: time.Second},
-		Bounds: SidecarBounds{Drain: 2 * time.Second, Settle: 3 * time.Second, Grace: 6 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second},
+		Bounds: SidecarBounds{Settle: 3 * time.Second, Grace: 6 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second},
 		Prices: SidecarPrices{CrossDomainPerMB: 8, CrossRegionPerMB: 31},
 		Log:    Log{Format: "json", Level: "info"},
 	}
--- a/internal/settings/validate_sidecar.go
+++ b/internal/settings/validate_sidecar.go
@@ -28,7 +28,6 @@
 		{"listen", "metrics", validPort(s.Listen.Metrics), "a port from 1 to 65535"},
 		{"store", "address", validAddress(s.Store.Address), "an IP address and a port"},
 		{"store", "min_lease", s.Store.MinLease > 0, "above 0"},
-		{"bounds", "drain", s.Bounds.Drain > 0, "above 0"},
 		{"bounds", "settle", s.Bounds.Settle > 0, "above 0"},
 		{"bounds", "grace", s.Bounds.Grace > 0, "above 0"},
 		{"bounds", "retry_ratio", s.Bounds.RetryRatio >= 0 && s.Bounds.RetryRatio <= 1, "from 0 to 1"},
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -128,6 +128,7 @@
 	}
 	group.Go(func() error { s.registry.Run(background); return nil })
 	group.Go(func() error { s.prober.run(background); return nil })
+	group.Go(func() error { s.forgetGone(background); return nil })
 	s.log.WithField("incarnation", s.registry.Own().Incarnation).Info("node started")
 	select {
 	case <-ctx.Done():
@@ -144,6 +145,23 @@
 	return err
 }
 
+// forgetInterval is how often measurements of nodes that are gone are dropped.
+const forgetInterval = 30 * time.Second
+
+// forgetGone drops what was measured of nodes that left the fleet.
+func (s *Sidecar) forgetGone(ctx context.Context) {
+	ticker := time.NewTicker(forgetInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.balancer.Retain(s.fleet.View())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Reload puts changed settings in force. Addresses and places take effect at the
 // next start.
 func (s *Sidecar) Reload(loaded settings.Sidecar) {
--- a/internal/standin/platformscenario/deployment.go
+++ b/internal/standin/platformscenario/deployment.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,6 +39,8 @@
 	Store   *platformstore.Store
 	program string
 	folder  string
+	// number keeps the addresses of deployments apart that run at the same time.
+	number  uint32
 	hosts   []*host
 	server  *http.Server
 	address string
@@ -46,9 +49,19 @@
 	runs map[string]int
 }
 
+// deployments counts the deployments of the process.
+var deployments atomic.Uint32
+
+const (
+	// firstNetwork and networks are the second bytes of the loopback addresses that
+	// deployments use in turn.
+	firstNetwork = 20
+	networks     = 200
+)
+
 // Start starts a deployment of hosts that run a program.
 func Start(program, folder string, hosts int) (*Deployment, error) {
-	d := &Deployment{Store: platformstore.New(), program: program, folder: folder, runs: make(map[string]int)}
+	d := &Deployment{Store: platformstore.New(), program: program, folder: folder, number: deployments.Add(1), runs: make(map[string]int)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -64,25 +77,32 @@
 	return d, nil
 }
 
-// freeAddress returns an address of the IP that the kernel picked.
-func freeAddress(ip string) (string, error) {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
+// addressesOfHost is the number of addresses that a host uses.
+const addressesOfHost = 6
 
-func (d *Deployment) addHost(number int) error {
-	h := &host{ip: fmt.Sprintf("127.0.%d.1", number+10)}
-	var addresses [6]string
+// freeAddresses returns addresses of the IP that the kernel picked. All are held
+// until the last is picked, so that none is picked twice. The lock keeps a process
+// that starts meanwhile from holding a copy of them until it has begun.
+func freeAddresses(ip string) ([addressesOfHost]string, error) {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	var addresses [addressesOfHost]string
 	for i := range addresses {
-		address, err := freeAddress(h.ip)
+		listener, err := net.Listen("tcp", ip+":0")
 		if err != nil {
-			return err
+			return addresses, err
 		}
-		addresses[i] = address
+		defer listener.Close()
+		addresses[i] = listener.Addr().String()
+	}
+	return addresses, nil
+}
+
+func (d *Deployment) addHost(number int) error {
+	h := &host{ip: fmt.Sprintf("127.%d.%d.1", firstNetwork+d.number%networks, number)}
+	addresses, err := freeAddresses(h.ip)
+	if err != nil {
+		return err
 	}
 	h.front, h.ready = addresses[0], addresses[2]
 	_, metrics, err := net.SplitHostPort(addresses[5])
@@ -122,10 +142,13 @@
 	return d.StartNode(number)
 }
 
+// LogFile returns the file that holds the log of a host's sidecar.
+func (d *Deployment) LogFile(number int) string { return d.hosts[number].settings + ".log" }
+
 // StartNode starts the sidecar of a host.
 func (d *Deployment) StartNode(number int) error {
 	h := d.hosts[number]
-	out, err := os.OpenFile(h.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	out, err := os.OpenFile(d.LogFile(number), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
--- a/internal/standin/platformscenario/scenario_test.go
+++ b/internal/standin/platformscenario/scenario_test.go
@@ -95,6 +95,7 @@
 	for _, arg := range args {
 		for !worldOf(ts).deployment.Ready(number(ts, arg)) {
 			if time.Now().After(deadline) {
+				logTail(ts, number(ts, arg))
 				ts.Fatalf("host %s is not ready", arg)
 			}
 			time.Sleep(10 * time.Millisecond)
@@ -102,6 +103,16 @@
 	}
 }
 
+// tailBytes is how much of a sidecar's log a failure shows.
+const tailBytes = 3000
+
+// logTail shows the end of a sidecar's log.
+func logTail(ts *testscript.TestScript, number int) {
+	data, err := os.ReadFile(worldOf(ts).deployment.LogFile(number))
+	ts.Check(err)
+	ts.Logf("%s", data[max(0, len(data)-tailBytes):])
+}
+
 // load CALLERS starts callers.
 func load(ts *testscript.TestScript, _ bool, args []string) {
 	w := worldOf(ts)
@@ -116,6 +127,11 @@
 	for _, wrong := range l.Wrong {
 		ts.Logf("%s", wrong)
 	}
+	if l.Served*2 < l.Sent {
+		for i := range worldOf(ts).deployment.hosts {
+			logTail(ts, i)
+		}
+	}
 	if len(l.Wrong) > 0 || (l.Failed > 0 && len(args) == 0) || l.Served*2 < l.Sent {
 		ts.Fatalf("%d wrong, %d failed, %d of %d served", len(l.Wrong), l.Failed, l.Served, l.Sent)
 	}
