--- /dev/null
+++ b/internal/fleet/table_test.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func entry(node string, incarnation, sequence int64, state State) Entry {
+	return Entry{
+		Node: node, Gate: "127.0.0.1:1", Domain: "d", Service: "s", State: state, Slots: 1,
+		Incarnation: incarnation, Sequence: sequence,
+	}
+}
+
+// TestMergeProperties guards against an older entry that replaces a newer one, in
+// whatever order entries arrive.
+func TestMergeProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable(time.Second)
+		newest := make(map[string]Entry)
+		for range rapid.IntRange(1, 60).Draw(t, "entries") {
+			e := entry(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "node")), rapid.Int64Range(1, 4).Draw(t, "incarnation"),
+				rapid.Int64Range(0, 4).Draw(t, "sequence"), rapid.SampledFrom([]State{Ready, Draining, Absent}).Draw(t, "state"))
+			held, found := newest[e.Node]
+			if !found || e.Newer(held) {
+				newest[e.Node] = e
+			}
+			table.Merge(e)
+		}
+		ready := 0
+		for node, want := range newest {
+			if got, _ := table.Get(node); got != want {
+				t.Fatalf("node %s: %+v, want %+v", node, got, want)
+			}
+			if want.State == Ready {
+				ready++
+			}
+		}
+		if got := len(table.View().Ready("s")); got != ready {
+			t.Fatalf("%d ready nodes in the view, want %d", got, ready)
+		}
+	})
+}
+
+// TestLapsedEntries guards against a node that is dropped before it can write its
+// entry again, and against one that is kept for good.
+func TestLapsedEntries(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable(time.Second)
+	table.Merge(entry("a", 1, 1, Ready))
+	table.Merge(entry("b", 1, 1, Ready))
+	table.Lapsed("a", start)
+	g.Expect(table.Expire(start.Add(900 * time.Millisecond))).To(gomega.BeEmpty())
+	table.Merge(entry("a", 1, 1, Ready))
+	g.Expect(table.Expire(start.Add(2 * time.Second))).To(gomega.BeEmpty())
+	table.Listed([]Entry{entry("a", 1, 1, Ready)}, start)
+	g.Expect(table.Expire(start.Add(time.Second))).To(gomega.Equal([]string{"b"}))
+	g.Expect(table.View().Ready("s")).To(gomega.HaveLen(1))
+}
+
+// TestAdopt guards against a follower that keeps nodes which its leader dropped, or
+// drops itself.
+func TestAdopt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable(time.Second)
+	own := entry("own", 3, 1, Ready)
+	table.Merge(own)
+	table.Merge(entry("gone", 1, 1, Ready))
+	table.Adopt([]Entry{entry("a", 1, 1, Ready), entry("own", 2, 9, Draining)}, own)
+	g.Expect(table.Entries()).To(gomega.Equal([]Entry{entry("a", 1, 1, Ready), own}))
+}
+
+// FuzzDecode guards against an entry that is taken over although a field is wrong.
+func FuzzDecode(f *testing.F) {
+	f.Add(entry("a", 1, 1, Ready).Encode())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if decoded, err := Decode(data); err == nil {
+			if again, err := Decode(decoded.Encode()); err != nil || again != decoded {
+				t.Fatalf("%+v decodes as %+v, %v", decoded, again, err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/instance/tracker_test.go
@@ -0,0 +1,75 @@
+package instance
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+)
+
+// said is an announcement with its place in the order in which it was sent.
+type said struct {
+	announcement Announcement
+	order        int
+}
+
+// TestLateAnnouncements guards against an announcement that arrives late and changes
+// what a later one said, also across a restart under the same identity.
+func TestLateAnnouncements(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var sent []said
+		for run := range rapid.IntRange(1, 3).Draw(t, "runs") {
+			id := rapid.SampledFrom([]string{"same", "other"}).Draw(t, "id")
+			draining := false
+			for sequence := range rapid.IntRange(1, 4).Draw(t, "announcements") {
+				draining = draining || rapid.Bool().Draw(t, "draining")
+				sent = append(sent, said{Announcement{
+					Server: id, Service: "s", Born: int64(run + 1), Sequence: int64(sequence + 1), Draining: draining, Slots: 1,
+				}, len(sent)})
+			}
+		}
+		tracker := NewTracker("s")
+		newest := -1
+		for _, s := range rapid.Permutation(sent).Draw(t, "arrivals") {
+			if _, err := tracker.Announce(s.announcement); err != nil {
+				t.Fatal(err)
+			}
+			newest = max(newest, s.order)
+			want := sent[newest].announcement
+			got := tracker.Server()
+			if got.Born != want.Born || got.Sequence != want.Sequence || (got.State == fleet.Draining) != want.Draining {
+				t.Fatalf("%+v after %+v, the newest that arrived is %+v", got, s.announcement, want)
+			}
+		}
+	})
+}
+
+// TestGoneServers guards against a server that is used although it takes no
+// connections, and against one that stays unused after its return.
+func TestGoneServers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tracker := NewTracker("s")
+	ready := Announcement{Server: "i", Service: "s", Born: 1, Sequence: 1, Slots: 4}
+	_, err := tracker.Announce(ready)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(tracker.Gone("other")).To(gomega.BeFalse())
+	g.Expect(tracker.Gone("i")).To(gomega.BeTrue())
+	g.Expect(tracker.Server().State).To(gomega.Equal(fleet.Absent))
+	ready.Sequence = 2
+	g.Expect(tracker.Announce(ready)).To(gomega.Equal(Applied))
+	tracker.Gone("i")
+	g.Expect(tracker.Found("j", 6)).To(gomega.Equal(Applied))
+	g.Expect(tracker.Server()).To(gomega.Equal(Server{ID: "j", State: fleet.Ready, Slots: 6}))
+}
+
+// TestLeavingServersStayAway guards against a health answer that revives a server
+// which said that it leaves.
+func TestLeavingServersStayAway(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tracker := NewTracker("s")
+	tracker.Leave("i", 0)
+	g.Expect(tracker.Found("i", 6)).To(gomega.Equal(Stale))
+	g.Expect(tracker.Server().State).To(gomega.Equal(fleet.Draining))
+}
--- /dev/null
+++ b/internal/routing/table_test.go
@@ -0,0 +1,113 @@
+package routing
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func testTable(version Version, routes ...Route) (*Table, error) {
+	limits := Limits{HeaderBytes: 1, BodyBytes: 1, HeaderTimeout: time.Second, IdleTimeout: time.Second}
+	services := []Service{{Name: "a", HealthPath: "/", MaxConnections: 1}, {Name: "b", HealthPath: "/", MaxConnections: 1}}
+	return NewTable(version, routes, services, limits)
+}
+
+func testRoute(prefix string, parts ...Part) Route {
+	return Route{Name: prefix, Host: "h", Prefix: prefix, Timeout: time.Second, Objective: time.Second, MaxAttempts: 1, Parts: parts}
+}
+
+// TestLongestPrefix guards against a request that takes a shorter prefix than the
+// longest, for any set of prefixes.
+func TestLongestPrefix(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var routes []Route
+		for i := range rapid.IntRange(1, 12).Draw(t, "routes") {
+			route := testRoute(drawPath(t, 3), Part{"a", 1})
+			route.Name = fmt.Sprint(i)
+			routes = append(routes, route)
+		}
+		table, err := testTable(1, routes...)
+		if err != nil {
+			t.Fatal(err)
+		}
+		path := drawPath(t, 4) + "x"
+		longest := 0
+		for _, route := range routes {
+			if strings.HasPrefix(path, route.Prefix) {
+				longest = max(longest, len(route.Prefix))
+			}
+		}
+		found, ok := table.Match("h", path)
+		if ok != (longest > 0) || (ok && len(found.Prefix) != longest) {
+			t.Fatalf("path %s: found %v %v, longest prefix has %d bytes", path, found, ok, longest)
+		}
+		if _, ok := table.Match("other", path); ok {
+			t.Fatal("a route of another host matches")
+		}
+	})
+}
+
+func drawPath(t *rapid.T, most int) string {
+	path := "/"
+	for range rapid.IntRange(0, most).Draw(t, "depth") {
+		path += rapid.SampledFrom([]string{"a/", "b/"}).Draw(t, "part")
+	}
+	return path
+}
+
+// TestVersionsOnlyGrow guards against a node that moves back to an older version.
+func TestVersionsOnlyGrow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		holder := &Holder{}
+		newest := Version(0)
+		for range rapid.IntRange(1, 40).Draw(t, "tables") {
+			version := Version(rapid.IntRange(1, 20).Draw(t, "version"))
+			table, err := testTable(version)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if published := holder.Publish(table); published != (version > newest) {
+				t.Fatalf("version %d after %d: published is %v", version, newest, published)
+			}
+			newest = max(newest, version)
+			if holder.Version() != newest {
+				t.Fatalf("version %d in force, want %d", holder.Version(), newest)
+			}
+		}
+	})
+}
+
+// TestSplitsAreExact guards against shares that drift from their weights.
+func TestSplitsAreExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := rapid.IntRange(0, 100).Draw(t, "a"), rapid.IntRange(1, 100).Draw(t, "b")
+		route := testRoute("/p/", Part{"a", a}, Part{"b", b})
+		splitter := NewSplitter()
+		offset := rapid.Uint64().Draw(t, "offset")
+		got, n := 0, rapid.IntRange(1, 400).Draw(t, "requests")
+		for range n {
+			if splitter.Next(&route, offset) == "a" {
+				got++
+			}
+		}
+		want := float64(n*a) / float64(a+b)
+		if math.Abs(float64(got)-want) > 2 {
+			t.Fatalf("%d of %d requests with weights %d and %d, want %.1f", got, n, a, b, want)
+		}
+	})
+}
+
+// TestDanglingRoutesAreRefused guards against a route that points at a service which
+// the table does not hold.
+func TestDanglingRoutesAreRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, err := testTable(1, testRoute("/p/", Part{"c", 1}))
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(`"c"`)))
+	_, err = testTable(1, testRoute("/p/", Part{"a", 0}))
+	g.Expect(err).To(gomega.HaveOccurred())
+}
