--- /dev/null
+++ b/internal/proxy/front_attempts.go
@@ -0,0 +1,177 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/balance"
+	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+// run makes attempts until one is answered or no other may follow.
+func (f *front) run(ctx context.Context, c *call) (*answer, *refusal) {
+	var last *refusal
+	for bounces := 0; ; {
+		entry, ok := f.choose(c)
+		if !ok {
+			return nil, f.exhausted(c, last)
+		}
+		found, refused := f.attempt(ctx, c, entry)
+		if refused == nil {
+			if refused = f.reject(ctx, c, found); refused == nil {
+				return found, nil
+			}
+			last = refused
+			continue
+		}
+		last = refused
+		c.note(refused)
+		switch {
+		case refused.cancelled || (c.unknown && !c.job.idempotent):
+			return nil, refused
+		case refused.arrived:
+			if !f.mayRepeat(ctx, c) {
+				return nil, f.exhausted(c, refused)
+			}
+		default:
+			f.metrics.bounced.Inc(1)
+			if bounces++; bounces >= f.config.Bounces || ctx.Err() != nil {
+				return nil, f.exhausted(c, refused)
+			}
+		}
+	}
+}
+
+// reject drops an answer that is a failure when another server may be asked, and
+// pays for that; nil when the answer goes to the caller.
+func (f *front) reject(ctx context.Context, c *call, found *answer) *refusal {
+	if !f.isRepeatable(c, found) {
+		return nil
+	}
+	c.arrivals++
+	if !f.mayRepeat(ctx, c) {
+		return nil
+	}
+	found.finish(false)
+	return refuse(result.OutcomeUnknown, "the server answered "+strconv.Itoa(found.status))
+}
+
+// isRepeatable reports whether an answer is a failure that another server may not
+// share.
+func (f *front) isRepeatable(c *call, found *answer) bool {
+	return c.job.idempotent && found.status >= http.StatusInternalServerError && found.status != http.StatusGatewayTimeout
+}
+
+// mayRepeat reports whether a request that may have reached a server may be sent
+// to another one, and pays for it.
+func (f *front) mayRepeat(ctx context.Context, c *call) bool {
+	if c.arrivals >= c.route.MaxAttempts || ctx.Err() != nil || !c.job.body.CanSend() {
+		return false
+	}
+	now := f.deps.Now()
+	if c.job.deadline.Sub(now) < f.deps.Balancer.Expected(c.job.route) {
+		return false
+	}
+	nodes := max(1, len(f.deps.View().Entries()))
+	if !c.budget.Take(now, f.config.BudgetSlack*slackShare/float64(nodes)) {
+		f.metrics.denied.Inc(1)
+		return false
+	}
+	f.metrics.repeated.Inc(1)
+	return true
+}
+
+// slackShare is the part of the fleet's slack that the nodes divide. The rest
+// covers the repeats of calls that a repeated request makes.
+const slackShare = 0.5
+
+// exhausted returns what the caller is told when no further attempt may follow.
+func (f *front) exhausted(c *call, last *refusal) *refusal {
+	if last == nil {
+		return refuse(result.NoServer, "no server of service "+c.job.service+" is ready")
+	}
+	if c.unknown && last.notRun() {
+		return refuse(result.OutcomeUnknown, "an earlier attempt may have run; then: "+last.message)
+	}
+	return last
+}
+
+// choose returns the node whose server gets the next attempt.
+func (f *front) choose(c *call) (fleet.Entry, bool) {
+	now := f.deps.Now()
+	candidates := f.deps.View().Ready(c.job.service)
+	choice, found := f.deps.Balancer.Choose(now, candidates, balance.Request{
+		Route:     c.job.route,
+		Remaining: c.job.due.Sub(now),
+		Objective: c.route.Objective,
+		Excluded:  c.excluded,
+		Random:    f.deps.Random,
+	})
+	if !found {
+		return fleet.Entry{}, false
+	}
+	c.choice = choice
+	c.excluded = append(c.excluded, choice.Entry.Node)
+	c.job.maxWait = f.longestWait(c, now)
+	return choice.Entry, true
+}
+
+// longestWait returns the predicted wait up to which the request is queued: as
+// long as it can still meet its objective. One that can't goes behind those that
+// can, and is refused rather than held when it would wait long for nothing.
+func (f *front) longestWait(c *call, now time.Time) time.Duration {
+	spent := f.deps.Balancer.Expected(c.job.route) + c.choice.RTT
+	if left := c.job.due.Sub(now) - spent; left > 0 {
+		return left
+	}
+	c.job.late = true
+	return max(min(c.job.deadline.Sub(now)-spent, c.route.Objective/lateWaitShare), 0)
+}
+
+// lateWaitShare is the part of its objective that a late request may be predicted
+// to wait.
+const lateWaitShare = 2
+
+// attempt sends the request to the gate on a node and notes what it showed.
+func (f *front) attempt(ctx context.Context, c *call, entry fleet.Entry) (*answer, *refusal) {
+	c.attempts++
+	sent := f.deps.Now()
+	var found *answer
+	var refused *refusal
+	var report *balance.Report
+	if entry.Node == f.config.Node {
+		var local balance.Report
+		found, refused, local = f.gate.run(ctx, c.job)
+		report = &local
+	} else {
+		found, refused, report = f.sendToGate(ctx, c, entry)
+	}
+	now := f.deps.Now()
+	if refused != nil {
+		f.noteRefusal(now, entry, refused)
+	}
+	f.deps.Balancer.Done(now, entry.Node, c.job.route, report, now.Sub(sent))
+	if refused != nil {
+		return nil, refused
+	}
+	kept, refused := f.keep(c, found)
+	if refused == nil && entry.Node != f.config.Node {
+		read := f.deps.Now()
+		f.deps.Balancer.Transferred(read, entry.Node, kept.length, read.Sub(now))
+	}
+	return kept, refused
+}
+
+// noteRefusal tells the balancer about a node that takes no requests.
+func (f *front) noteRefusal(now time.Time, entry fleet.Entry, refused *refusal) {
+	switch {
+	case refused.unreachable:
+		f.deps.Balancer.Unreachable(now, entry.Node)
+		f.deps.Suspect(entry)
+	case refused.code == result.Draining || refused.code == result.ServerGone:
+		f.deps.Balancer.NoServer(now, entry.Node)
+	}
+}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -100,3 +100,6 @@
 		f.deps.NewerVersion(routing.Version(version))
 	}
 }
+
+// isTimeout reports whether a context ended by its deadline.
+func isTimeout(ctx context.Context) bool { return errors.Is(ctx.Err(), context.DeadlineExceeded) }
--- a/internal/telemetry/logger.go
+++ b/internal/telemetry/logger.go
@@ -1,7 +1,8 @@
 // Package telemetry builds the logger and the metrics scope of a process.
 //
-// It owns the counters of the scope. Logs hold lines for state changes only;
-// everything that happens per call is a counter.
+// It owns the counters of the scope. The daemon logs changes of state only; the
+// sidecar also logs a line for each decision about a request, through a writer that
+// never blocks. What happens per call is counted.
 package telemetry
 
 import (
