Don't refuse a request as not run after a server ran and failed it

Cause: an answer 500 that was dropped for a repeat was counted as an arrival but not as a run; when all other gates refused, the caller got 503, which promises that nothing ran. Test: TestFailedRunIsNotRefused got 503 before and gets 502.

--- a/internal/proxy/front_attempts.go
+++ b/internal/proxy/front_attempts.go
@@ -51,12 +51,13 @@
 	if !f.isRepeatable(c, found) {
 		return nil
 	}
-	c.arrivals++
+	refused := &refusal{code: result.OutcomeUnknown, message: "the server answered " + strconv.Itoa(found.status), arrived: true}
+	c.note(refused)
 	if !f.mayRepeat(ctx, c) {
 		return nil
 	}
 	found.finish(false)
-	return refuse(result.OutcomeUnknown, "the server answered "+strconv.Itoa(found.status))
+	return refused
 }
 
 // isRepeatable reports whether an answer is a failure that another server may not
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -145,3 +145,15 @@
 		expectAnswer(g, f.get(id), id, "")
 	}
 }
+
+// TestFailedRunIsNotRefused guards against a refusal that says not run after a
+// server ran and failed the request, because the other gates had no room.
+func TestFailedRunIsNotRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newTestFleet(t, 2, 4)
+	f.nodes[0].backend.handle = func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+	f.nodes[1].slots.Close(result.Errorf(result.Overloaded, "no room"))
+	got := f.get("failed")
+	g.Expect(f.nodes[0].backend.ran("failed")).To(gomega.Equal(1))
+	g.Expect(got.status).To(gomega.Equal(http.StatusBadGateway), got.body)
+}
