--- a/cmd/rosemaryladder-sidecar/main.go
+++ b/cmd/rosemaryladder-sidecar/main.go
@@ -47,9 +47,7 @@
 
 func main() {
 	if err := run(); err != nil {
-		code := result.CodeOf(err)
-		fmt.Fprintf(os.Stderr, "error %d (%s): %v\n%s\n", code, result.Describe(code).Name, err, result.Describe(code).Next)
-		os.Exit(int(code))
+		os.Exit(result.Print(os.Stderr, err))
 	}
 }
 
