--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -24,6 +24,9 @@
 	spread = 0.01
 	// minTransfer is the size of an answer from which its throughput is measured.
 	minTransfer = 32 << 10
+	// requestWorth is the worth of one request, the unit of all costs. A way that
+	// costs more is taken only when no nearer node offers the service.
+	requestWorth = 1.0
 	// bytesPerMB converts to the unit of the prices.
 	bytesPerMB = 1 << 20
 	// maxRoutes bounds the routes with averages of their own.
@@ -50,17 +53,22 @@
 
 // Choose returns the node with the lowest cost among the candidates, and counts
 // a request in flight there until Done. Nodes that are passed over are chosen
-// only when no other is left; false when every candidate is excluded.
+// only when no other is left. After a nearer node was tried, one whose way costs
+// more than the request is worth is not chosen. false when no candidate is left.
 func (b *Balancer) Choose(now time.Time, candidates []fleet.Entry, request Request) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	stats := b.route(request.Route)
+	refusedPrice := b.cheapestExcluded(candidates, stats, request.Excluded)
 	var best Choice
 	found, bestDown := false, false
 	for _, entry := range candidates {
 		if slices.Contains(request.Excluded, entry.Node) {
 			continue
 		}
+		if price := b.transferPrice(entry, stats); price > requestWorth && price > refusedPrice {
+			continue
+		}
 		p := b.peer(entry)
 		choice := b.estimate(now, entry, p, stats, request)
 		down := p.down(now)
@@ -74,6 +82,24 @@
 	return best, found
 }
 
+// cheapestExcluded returns the lowest price of the way among the candidates that
+// were tried already; infinite when there are none.
+func (b *Balancer) cheapestExcluded(candidates []fleet.Entry, stats *routeStats, excluded []string) float64 {
+	cheapest := math.Inf(1)
+	for _, entry := range candidates {
+		if slices.Contains(excluded, entry.Node) {
+			cheapest = min(cheapest, b.transferPrice(entry, stats))
+		}
+	}
+	return cheapest
+}
+
+// transferPrice returns the price of a request's and its answer's bytes on the way
+// to a node.
+func (b *Balancer) transferPrice(entry fleet.Entry, stats *routeStats) float64 {
+	return b.price(b.config.distanceTo(entry.Domain)) * stats.bytes / bytesPerMB
+}
+
 // estimate returns the cost of sending the request to a node.
 func (b *Balancer) estimate(now time.Time, entry fleet.Entry, p *peer, stats *routeStats, request Request) Choice {
 	distance := b.config.distanceTo(entry.Domain)
@@ -84,7 +110,7 @@
 	work := time.Duration(stats.work * p.relativeSpeed(now))
 	predicted := rtt + p.wait(now, entry.Slots) + work + p.transferTime(now, stats.bytes)
 	late := chanceLate(predicted, request.Remaining, request.Objective)
-	cost := lateWorth*late + p.failing(now) + b.price(distance)*stats.bytes/bytesPerMB
+	cost := lateWorth*late + p.failing(now) + b.transferPrice(entry, stats)
 	cost += timeWorth * float64(predicted) / float64(max(request.Objective, 1))
 	cost += spread * request.Random()
 	age := time.Duration(-1)
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -172,3 +172,26 @@
 		}
 	}
 }
+
+// TestDearWayIsNotTakenAfterARefusal guards against large answers that cross the
+// paid link for more than they are worth because the nodes nearby were busy, and
+// against a service without a node nearby that is not used at all.
+func TestDearWayIsNotTakenAfterARefusal(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b, err := New(testConfig())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	near, far := entry("near", "a1"), entry("far", "b1")
+	learn(b, near, 100*time.Millisecond, 90_000)
+	both := []fleet.Entry{near, far}
+	request := testRequest()
+	choice, ok := b.Choose(start, both, request)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(choice.Entry.Node).To(gomega.Equal("near"))
+	request.Excluded = []string{"near"}
+	_, ok = b.Choose(start, both, request)
+	g.Expect(ok).To(gomega.BeFalse())
+	request.Excluded = nil
+	choice, ok = b.Choose(start, []fleet.Entry{far}, request)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(choice.Entry.Node).To(gomega.Equal("far"))
+}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"rosemaryladder.dev/rosemaryladder/internal/uplink"
 )
 
 // Config bounds what a node carries and how long it waits.
@@ -14,9 +16,8 @@
 	Node string
 	// Server is the address of the server beside the node.
 	Server string
-	// LinkMbps is the rate of the host's link in megabits a second; 0 when it is not
-	// known.
-	LinkMbps float64
+	// Link describes the outgoing link of the host.
+	Link uplink.Config
 	// KeptBytes bounds the part of a request body, and of an answer, that is kept
 	// in memory so that an attempt can be repeated.
 	KeptBytes int
@@ -56,6 +57,7 @@
 // DefaultConfig returns the defaults; Service, Node and Server are empty.
 func DefaultConfig() Config {
 	return Config{
+		Link:                 uplink.DefaultConfig(),
 		KeptBytes:            1 << 20,
 		HeadBytes:            64 << 10,
 		IdlePerPeer:          32,
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -36,7 +36,7 @@
 		f.refuse(w, c, refused)
 		return
 	}
-	f.respond(w, c, found)
+	f.respond(r.Context(), w, c, found)
 }
 
 // refuseUnread refuses a request of which nothing is looked at.
--- a/internal/proxy/front_attempts.go
+++ b/internal/proxy/front_attempts.go
@@ -158,7 +158,7 @@
 	if refused != nil {
 		return nil, refused
 	}
-	kept, refused := f.keep(c, found)
+	kept, refused := keep(found, f.config.KeptBytes)
 	if refused == nil && entry.Node != f.config.Node {
 		read := f.deps.Now()
 		f.deps.Balancer.Transferred(read, entry.Node, kept.length, read.Sub(now))
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -14,6 +14,7 @@
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 	"rosemaryladder.dev/rosemaryladder/internal/slots"
+	"rosemaryladder.dev/rosemaryladder/internal/uplink"
 )
 
 // gate runs requests on the server beside the node.
@@ -23,7 +24,7 @@
 	metrics  *metrics
 	client   *exchange.Client
 	failures failureRate
-	link     *link
+	link     *uplink.Link
 }
 
 // run admits a request, hands it over and returns the head of the answer. The
--- a/internal/proxy/gate_handler.go
+++ b/internal/proxy/gate_handler.go
@@ -19,16 +19,22 @@
 		return
 	}
 	defer j.body.Free()
-	release, ok := g.link.admit(j.route)
+	arrived := g.deps.Now()
+	settle, ok := g.link.Admit(j.route, j.maxWait)
 	if !ok {
-		refused := refuse(result.Overloaded, "the link of the host is occupied by large answers")
-		report := g.report(g.deps.Now())
+		refused := refuse(result.Overloaded, fmt.Sprintf("the answers ahead occupy the link of the host for %s", g.link.Backlog().Round(time.Millisecond)))
+		report := g.report(arrived)
 		g.log(j, refused, report)
 		g.refuse(w, refused, report)
 		return
 	}
-	defer release()
+	defer settle()
 	found, refused, report := g.run(r.Context(), j)
+	if refused == nil && g.link.IsLarge(found.length) {
+		// An answer that waits for the link must not hold a slot of the server.
+		found, refused = keep(found, g.config.KeptBytes)
+		report.Spent = g.deps.Now().Sub(arrived)
+	}
 	g.log(j, refused, report)
 	if refused != nil {
 		g.refuse(w, refused, report)
@@ -41,9 +47,10 @@
 	}
 	w.WriteHeader(found.status)
 	if found.length > 0 {
-		g.link.sized(j.route, found.length)
+		g.link.Sized(j.route, found.length)
 	}
-	whole := copyBody(w, found)
+	settle()
+	whole := transmit(r.Context(), w, found, g.link)
 	found.finish(whole)
 	if !whole {
 		panic(http.ErrAbortHandler)
--- a/internal/proxy/keep.go
+++ b/internal/proxy/keep.go
@@ -7,10 +7,10 @@
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
-// keep reads an answer into memory, so that one that breaks off can be repeated
-// or reported as a failure. The rest of a larger answer is streamed.
-func (f *front) keep(c *call, found *answer) (*answer, *refusal) {
-	if found.length > int64(f.config.KeptBytes) {
+// keep reads an answer of up to limit bytes into memory, so that one that breaks
+// off can be repeated or reported as a failure. A larger one is streamed.
+func keep(found *answer, limit int) (*answer, *refusal) {
+	if found.length > int64(limit) {
 		return found, nil
 	}
 	var buffer bytes.Buffer
@@ -18,12 +18,12 @@
 		// ReadFrom wants bytes.MinRead free bytes to see the end of the input.
 		buffer.Grow(int(found.length) + bytes.MinRead)
 	}
-	n, err := buffer.ReadFrom(io.LimitReader(found.body, int64(f.config.KeptBytes)))
+	n, err := buffer.ReadFrom(io.LimitReader(found.body, int64(limit)))
 	if err != nil {
 		found.finish(false)
 		return nil, &refusal{code: result.OutcomeUnknown, message: "the answer broke off: " + err.Error(), arrived: true}
 	}
-	if n == int64(f.config.KeptBytes) && found.length != n {
+	if n == int64(limit) && found.length != n {
 		found.body = io.MultiReader(&buffer, found.body)
 		return found, nil
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,6 +10,7 @@
 
 	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 	"rosemaryladder.dev/rosemaryladder/internal/routing"
+	"rosemaryladder.dev/rosemaryladder/internal/uplink"
 )
 
 // Proxy is the front and the gate of one node.
@@ -28,8 +29,12 @@
 	if err := config.Validate(); err != nil {
 		return nil, err
 	}
+	link, err := uplink.New(config.Link, deps.Now)
+	if err != nil {
+		return nil, err
+	}
 	m := newMetrics(deps.Scope.SubScope("proxy"))
-	g := &gate{config: config, deps: deps, metrics: m, link: newLink(config.LinkMbps), client: exchange.NewClient(exchange.Options{
+	g := &gate{config: config, deps: deps, metrics: m, link: link, client: exchange.NewClient(exchange.Options{
 		Dial: dialWithin(deps.Dial, config.ServerConnectTimeout), MaxIdle: maxServerIdle, IdleTimeout: config.ServerIdleTimeout,
 		HeadBytes: config.HeadBytes, Now: deps.Now,
 	})}
--- a/internal/proxy/respond.go
+++ b/internal/proxy/respond.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -8,7 +9,7 @@
 
 // respond sends the answer of a server to the caller. An answer that breaks off
 // ends with a broken connection, so that it doesn't look whole.
-func (f *front) respond(w http.ResponseWriter, c *call, found *answer) {
+func (f *front) respond(ctx context.Context, w http.ResponseWriter, c *call, found *answer) {
 	found.copyHeader(w.Header())
 	if found.length >= 0 {
 		w.Header()["Content-Length"] = []string{strconv.FormatInt(found.length, 10)}
@@ -17,9 +18,7 @@
 		f.deps.Balancer.Sized(c.job.route, found.length+max(c.job.body.Length, 0))
 	}
 	w.WriteHeader(found.status)
-	release := f.gate.link.carry(found.length)
-	whole := copyBody(w, found)
-	release()
+	whole := transmit(ctx, w, found, f.gate.link)
 	found.finish(whole)
 	f.log(c, nil, found.status)
 	if !whole {
--- /dev/null
+++ b/internal/proxy/transmit.go
@@ -0,0 +1,26 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+
+	"rosemaryladder.dev/rosemaryladder/internal/uplink"
+)
+
+// transmit sends the body of an answer over the link of the host, a large one in
+// its turn. It reports whether the whole body was sent.
+func transmit(ctx context.Context, w http.ResponseWriter, found *answer, link *uplink.Link) bool {
+	if found.length <= 0 {
+		return copyBody(w, found)
+	}
+	if !link.IsLarge(found.length) {
+		link.Count(found.length)
+		return copyBody(w, found)
+	}
+	// The head leaves at once, so that the reader measures the round trip without
+	// the wait for the link.
+	if http.NewResponseController(w).Flush() != nil {
+		return false
+	}
+	return link.Send(ctx, w, found.body, found.length) == nil
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -104,7 +104,7 @@
 func (s *Sidecar) buildProxy(loaded settings.Sidecar) error {
 	config := proxy.DefaultConfig()
 	config.Service, config.Node, config.Server = loaded.Node.Service, loaded.Node.IP, loaded.Node.Server
-	config.LinkMbps = loaded.Node.LinkMbps
+	config.Link.Mbps = loaded.Node.LinkMbps
 	config.BudgetRatio, config.BudgetWindow, config.BudgetSlack = loaded.Bounds.RetryRatio, loaded.Bounds.RetryWindow, loaded.Bounds.RetrySlack
 	dialer := dial.Dialer{LocalIP: loaded.Node.IP}
 	s.prober = newProber(s, loaded.Node.Server, dialer)
