Send followers the changes of fleet and configuration, not the whole

Cause: a leader answered each change of the fleet with all entries (16 KB at 79 nodes) to each of its followers, and each version with the whole configuration (17 KB compressed).

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -17,6 +17,12 @@
 
 	mu      sync.Mutex
 	entries map[string]held
+	// position counts the changes of the view, removals the newest of those that
+	// removed a node, oldest first.
+	position uint64
+	removals []removal
+	// forgotten is the position of the newest removal that is no longer listed.
+	forgotten uint64
 }
 
 // held is an entry with what is known of its place in the store.
@@ -24,13 +30,25 @@
 	entry Entry
 	// lapsed is when the entry left the store; zero while it is there.
 	lapsed time.Time
+	// position is the table's position at the entry's last change.
+	position uint64
 }
 
+// removal is a node that left the view at a position.
+type removal struct {
+	node     string
+	position uint64
+}
+
+// maxRemovals bounds the removals that are listed. A reader that missed more takes
+// the whole view.
+const maxRemovals = 256
+
 // NewTable returns an empty table. lapsedAfter is how long an entry that left
 // the store is kept for its node to write it again.
 func NewTable(lapsedAfter time.Duration) *Table {
 	table := &Table{lapsedAfter: lapsedAfter, entries: make(map[string]held)}
-	table.view.Store(newView(nil))
+	table.view.Store(newView(nil, 0))
 	return table
 }
 
@@ -83,12 +101,45 @@
 	t.merge(own)
 	for node := range t.entries {
 		if !listed[node] {
-			delete(t.entries, node)
+			t.remove(node)
 		}
 	}
 	t.publish()
 }
 
+// Remove drops the entries of nodes that a node which follows the store has seen
+// leave.
+func (t *Table) Remove(nodes []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, node := range nodes {
+		t.remove(node)
+	}
+	t.publish()
+}
+
+// Since returns what changed in the view after a position; false when that is no
+// longer known, and then the whole view is needed.
+func (t *Table) Since(position uint64) (Changes, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if position == 0 || position < t.forgotten || position > t.position {
+		return Changes{}, false
+	}
+	changes := Changes{Position: t.position}
+	for _, node := range slices.Sorted(maps.Keys(t.entries)) {
+		if h := t.entries[node]; h.position > position {
+			changes.Entries = append(changes.Entries, h.entry)
+		}
+	}
+	for _, r := range t.removals {
+		if _, back := t.entries[r.node]; r.position > position && !back {
+			changes.Removed = append(changes.Removed, r.node)
+		}
+	}
+	return changes, true
+}
+
 // Lapsed notes that the store no longer has the entry of a node.
 func (t *Table) Lapsed(node string, now time.Time) {
 	t.mu.Lock()
@@ -103,7 +154,7 @@
 	var gone []string
 	for node, h := range t.entries {
 		if !h.lapsed.IsZero() && now.Sub(h.lapsed) >= t.lapsedAfter {
-			delete(t.entries, node)
+			t.remove(node)
 			gone = append(gone, node)
 		}
 	}
@@ -132,14 +183,28 @@
 	h, found := t.entries[entry.Node]
 	if found && !entry.Newer(h.entry) {
 		if entry == h.entry && !h.lapsed.IsZero() {
-			t.entries[entry.Node] = held{entry: h.entry}
+			t.entries[entry.Node] = held{entry: h.entry, position: h.position}
 		}
 		return false
 	}
-	t.entries[entry.Node] = held{entry: entry}
+	t.position++
+	t.entries[entry.Node] = held{entry: entry, position: t.position}
 	return true
 }
 
+func (t *Table) remove(node string) {
+	if _, found := t.entries[node]; !found {
+		return
+	}
+	delete(t.entries, node)
+	t.position++
+	t.removals = append(t.removals, removal{node: node, position: t.position})
+	if excess := len(t.removals) - maxRemovals; excess > 0 {
+		t.forgotten = t.removals[excess-1].position
+		t.removals = slices.Delete(t.removals, 0, excess)
+	}
+}
+
 func (t *Table) lapse(node string, now time.Time) {
 	if h, found := t.entries[node]; found && h.lapsed.IsZero() {
 		h.lapsed = now
@@ -155,4 +220,4 @@
 	return entries
 }
 
-func (t *Table) publish() { t.view.Store(newView(t.sorted())) }
+func (t *Table) publish() { t.view.Store(newView(t.sorted(), t.position)) }
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -87,3 +88,57 @@
 		}
 	})
 }
+
+// TestSinceLeadsToTheSameView guards against a follower that misses a change or a
+// removal, and against one that is told it missed nothing when the changes are no
+// longer known.
+func TestSinceLeadsToTheSameView(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		leader, follower := NewTable(time.Second), NewTable(time.Second)
+		own := Entry{Node: "follower", Incarnation: 1}
+		leader.Merge(own)
+		now := time.Unix(1000, 0)
+		position := uint64(0)
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			node := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "node")
+			switch rapid.SampledFrom([]string{"merge", "merge", "leave", "read"}).Draw(t, "step") {
+			case "merge":
+				leader.Merge(Entry{Node: node, Service: "s", State: Ready, Incarnation: 1, Sequence: int64(step)})
+			case "leave":
+				leader.Lapsed(node, now)
+				now = now.Add(2 * time.Second)
+				leader.Expire(now)
+			case "read":
+				changes, known := leader.Since(position)
+				if !known {
+					if position != 0 {
+						t.Fatalf("position %d is not known", position)
+					}
+					follower.Adopt(leader.Entries(), own)
+					position = leader.View().Position()
+					break
+				}
+				for _, entry := range changes.Entries {
+					follower.Merge(entry)
+				}
+				follower.Remove(changes.Removed)
+				position = changes.Position
+				if follower.View().Digest() != leader.View().Digest() {
+					t.Fatalf("leader %v, follower %v", leader.Entries(), follower.Entries())
+				}
+			}
+		}
+	})
+	table := NewTable(time.Second)
+	for i := range maxRemovals + 2 {
+		node := strconv.Itoa(i)
+		table.Merge(Entry{Node: node, Incarnation: 1})
+		table.Remove([]string{node})
+	}
+	if _, known := table.Since(1); known {
+		t.Fatal("a removal that is no longer listed was not missed")
+	}
+	if _, known := table.Since(table.View().Position() + 1); known {
+		t.Fatal("a position of another run is known")
+	}
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -1,13 +1,22 @@
 package fleet
 
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
 // View is an immutable list of the nodes by service.
 type View struct {
 	entries  []Entry
 	services map[string][]Entry
+	position uint64
+	digest   func() uint64
 }
 
-func newView(entries []Entry) *View {
-	view := &View{entries: entries, services: make(map[string][]Entry)}
+func newView(entries []Entry, position uint64) *View {
+	view := &View{entries: entries, services: make(map[string][]Entry), position: position}
+	view.digest = sync.OnceValue(func() uint64 { return digestOf(entries) })
 	for _, entry := range entries {
 		if entry.State == Ready {
 			view.services[entry.Service] = append(view.services[entry.Service], entry)
@@ -21,3 +30,19 @@
 
 // Entries returns all nodes.
 func (v *View) Entries() []Entry { return v.entries }
+
+// Position counts the changes of the table up to this view.
+func (v *View) Position() uint64 { return v.position }
+
+// Digest returns a hash of the entries. Views with the same entries have the same
+// one.
+func (v *View) Digest() uint64 { return v.digest() }
+
+func digestOf(entries []Entry) uint64 {
+	hash := xxhash.New()
+	for _, e := range entries {
+		// Writes to a hash never fail.
+		_, _ = hash.Write(e.Encode())
+	}
+	return hash.Sum64()
+}
--- a/internal/registry/configuration.go
+++ b/internal/registry/configuration.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"compress/gzip"
 	"io"
+	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -12,6 +14,63 @@
 // value, with room.
 const maxConfigurationBytes = 4 << 20
 
+// kept is the newest configuration in the forms that peers may ask for.
+type kept struct {
+	// version is that of packed, the compressed configuration.
+	version uint64
+	packed  []byte
+	// changes lead to it from earlier versions.
+	changes []versionChange
+}
+
+// advance returns what is kept once a newer configuration is in force.
+func (k kept) advance(version uint64, raw []byte) (kept, error) {
+	packed, err := pack(raw)
+	if err != nil {
+		return kept{}, err
+	}
+	next := kept{version: version, packed: packed}
+	if k.packed == nil {
+		return next, nil
+	}
+	base, err := unpack(k.packed)
+	if err != nil {
+		return kept{}, err
+	}
+	next.changes = append(slices.Clone(k.changes), versionChange{
+		From: k.version, To: version, Delta: makeDelta(base, raw), Sum: xxhash.Sum64(raw),
+	})
+	if excess := len(next.changes) - maxVersionChanges; excess > 0 {
+		next.changes = slices.Delete(next.changes, 0, excess)
+	}
+	return next, nil
+}
+
+// follow returns the configuration that changes lead to.
+func (k kept) follow(changes []versionChange) ([]byte, error) {
+	if k.packed == nil || len(changes) == 0 || changes[0].From != k.version {
+		return nil, errors.Errorf("changes begin at another version than %d", k.version)
+	}
+	raw, err := unpack(k.packed)
+	if err != nil {
+		return nil, err
+	}
+	at := k.version
+	for _, change := range changes {
+		if change.From != at {
+			return nil, errors.Errorf("change from version %d follows version %d", change.From, at)
+		}
+		if raw, err = applyDelta(raw, change.Delta); err != nil {
+			return nil, errors.Wrapf(err, "change to version %d", change.To)
+		}
+		if xxhash.Sum64(raw) != change.Sum {
+			return nil, errors.Errorf("change to version %d leads to another configuration than its sender's", change.To)
+		}
+		at = change.To
+	}
+	return raw, nil
+}
+
 // pack compresses a configuration. Operators' configurations repeat themselves and
 // shrink to about a tenth.
 func pack(raw []byte) ([]byte, error) {
--- a/internal/registry/follow_loop.go
+++ b/internal/registry/follow_loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,8 +48,9 @@
 // no more.
 func (r *Registry) followLeader(ctx context.Context, leader fleet.Entry) {
 	r.deps.Log.WithField("peer", leader.Node).Info("following a leader of the failure domain")
+	at := followed{}
 	for ctx.Err() == nil {
-		changed, err := r.askLeader(ctx, leader)
+		changed, err := r.askLeader(ctx, leader, &at)
 		if err != nil {
 			if ctx.Err() == nil {
 				r.deps.Log.WithError(err).WithField("peer", leader.Node).Info("leader lost")
@@ -65,13 +67,27 @@
 	}
 }
 
+// followed is how far a follower has read the fleet table of its leader.
+type followed struct {
+	run      int64
+	position uint64
+	// differing counts the answers in a row after which the two still held different
+	// entries.
+	differing int
+}
+
+// maxDiffering is the number of such answers after which the whole fleet is asked
+// for. A few are usual: an entry reaches the leader through the store and a follower
+// by itself.
+const maxDiffering = 3
+
 // askLeader waits for a change that the leader sees and takes it over.
-func (r *Registry) askLeader(ctx context.Context, leader fleet.Entry) (changed bool, err error) {
+func (r *Registry) askLeader(ctx context.Context, leader fleet.Entry, at *followed) (changed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, r.config.WatchWait+r.config.PeerTimeout)
 	defer cancel()
-	entries := r.deps.Fleet.View().Entries()
 	question := peerState{
-		Version: uint64(r.deps.Routes.Version()), Entries: []fleet.Entry{r.Own()}, Digest: digest(entries), WaitMs: r.config.WatchWait.Milliseconds(),
+		Version: uint64(r.deps.Routes.Version()), Entries: []fleet.Entry{r.Own()}, Digest: r.deps.Fleet.View().Digest(),
+		Run: at.run, Position: at.position, WaitMs: r.config.WatchWait.Milliseconds(),
 	}
 	theirs, err := r.exchange(ctx, r.deps.Leader, leader, question)
 	if err != nil {
@@ -81,15 +97,28 @@
 		return false, errLeaderCut
 	}
 	r.answered()
-	if theirs.Digest == question.Digest && theirs.Version <= question.Version {
-		return false, nil
-	}
 	r.takeOver(theirs, "leader "+leader.Node)
-	if len(theirs.Entries) > 0 {
+	if theirs.Whole {
 		r.deps.Fleet.Adopt(theirs.Entries, r.Own())
-		r.news.notify()
+	} else if removed := r.others(theirs.Removed); len(removed) > 0 {
+		r.deps.Log.WithField("peers", removed).Info("fleet entries left")
+		r.deps.Fleet.Remove(removed)
+	}
+	r.news.notify()
+	at.advance(theirs, r.deps.Fleet.View().Digest())
+	return theirs.Position != question.Position || theirs.Version > question.Version, nil
+}
+
+// advance notes an answer of the leader and the digest of the entries held after it.
+func (f *followed) advance(theirs peerState, digest uint64) {
+	f.run, f.position = theirs.Run, theirs.Position
+	if theirs.Digest == digest {
+		f.differing = 0
+		return
+	}
+	if f.differing++; f.differing >= maxDiffering {
+		f.position, f.differing = 0, 0
 	}
-	return true, nil
 }
 
 // waitForNews waits until the own state differs from what a follower holds.
@@ -101,7 +130,7 @@
 	defer timer.Stop()
 	for {
 		changed := r.news.next()
-		if uint64(r.deps.Routes.Version()) > theirs.Version || digest(r.deps.Fleet.View().Entries()) != theirs.Digest {
+		if r.hasNewsFor(theirs) {
 			return
 		}
 		select {
@@ -113,3 +142,22 @@
 		}
 	}
 }
+
+// others returns the nodes without this one, which knows best that it lives.
+func (r *Registry) others(nodes []string) []string {
+	own := r.Own().Node
+	return slices.DeleteFunc(slices.Clone(nodes), func(node string) bool { return node == own })
+}
+
+// hasNewsFor reports whether a follower lacks something. One without a position
+// gets the whole fleet if its entries differ.
+func (r *Registry) hasNewsFor(theirs peerState) bool {
+	view := r.deps.Fleet.View()
+	if uint64(r.deps.Routes.Version()) > theirs.Version {
+		return true
+	}
+	if theirs.Run != r.run || theirs.Position == 0 {
+		return true
+	}
+	return view.Position() != theirs.Position
+}
--- a/internal/registry/leaders.go
+++ b/internal/registry/leaders.go
@@ -29,13 +29,3 @@
 }
 
 func rank(e fleet.Entry) uint64 { return xxhash.Sum64String(e.Domain + "/" + e.Node) }
-
-// digest returns a hash of the entries, which are ordered by node.
-func digest(entries []fleet.Entry) uint64 {
-	hash := xxhash.New()
-	for _, e := range entries {
-		// Writes to a hash never fail.
-		_, _ = hash.Write(e.Encode())
-	}
-	return hash.Sum64()
-}
--- a/internal/registry/peer_loop.go
+++ b/internal/registry/peer_loop.go
@@ -110,7 +110,12 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*r.config.PeerTimeout)
 	defer cancel()
 	r.peers.Inc(1)
-	theirs, err := r.exchange(ctx, r.deps.Peers, entry, r.state(peerState{Version: uint64(r.deps.Routes.Version())}))
+	view := r.deps.Fleet.View()
+	question := peerState{
+		Version: uint64(r.deps.Routes.Version()), Digest: view.Digest(), Entries: []fleet.Entry{r.Own()},
+		SilentMs: r.silence().Milliseconds(), Listed: r.listed.Load(),
+	}
+	theirs, err := r.exchange(ctx, r.deps.Peers, entry, question)
 	if err != nil {
 		return false
 	}
@@ -147,28 +152,35 @@
 // state returns the own state for a node: the configuration when it holds an older
 // one, the entries when it holds others.
 func (r *Registry) state(theirs peerState) peerState {
-	entries := r.deps.Fleet.View().Entries()
-	state := peerState{Version: uint64(r.deps.Routes.Version()), Digest: digest(entries), SilentMs: r.silence().Milliseconds()}
-	if state.Digest != theirs.Digest {
-		state.Entries = entries
-	}
-	if theirs.Version < state.Version {
-		state.Configuration = r.packed()
+	view := r.deps.Fleet.View()
+	state := peerState{
+		Version: uint64(r.deps.Routes.Version()), Digest: view.Digest(), SilentMs: r.silence().Milliseconds(),
+		Run: r.run, Position: view.Position(), Listed: r.listed.Load(),
+	}
+	changes, known := fleet.Changes{}, false
+	if theirs.Run == r.run {
+		changes, known = r.deps.Fleet.Since(theirs.Position)
+	}
+	switch {
+	case known:
+		state.Entries, state.Removed, state.Position = changes.Entries, changes.Removed, changes.Position
+	case state.Digest != theirs.Digest:
+		state.Entries, state.Whole = view.Entries(), true
+	}
+	if held := r.keptConfiguration(); theirs.Version < held.version {
+		if steps, found := changesFrom(held.changes, theirs.Version); found {
+			state.Changes = steps
+		} else {
+			state.Configuration = held.packed
+		}
 	}
 	return state
 }
 
-// packed returns the newest configuration, compressed.
-func (r *Registry) packed() []byte {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.configuration
-}
-
 // takeOver merges the state of a peer.
 func (r *Registry) takeOver(theirs peerState, source string) {
-	if len(theirs.Configuration) > 0 && routing.Version(theirs.Version) > r.deps.Routes.Version() {
-		r.applyPacked(theirs.Configuration, source)
+	if len(theirs.Configuration)+len(theirs.Changes) > 0 && routing.Version(theirs.Version) > r.deps.Routes.Version() {
+		r.applyPeer(theirs, source)
 	}
 	for _, entry := range theirs.Entries {
 		if err := entry.Validate(); err != nil {
@@ -178,7 +190,8 @@
 		}
 		r.mergeEntry(entry, source)
 	}
-	if len(theirs.Entries) > 0 && !r.listed.Swap(true) {
+	knowsAll := theirs.Listed && (theirs.Whole || theirs.Digest == r.deps.Fleet.View().Digest())
+	if knowsAll && !r.listed.Swap(true) {
 		r.deps.Log.WithField("entries", len(theirs.Entries)).Info("fleet learned from a peer")
 	}
 }
--- a/internal/registry/peer_state.go
+++ b/internal/registry/peer_state.go
@@ -4,14 +4,28 @@
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 )
 
-// peerState is what two nodes tell each other while the store is away or one of
-// them was out of reach.
+// peerState is what a node asks another one and what it answers: a follower asks
+// its leader all the time, and any node asks its peers while the store is away or
+// after one of them was out of reach. The field names are short because the states
+// cross the hosts' links.
 type peerState struct {
 	// Version is the version of the configuration that the sender holds.
 	Version uint64 `json:"v"`
-	// Configuration is compressed, and sent only to a node with an older version.
-	Configuration []byte        `json:"c,omitempty"`
-	Entries       []fleet.Entry `json:"e,omitempty"`
+	// Configuration is the whole configuration, compressed. Changes lead to it from
+	// the version that the asker holds; only one of the two is sent.
+	Configuration []byte          `json:"c,omitempty"`
+	Changes       []versionChange `json:"x,omitempty"`
+	// Entries are those that changed after the asker's position, and Removed the
+	// nodes that left; all entries when Whole is set.
+	Entries []fleet.Entry `json:"e,omitempty"`
+	Removed []string      `json:"r,omitempty"`
+	Whole   bool          `json:"a,omitempty"`
+	// Listed is set when the sender knows the fleet, from the store or from a peer
+	// that does.
+	Listed bool `json:"l,omitempty"`
+	// Run identifies the run of the process whose fleet table Position counts.
+	Run      int64  `json:"b,omitempty"`
+	Position uint64 `json:"p,omitempty"`
 	// Digest is the hash of the entries that the sender holds.
 	Digest uint64 `json:"d"`
 	// WaitMs is set in a follower's question: how long the leader may wait for a
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -30,6 +30,8 @@
 	overdue bool
 	// news wakes the followers' questions.
 	news *notifier
+	// run identifies this run to followers.
+	run int64
 	// distrusted is until when a leader is passed over; only the watch loop uses it.
 	distrusted map[string]time.Time
 	// hurry wakes the peer loop.
@@ -42,9 +44,8 @@
 	lost    tally.Counter
 
 	mu sync.Mutex
-	// configuration is the newest configuration as the operators wrote it,
-	// compressed.
-	configuration []byte
+	// configuration is the newest configuration as the operators wrote it.
+	configuration kept
 	// own is the node's entry.
 	own fleet.Entry
 	// written is the newest own entry that the store has.
@@ -63,7 +64,7 @@
 	scope := deps.Scope.SubScope("registry")
 	deps.Fleet.Merge(own)
 	return &Registry{
-		config: config, deps: deps, own: own, started: deps.Now(),
+		config: config, deps: deps, own: own, started: deps.Now(), run: deps.Now().UnixNano(),
 		hurry: make(chan struct{}, 1), changed: make(chan struct{}, 1),
 		news: newNotifier(), distrusted: make(map[string]time.Time), suspects: make(map[string]fleet.Entry),
 		refused: scope.Counter("refused_values"), peers: scope.Counter("peer_questions"), lost: scope.Counter("store_lost"),
@@ -131,23 +132,47 @@
 	if !r.deps.Routes.Publish(table) {
 		return
 	}
-	packed, err := pack(raw)
-	if err != nil {
-		// Peers ask again; this node has the configuration in force.
-		r.deps.Log.WithError(err).Warn("configuration not kept for peers")
-	}
-	r.mu.Lock()
-	r.configuration = packed
-	r.mu.Unlock()
+	r.keepConfiguration(uint64(table.Version()), raw)
 	r.news.notify()
 	r.deps.Log.WithFields(map[string]any{
 		"version": uint64(table.Version()), "previous": uint64(previous), "routes": table.Routes(), "source": source,
 	}).Info("configuration in force")
 }
 
-// applyPacked publishes a configuration of a peer.
-func (r *Registry) applyPacked(packed []byte, source string) {
-	raw, err := unpack(packed)
+// keepConfiguration keeps what is in force for peers.
+func (r *Registry) keepConfiguration(version uint64, raw []byte) {
+	r.mu.Lock()
+	held := r.configuration
+	r.mu.Unlock()
+	next, err := held.advance(version, raw)
+	if err != nil {
+		// Peers ask another node; this one has the configuration in force.
+		r.deps.Log.WithError(err).Warn("configuration not kept for peers")
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if version > r.configuration.version {
+		r.configuration = next
+	}
+}
+
+// keptConfiguration returns what peers may ask for.
+func (r *Registry) keptConfiguration() kept {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.configuration
+}
+
+// applyPeer publishes the configuration of a peer.
+func (r *Registry) applyPeer(theirs peerState, source string) {
+	var raw []byte
+	var err error
+	if len(theirs.Changes) > 0 {
+		raw, err = r.keptConfiguration().follow(theirs.Changes)
+	} else {
+		raw, err = unpack(theirs.Configuration)
+	}
 	if err != nil {
 		r.refused.Inc(1)
 		r.deps.Log.WithError(err).WithField("source", source).Warn("configuration refused; the previous one stays in force")
