Wait for the listener of a process that ends before its server counts as alive

Now the probe holds a connection that was taken and dials again when it breaks, for 80 ms before the caller is answered and for a second after that.

--- a/internal/call/gate.go
+++ b/internal/call/gate.go
@@ -15,9 +15,14 @@
 	"rosemaryladder.dev/rosemaryladder/internal/route"
 )
 
-// crashProbeTimeout bounds the dial that tells whether a server whose connection
-// broke is gone. The server is on the same host.
-const crashProbeTimeout = 200 * time.Millisecond
+const (
+	// crashProbeTimeout bounds how long the caller waits until it is known whether a
+	// server whose connection broke is gone. The server is on the same host.
+	crashProbeTimeout = 80 * time.Millisecond
+	// lateCrashTimeout bounds how long the gate looks on after that: on a loaded host
+	// a process can take longer to end.
+	lateCrashTimeout = time.Second
+)
 
 // maxQueuedPerSlot is the length of the queue, in calls per slot, above which no
 // key is claimed.
@@ -254,11 +259,25 @@
 // probe tells whether a server whose connection broke is gone, and then counts
 // the call as one that may have crashed it.
 func (g *gate) probe(call *running, address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
-	defer cancel()
-	if !g.client.Refuses(ctx, address) {
+	if g.isGone(address, crashProbeTimeout) {
+		g.crashed(call, address)
 		return
 	}
+	go func() {
+		if g.isGone(address, lateCrashTimeout) {
+			g.crashed(call, address)
+		}
+	}()
+}
+
+func (g *gate) isGone(address string, within time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	return g.client.Refuses(ctx, address)
+}
+
+// crashed notes that the server is gone and that the call may be the reason.
+func (g *gate) crashed(call *running, address string) {
 	g.deps.Server.Gone(address)
 	if g.answered.has(call.fingerprint) {
 		return
