Draw two of many nodes by their capacity and judge them by recent and usual load

Cause: at 61 nodes a front hears of each server less than once a second. Ruled out: too few slots (71 % in use on average). Now two candidates of each distance are drawn by slots over hold time when there are more than three, and a report counts for about eight hold times, then the average of the reports.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -59,9 +59,28 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	stats := b.route(request.Route)
-	refusedPrice := b.cheapestExcluded(candidates, stats, request.Excluded)
 	var best Choice
-	found, bestDown := false, false
+	found := false
+	for _, group := range b.eligible(now, candidates, stats, request) {
+		for _, c := range sample(group, request.Random) {
+			choice := b.estimate(now, c.entry, c.peer, stats, request)
+			if !found || choice.Cost < best.Cost {
+				best, found = choice, true
+			}
+		}
+	}
+	if found {
+		b.peers[best.Entry.Node].inFlight++
+	}
+	return best, found
+}
+
+// eligible returns the candidates that may be chosen, by their distance: those that
+// are not passed over, or all when every one is.
+func (b *Balancer) eligible(now time.Time, candidates []fleet.Entry, stats *routeStats, request Request) [distances][]candidate {
+	refusedPrice := b.cheapestExcluded(candidates, stats, request.Excluded)
+	var up, down [distances][]candidate
+	anyUp := false
 	for _, entry := range candidates {
 		if slices.Contains(request.Excluded, entry.Node) {
 			continue
@@ -69,17 +88,19 @@
 		if price := b.transferPrice(entry, stats); price > requestWorth && price > refusedPrice {
 			continue
 		}
-		p := b.peer(entry)
-		choice := b.estimate(now, entry, p, stats, request)
-		down := p.down(now)
-		if !found || (bestDown && !down) || (bestDown == down && choice.Cost < best.Cost) {
-			best, found, bestDown = choice, true, down
+		c := candidate{entry: entry, peer: b.peer(entry)}
+		distance := b.config.distanceTo(entry.Domain)
+		if c.peer.down(now) {
+			down[distance] = append(down[distance], c)
+			continue
 		}
+		up[distance] = append(up[distance], c)
+		anyUp = true
 	}
-	if found {
-		b.peers[best.Entry.Node].inFlight++
+	if anyUp {
+		return up
 	}
-	return best, found
+	return down
 }
 
 // cheapestExcluded returns the lowest price of the way among the candidates that
@@ -120,18 +141,6 @@
 	return Choice{Entry: entry, Distance: distance, RTT: rtt, Work: work, Cost: cost, Age: age}
 }
 
-// wait returns the predicted wait for a slot.
-func (p *peer) wait(now time.Time, slots int) time.Duration {
-	if slots == 0 {
-		return 0
-	}
-	above := p.occupied(now) + 1 - slots
-	if above <= 0 {
-		return 0
-	}
-	return p.report.Hold * time.Duration(above) / time.Duration(slots)
-}
-
 func chanceLate(predicted, remaining, objective time.Duration) float64 {
 	if objective <= 0 {
 		return 0
--- a/internal/balance/distance.go
+++ b/internal/balance/distance.go
@@ -8,6 +8,8 @@
 	SameDomain Distance = iota
 	SameRegion
 	OtherRegion
+	// distances is the number of distances.
+	distances
 )
 
 // distanceTo returns the distance to a failure domain.
--- a/internal/balance/peer.go
+++ b/internal/balance/peer.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 )
 
@@ -13,9 +14,17 @@
 	// speedMemory is how long a node that was measured as slow is held to be so
 	// without new samples.
 	speedMemory = 4 * time.Second
-	// loadMemory is how long a reported load counts; after it only the node's own
-	// requests in flight are known.
-	loadMemory = time.Second
+	// usualGain is the weight of a new report in a server's usual load, so that about
+	// the last ten count.
+	usualGain = 0.12
+	// relaxation is the time in which most of a reported load is replaced, in hold
+	// times: a queue that has formed lasts for longer than one request.
+	relaxation = 8
+	// shortestHold keeps a reported load from being held to be outdated at once.
+	shortestHold = 20 * time.Millisecond
+	// fullShare bounds the share of the slots in use for which a wait in the long run
+	// exists.
+	fullShare = 0.95
 	// firstBackoff and maxBackoff bound how long a node that could not be reached
 	// is passed over, unless it is heard from.
 	firstBackoff = 250 * time.Millisecond
@@ -32,6 +41,8 @@
 	inFlight int
 	report   Report
 	reported time.Time
+	// usual is the average of the reported loads.
+	usual float64
 	// inFlightThen is the number of own requests in flight at the report.
 	inFlightThen int
 	// speed is the node's time for a request in relation to the route's average.
@@ -50,13 +61,36 @@
 
 func newPeer(server string) *peer { return &peer{speed: 1, server: server} }
 
-// occupied returns the requests at the server, as far as known.
-func (p *peer) occupied(now time.Time) int {
-	if p.reported.IsZero() || now.Sub(p.reported) > loadMemory {
-		return p.inFlight
+// outdated returns how much of a reported load has been replaced by other requests
+// since: 0 for a new report, 1 for one that is much older than a request takes.
+func (p *peer) outdated(now time.Time) float64 {
+	if p.reported.IsZero() {
+		return 1
+	}
+	replaced := relaxation * max(p.report.Hold, shortestHold)
+	return 1 - math.Exp(-float64(now.Sub(p.reported))/float64(replaced))
+}
+
+// occupied returns the requests at the server: as reported at first, then more and
+// more as usual, and never fewer than this node has there.
+func (p *peer) occupied(now time.Time) float64 {
+	reported := float64(p.report.Running + p.report.Waiting)
+	estimate := reported + (p.usual-reported)*p.outdated(now) + float64(p.inFlight-p.inFlightThen)
+	return max(estimate, float64(p.inFlight))
+}
+
+// wait returns the predicted wait for a slot. The load at this moment is known the
+// less the older the report is; then the wait in the long run at the usual load
+// counts (Sakasegawa, Annals of the Institute of Statistical Mathematics 29, 1977).
+func (p *peer) wait(now time.Time, slots int) time.Duration {
+	if slots == 0 {
+		return 0
 	}
-	estimate := p.report.Running + p.report.Waiting + p.inFlight - p.inFlightThen
-	return max(estimate, p.inFlight)
+	occupied, servers := p.occupied(now), float64(slots)
+	perSlot := float64(p.report.Hold) / servers
+	busy := min(occupied/servers, fullShare)
+	inTheLongRun := perSlot * math.Pow(busy, math.Sqrt(2*(servers+1))) / (1 - busy) * p.outdated(now)
+	return time.Duration(max(perSlot*(occupied+1-servers), inTheLongRun))
 }
 
 // relativeSpeed returns to 1 without samples.
@@ -112,6 +146,11 @@
 
 // observe takes over a report and its measurements.
 func (p *peer) observe(now time.Time, report Report, elapsed time.Duration, average float64) {
+	load := float64(report.Running + report.Waiting)
+	if p.reported.IsZero() {
+		p.usual = load
+	}
+	p.usual += usualGain * (load - p.usual)
 	p.report, p.reported, p.inFlightThen = report, now, p.inFlight
 	rtt := max(elapsed-report.Spent, 0)
 	if p.rtt == 0 {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -79,7 +79,7 @@
 func (p *Proxy) Gate(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(headerHop) == "" {
-			next.ServeHTTP(w, r)
+			next.ServeHTTP(countingWriter{ResponseWriter: w, link: p.gate.link}, r)
 			return
 		}
 		p.inFlight.Add(1)
