--- a/internal/uplink/config.go
+++ b/internal/uplink/config.go
@@ -28,7 +28,7 @@
 
 // DefaultConfig returns the defaults; the rate is not known.
 func DefaultConfig() Config {
-	return Config{Share: 0.9, Shortest: 10 * time.Millisecond, ChunkBytes: 8 << 10}
+	return Config{Share: 0.85, Shortest: 10 * time.Millisecond, ChunkBytes: 8 << 10}
 }
 
 // Validate names the first invalid field and its value.
