--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -120,23 +120,25 @@
 	wake(r.hurry)
 }
 
-// applyConfiguration publishes a configuration when it is valid and newer.
-func (r *Registry) applyConfiguration(raw []byte, source string) {
+// applyConfiguration publishes a configuration when it is valid and newer, and
+// reports whether it was valid.
+func (r *Registry) applyConfiguration(raw []byte, source string) bool {
 	table, err := r.deps.Decode(raw)
 	if err != nil {
 		r.refused.Inc(1)
 		r.deps.Log.WithError(err).WithField("source", source).Warn("configuration refused; the previous one stays in force")
-		return
+		return false
 	}
 	previous := r.deps.Routes.Version()
 	if !r.deps.Routes.Publish(table) {
-		return
+		return true
 	}
 	r.keepConfiguration(uint64(table.Version()), raw)
 	r.news.notify()
 	r.deps.Log.WithFields(map[string]any{
 		"version": uint64(table.Version()), "previous": uint64(previous), "routes": table.Routes(), "source": source,
 	}).Info("configuration in force")
+	return true
 }
 
 // keepConfiguration keeps what is in force for peers.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -177,3 +178,27 @@
 		g.Eventually(r.nodes).WithTimeout(settle).Should(gomega.Equal(len(all)))
 	}
 }
+
+// TestNewestOfManyVersions guards against versions that follow each other quickly and
+// are decoded one by one, and against a newest one that can't be read and keeps the
+// one before it out of force.
+func TestNewestOfManyVersions(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := newFakeStore()
+	store.configure(1)
+	a := startRegistry(t, store, "a")
+	g.Eventually(a.routes.Version).WithTimeout(settle).Should(gomega.Equal(routing.Version(1)))
+	decoded := atomic.Int64{}
+	decode := a.deps.Decode
+	a.deps.Decode = func(data []byte) (*routing.Table, error) {
+		decoded.Add(1)
+		return decode(data)
+	}
+	var events []Event
+	for _, value := range []string{"2", "3", "4", "cut sho"} {
+		events = append(events, Event{Key: configurationKey, Value: []byte(value)})
+	}
+	a.applyAll(events)
+	g.Expect(a.routes.Version()).To(gomega.Equal(routing.Version(4)))
+	g.Expect(decoded.Load()).To(gomega.BeEquivalentTo(2))
+}
--- a/internal/registry/watch_loop.go
+++ b/internal/registry/watch_loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 )
@@ -84,9 +85,7 @@
 		}
 		r.answered()
 		at = next
-		for _, event := range events {
-			r.apply(event)
-		}
+		r.applyAll(events)
 		r.expire()
 		if _, found := r.pickLeader(); found {
 			return nil
@@ -103,11 +102,24 @@
 	return r.deps.Store.Watch(ctx, r.config.WatchPrefix, at, r.config.WatchWait)
 }
 
-func (r *Registry) apply(event Event) {
+// applyAll takes over changes in their order. Of the configurations only the newest
+// valid one is put in force: versions that follow each other quickly would otherwise
+// keep a slow processor busy with what is replaced at once.
+func (r *Registry) applyAll(events []Event) {
+	applied := false
+	for _, event := range slices.Backward(events) {
+		if event.Key == r.config.ConfigurationKey && !event.Removed && !applied {
+			applied = r.applyConfiguration(event.Value, "store")
+		}
+	}
+	for _, event := range events {
+		r.applyEntryEvent(event)
+	}
+}
+
+func (r *Registry) applyEntryEvent(event Event) {
 	node, isEntry := r.nodeOf(event.Key)
 	switch {
-	case event.Key == r.config.ConfigurationKey && !event.Removed:
-		r.applyConfiguration(event.Value, "store")
 	case isEntry && event.Removed && node == r.Own().Node:
 		r.forgetWritten()
 	case isEntry && event.Removed:
