Add a randomized soak of real processes; refuse requests that arrive long after their front gave up

The soak plays kills, freezes, stops, reloads, proxies that delay, reset, silence or cut one way, a store that is down, loses answers, drops history or ends leases, and servers that crash or are replaced, from a seed, and checks orders, refusals, answers, leaving and recovery. A hop now states when it was sent by the front's clock that counts suspensions, and the gate refuses what is later than the front waits.

--- a/cmd/rosemaryladder-sidecar/main.go
+++ b/cmd/rosemaryladder-sidecar/main.go
@@ -46,12 +46,15 @@
 func (arguments) Version() string { return telemetry.Version("rosemaryladder-sidecar") }
 
 func main() {
-	if err := run(); err != nil {
+	// A SIGHUP that arrives while the process starts would end it.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	if err := run(reloads); err != nil {
 		os.Exit(result.Print(os.Stderr, err))
 	}
 }
 
-func run() error {
+func run(reloads <-chan os.Signal) error {
 	var args arguments
 	arg.MustParse(&args)
 	loaded, err := settings.LoadSidecar(args.Settings)
@@ -62,15 +65,13 @@
 		fmt.Println(args.Settings + ": valid")
 		return nil
 	}
-	return serve(args.Settings, loaded)
+	return serve(args.Settings, loaded, reloads)
 }
 
-func serve(path string, loaded settings.Sidecar) error {
+func serve(path string, loaded settings.Sidecar, reloads <-chan os.Signal) error {
 	debug.SetGCPercent(gcPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
 	level, err := logrus.ParseLevel(loaded.Log.Level)
 	if err != nil {
 		return result.Wrap(err, result.SettingsInvalid, "section [log]: key %q", "level")
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -24,6 +24,7 @@
 	metrics  *metrics
 	client   *exchange.Client
 	failures failureRate
+	late     *lateness
 	link     *uplink.Link
 }
 
--- a/internal/proxy/gate_handler.go
+++ b/internal/proxy/gate_handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -64,13 +65,22 @@
 	if err != nil {
 		return nil, refuse(result.BadRequest, err.Error())
 	}
-	now := g.deps.Now()
+	now, arrived := g.deps.Now(), sinceBoot()
+	front, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return nil, refuse(result.BadRequest, "the address of the front can't be read: "+err.Error())
+	}
+	late := g.late.of(front, h.sent, arrived)
+	if late > g.config.AckTimeout {
+		return nil, refuse(result.DeadlineNotRun, fmt.Sprintf("the request was %s longer on its way than others, so that its front has given it up", late.Round(time.Millisecond)))
+	}
+	h.remaining = max(h.remaining-late, 0)
 	j := &job{
 		id: r.Header.Get(g.deps.Vocabulary.RequestID), route: h.route, service: h.service,
 		caller: r.Header.Get(g.deps.Vocabulary.CallerService),
 		method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header,
 		idempotent: h.idempotent, priority: h.priority, deadline: now.Add(h.remaining), due: now.Add(h.due), late: h.due == 0, maxWait: h.maxWait,
-		arrived: sinceBoot(), budget: h.remaining,
+		arrived: arrived, budget: h.remaining,
 	}
 	if refused := g.check(j, g.deps.Server.Server().State); refused != nil {
 		return nil, refused
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -9,7 +10,7 @@
 )
 
 const (
-	hopFields = 7
+	hopFields = 8
 	// maxHopTime bounds the times in a hop header, so that they fit a duration.
 	maxHopTime = 24 * time.Hour
 	once       = "once"
@@ -26,6 +27,8 @@
 	maxWait    time.Duration
 	priority   int
 	idempotent bool
+	// sent is the reading of the front's clock that counts suspensions.
+	sent time.Duration
 }
 
 func (h hop) String() string {
@@ -38,7 +41,7 @@
 		strconv.FormatInt(h.remaining.Milliseconds(), 10),
 		strconv.FormatInt(h.due.Milliseconds(), 10),
 		strconv.FormatInt(h.maxWait.Milliseconds(), 10),
-		strconv.Itoa(h.priority), kind,
+		strconv.Itoa(h.priority), kind, strconv.FormatInt(h.sent.Milliseconds(), 10),
 	}, " ")
 }
 
@@ -67,9 +70,14 @@
 	if fields[6] != once && fields[6] != many {
 		return hop{}, errors.Errorf("hop: unknown kind %q", fields[6])
 	}
+	sent, err := strconv.ParseInt(fields[7], 10, 64)
+	if err != nil || sent < 0 || sent > math.MaxInt64/int64(time.Millisecond) {
+		return hop{}, errors.Errorf("hop: time of sending %q is not a number of milliseconds", fields[7])
+	}
 	return hop{
 		service: fields[0], route: fields[1], remaining: remaining, due: due, maxWait: maxWait,
 		priority: priority, idempotent: fields[6] == many,
+		sent: time.Duration(sent) * time.Millisecond,
 	}, nil
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -34,7 +34,7 @@
 		return nil, err
 	}
 	m := newMetrics(deps.Scope.SubScope("proxy"))
-	g := &gate{config: config, deps: deps, metrics: m, link: link, client: exchange.NewClient(exchange.Options{
+	g := &gate{config: config, deps: deps, metrics: m, late: newLateness(), link: link, client: exchange.NewClient(exchange.Options{
 		Dial: dialWithin(deps.Dial, config.ServerConnectTimeout), MaxIdle: maxServerIdle, IdleTimeout: config.ServerIdleTimeout,
 		HeadBytes: config.HeadBytes, Now: deps.Now,
 	})}
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -34,6 +34,9 @@
 	Front string `ini:"front"`
 	// Gate takes the requests of other nodes for the backend server.
 	Gate string `ini:"gate"`
+	// Advertise is the address at which other nodes reach the gate; empty when it is
+	// Gate itself.
+	Advertise string `ini:"advertise"`
 	// Ready answers whether the node takes requests.
 	Ready string `ini:"ready"`
 	// Announce takes the announcements of the backend server.
@@ -69,6 +72,14 @@
 	CrossRegionPerMB float64 `ini:"cross_region_per_mb"`
 }
 
+// GateAddress returns the address at which other nodes reach the gate.
+func (l SidecarListen) GateAddress() string {
+	if l.Advertise != "" {
+		return l.Advertise
+	}
+	return l.Gate
+}
+
 // DefaultSidecar returns the settings before the file is read.
 func DefaultSidecar() Sidecar {
 	return Sidecar{
--- a/internal/settings/validate_sidecar.go
+++ b/internal/settings/validate_sidecar.go
@@ -23,6 +23,7 @@
 		{"node", "link_mbps", s.Node.LinkMbps >= 0, "0 or more"},
 		{"listen", "front", validAddress(s.Listen.Front), "an IP address and a port"},
 		{"listen", "gate", validAddress(s.Listen.Gate), "an IP address and a port"},
+		{"listen", "advertise", s.Listen.Advertise == "" || validAddress(s.Listen.Advertise), "an IP address and a port, or empty"},
 		{"listen", "ready", validAddress(s.Listen.Ready), "an IP address and a port"},
 		{"listen", "announce", validAddress(s.Listen.Announce), "an IP address and a port"},
 		{"listen", "metrics", validPort(s.Listen.Metrics), "a port from 1 to 65535"},
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -87,7 +87,7 @@
 	config.LeaseTTL = max(config.LeaseTTL, loaded.Store.MinLease)
 	dialer := dial.Dialer{LocalIP: loaded.Node.IP, Timeout: config.CallTimeout}
 	own := fleet.Entry{
-		Node: loaded.Node.IP, Gate: loaded.Listen.Gate, Domain: loaded.Node.FailureDomain,
+		Node: loaded.Node.IP, Gate: loaded.Listen.GateAddress(), Domain: loaded.Node.FailureDomain,
 		Service: loaded.Node.Service, State: fleet.Absent, Incarnation: time.Now().UnixMilli(),
 	}
 	var err error
--- /dev/null
+++ b/internal/standin/faultproxy/proxy_test.go
@@ -0,0 +1,56 @@
+package faultproxy
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// TestFaults guards against a proxy that doesn't do what a soak asks of it, so that
+// the soak proves nothing.
+func TestFaults(t *testing.T) {
+	g := gomega.NewWithT(t)
+	echo, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer echo.Close()
+	go func() {
+		for {
+			conn, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	p, err := Start("127.0.0.1:0", echo.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer p.Close()
+	ask := func(conn net.Conn, within time.Duration) error {
+		_ = conn.SetDeadline(time.Now().Add(within))
+		if _, err := conn.Write([]byte("x")); err != nil {
+			return err
+		}
+		_, err := io.ReadFull(conn, make([]byte, 1))
+		return err
+	}
+	conn, err := net.Dial("tcp", p.Address())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(ask(conn, 5*time.Second)).To(gomega.Succeed())
+	p.Set(Delay)
+	began := time.Now()
+	g.Expect(ask(conn, 5*time.Second)).To(gomega.Succeed())
+	g.Expect(time.Since(began)).To(gomega.BeNumerically(">=", heldBack))
+	for _, fault := range []Fault{Silent, NoAnswers} {
+		p.Set(fault)
+		g.Expect(ask(conn, 50*time.Millisecond)).NotTo(gomega.Succeed())
+		p.Set(None)
+		_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+		_, err = io.ReadFull(conn, make([]byte, 1))
+		g.Expect(err).NotTo(gomega.HaveOccurred(), "what was held back arrives")
+	}
+	p.Set(Reset)
+	g.Expect(ask(conn, 5*time.Second)).NotTo(gomega.Succeed())
+}
--- a/internal/standin/platformscenario/deployment.go
+++ b/internal/standin/platformscenario/deployment.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/standin/app"
+	"rosemaryladder.dev/rosemaryladder/internal/standin/faultproxy"
 	"rosemaryladder.dev/rosemaryladder/internal/standin/platformstore"
 )
 
@@ -32,6 +33,20 @@
 	options  app.Options
 	process  *exec.Cmd
 	exited   chan error
+	proxies  Proxies
+}
+
+// Proxies stand between a sidecar and its peers, the store and its backend server.
+type Proxies struct {
+	Gate, Store, Server *faultproxy.Proxy
+}
+
+func (p Proxies) close() {
+	for _, proxy := range []*faultproxy.Proxy{p.Gate, p.Store, p.Server} {
+		if proxy != nil {
+			proxy.Close()
+		}
+	}
 }
 
 // Deployment is a store and hosts in two failure domains.
@@ -39,6 +54,8 @@
 	Store   *platformstore.Store
 	program string
 	folder  string
+	// proxied is set when fault proxies stand around each sidecar.
+	proxied bool
 	// number keeps the addresses of deployments apart that run at the same time.
 	number  uint32
 	hosts   []*host
@@ -61,7 +78,16 @@
 
 // Start starts a deployment of hosts that run a program.
 func Start(program, folder string, hosts int) (*Deployment, error) {
-	d := &Deployment{Store: platformstore.New(), program: program, folder: folder, number: deployments.Add(1), runs: make(map[string]int)}
+	return start(program, folder, hosts, false)
+}
+
+// StartBehindProxies starts a deployment with fault proxies around each sidecar.
+func StartBehindProxies(program, folder string, hosts int) (*Deployment, error) {
+	return start(program, folder, hosts, true)
+}
+
+func start(program, folder string, hosts int, proxied bool) (*Deployment, error) {
+	d := &Deployment{Store: platformstore.New(), program: program, folder: folder, proxied: proxied, number: deployments.Add(1), runs: make(map[string]int)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -71,6 +97,7 @@
 	go func() { _ = d.server.Serve(listener) }()
 	for i := range hosts {
 		if err := d.addHost(i); err != nil {
+			d.Close()
 			return nil, err
 		}
 	}
@@ -109,6 +136,13 @@
 	if err != nil {
 		return err
 	}
+	server, store, advertise := addresses[4], d.address, addresses[1]
+	if d.proxied {
+		if h.proxies, err = startProxies(h.ip, addresses[1], d.address, addresses[4]); err != nil {
+			return err
+		}
+		server, store, advertise = h.proxies.Server.Address(), h.proxies.Store.Address(), h.proxies.Gate.Address()
+	}
 	h.settings = filepath.Join(d.folder, fmt.Sprintf("host-%d.ini", number))
 	text := fmt.Sprintf(`[node]
 host = host-%d
@@ -120,6 +154,7 @@
 [listen]
 front = %s
 gate = %s
+advertise = %s
 ready = %s
 announce = %s
 metrics = %s
@@ -127,7 +162,7 @@
 address = %s
 [bounds]
 retry_slack = 100
-`, number, h.ip, number%2, Service, addresses[4], h.front, addresses[1], h.ready, addresses[3], metrics, d.address)
+`, number, h.ip, number%2, Service, server, h.front, addresses[1], advertise, h.ready, addresses[3], metrics, store)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -142,6 +177,30 @@
 	return d.StartNode(number)
 }
 
+func startProxies(ip, gate, store, server string) (Proxies, error) {
+	var p Proxies
+	var err error
+	for _, each := range []struct {
+		proxy  **faultproxy.Proxy
+		target string
+	}{{&p.Gate, gate}, {&p.Store, store}, {&p.Server, server}} {
+		if *each.proxy, err = faultproxy.Start(ip+":0", each.target); err != nil {
+			p.close()
+			return Proxies{}, err
+		}
+	}
+	return p, nil
+}
+
+// Proxies returns the fault proxies around the sidecar of a host.
+func (d *Deployment) Proxies(number int) Proxies { return d.hosts[number].proxies }
+
+// Hosts returns the number of hosts.
+func (d *Deployment) Hosts() int { return len(d.hosts) }
+
+// Front returns the address of a host that takes the requests of callers.
+func (d *Deployment) Front(number int) string { return d.hosts[number].front }
+
 // LogFile returns the file that holds the log of a host's sidecar.
 func (d *Deployment) LogFile(number int) string { return d.hosts[number].settings + ".log" }
 
@@ -178,15 +237,26 @@
 	}
 }
 
+// Answers reports whether the sidecar of a host answers at all.
+func (d *Deployment) Answers(number int) bool {
+	_, err := d.askReady(number)
+	return err == nil
+}
+
 // Ready reports whether the sidecar of a host takes requests.
 func (d *Deployment) Ready(number int) bool {
+	status, err := d.askReady(number)
+	return err == nil && status == http.StatusOK
+}
+
+func (d *Deployment) askReady(number int) (status int, err error) {
 	client := http.Client{Timeout: time.Second}
 	response, err := client.Get("http://" + d.hosts[number].ready + "/api/ready")
 	if err != nil {
-		return false
+		return 0, err
 	}
 	response.Body.Close()
-	return response.StatusCode == http.StatusOK
+	return response.StatusCode, nil
 }
 
 // Configure writes a version of the configuration with an idempotent route and
@@ -237,7 +307,10 @@
 			_ = h.process.Process.Kill()
 			_ = d.WaitExit(i, 5*time.Second)
 		}
-		h.app.Stop()
+		if h.app != nil {
+			h.app.Stop()
+		}
+		h.proxies.close()
 	}
 	_ = d.server.Close()
 }
--- a/internal/standin/platformstore/server.go
+++ b/internal/standin/platformstore/server.go
@@ -18,6 +18,9 @@
 	state *state
 	// Down makes every call fail with 503.
 	Down atomic.Bool
+	// LoseAnswers makes each second change take effect without an answer.
+	LoseAnswers atomic.Bool
+	changes     atomic.Int64
 	// Calls counts the calls.
 	Calls atomic.Int64
 	mux   *http.ServeMux
@@ -140,6 +143,9 @@
 		return
 	}
 	revision, failed, leaseMissing := s.state.apply(t)
+	if s.LoseAnswers.Load() && s.changes.Add(1)%2 == 0 {
+		panic(http.ErrAbortHandler)
+	}
 	switch {
 	case leaseMissing:
 		w.WriteHeader(http.StatusNotFound)
--- /dev/null
+++ b/internal/standin/soak/options.go
@@ -0,0 +1,37 @@
+package soak
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Options describe one run.
+type Options struct {
+	// Program is the sidecar.
+	Program string
+	// Folder holds settings and logs.
+	Folder string
+	Seed   uint64
+	Hosts  int
+	// Callers send one request after the other.
+	Callers int
+	// Faulty is how long faults begin; each may last a little longer.
+	Faulty time.Duration
+}
+
+// Validate names the first invalid field and its value.
+func (o Options) Validate() error {
+	switch {
+	case o.Program == "" || o.Folder == "":
+		return errors.Errorf("soak: Program %q and Folder %q must not be empty", o.Program, o.Folder)
+	case o.Hosts < 2:
+		return errors.Errorf("soak: %d hosts, want 2 or more", o.Hosts)
+	case o.Callers < 1:
+		return errors.Errorf("soak: %d callers, want 1 or more", o.Callers)
+	case o.Faulty <= 0:
+		return errors.Errorf("soak: Faulty %s must be above 0", o.Faulty)
+	default:
+		return nil
+	}
+}
