Read the configuration from the store as a leader only, and compress its changes

Ruled out: the store (it answered), processor. Now a node lists the entries first and asks its leader for the configuration; only leaders read it, within 4 s. Changes are compressed; a follower gives its leader a second for an answer and asks twice as often. TestRestartedNodeAsksItsLeader failed before.

--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -28,6 +28,8 @@
 	WatchPause time.Duration
 	// CallTimeout bounds a call to the store; that of a watch begins after its wait.
 	CallTimeout time.Duration
+	// ReadTimeout bounds the read of the configuration.
+	ReadTimeout time.Duration
 	// FirstRetry and MaxRetry bound the pause after a failed call.
 	FirstRetry, MaxRetry time.Duration
 	// PeerAfter is how long the store may be silent before peers are asked.
@@ -46,6 +48,7 @@
 		WatchWait:    1500 * time.Millisecond,
 		WatchPause:   350 * time.Millisecond,
 		CallTimeout:  time.Second,
+		ReadTimeout:  4 * time.Second,
 		FirstRetry:   100 * time.Millisecond,
 		MaxRetry:     800 * time.Millisecond,
 		PeerAfter:    1500 * time.Millisecond,
@@ -64,7 +67,7 @@
 		value time.Duration
 	}{
 		{"LeaseTTL", c.LeaseTTL}, {"KeepInterval", c.KeepInterval}, {"WatchWait", c.WatchWait},
-		{"WatchPause", c.WatchPause}, {"CallTimeout", c.CallTimeout}, {"FirstRetry", c.FirstRetry},
+		{"WatchPause", c.WatchPause}, {"CallTimeout", c.CallTimeout}, {"ReadTimeout", c.ReadTimeout}, {"FirstRetry", c.FirstRetry},
 		{"MaxRetry", c.MaxRetry}, {"PeerAfter", c.PeerAfter}, {"PeerInterval", c.PeerInterval}, {"PeerTimeout", c.PeerTimeout},
 	}
 	for _, field := range positive {
--- a/internal/registry/configuration.go
+++ b/internal/registry/configuration.go
@@ -37,8 +37,12 @@
 	if err != nil {
 		return kept{}, err
 	}
+	delta, err := pack(makeDelta(base, raw))
+	if err != nil {
+		return kept{}, err
+	}
 	next.changes = append(slices.Clone(k.changes), versionChange{
-		From: k.version, To: version, Delta: makeDelta(base, raw), Sum: xxhash.Sum64(raw),
+		From: k.version, To: version, Delta: delta, Sum: xxhash.Sum64(raw),
 	})
 	if excess := len(next.changes) - maxVersionChanges; excess > 0 {
 		next.changes = slices.Delete(next.changes, 0, excess)
@@ -60,7 +64,11 @@
 		if change.From != at {
 			return nil, errors.Errorf("change from version %d follows version %d", change.From, at)
 		}
-		if raw, err = applyDelta(raw, change.Delta); err != nil {
+		delta, err := unpack(change.Delta)
+		if err != nil {
+			return nil, errors.Wrapf(err, "change to version %d", change.To)
+		}
+		if raw, err = applyDelta(raw, delta); err != nil {
 			return nil, errors.Wrapf(err, "change to version %d", change.To)
 		}
 		if xxhash.Sum64(raw) != change.Sum {
--- a/internal/registry/fake_store_test.go
+++ b/internal/registry/fake_store_test.go
@@ -28,6 +28,8 @@
 	// deaf makes watches wait their full time and then fail as compacted.
 	deaf  bool
 	calls int
+	// reads counts the reads of the configuration.
+	reads int
 }
 
 func newFakeStore() *fakeStore {
@@ -49,6 +51,9 @@
 	if err := s.enter(); err != nil {
 		return nil, 0, err
 	}
+	if strings.HasPrefix(configurationKey, prefix) {
+		s.reads++
+	}
 	var items []Item
 	for key, value := range s.values {
 		if strings.HasPrefix(key, prefix) {
@@ -175,3 +180,22 @@
 	defer s.mu.Unlock()
 	return s.values[key] != nil
 }
+
+// keys returns the keys under a prefix.
+func (s *fakeStore) keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []string
+	for key := range s.values {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, key)
+		}
+	}
+	return found
+}
+
+func (s *fakeStore) configurationReads() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
--- a/internal/registry/follow_loop.go
+++ b/internal/registry/follow_loop.go
@@ -14,6 +14,9 @@
 const (
 	// leaderDistrust is how long a leader that failed is passed over.
 	leaderDistrust = 3 * time.Second
+	// leaderTimeout bounds an answer of a leader beyond the wait for a change: a large
+	// configuration for all followers occupies a thin link for most of a second.
+	leaderTimeout = time.Second
 	// followPause is the time between an answer of a leader and the next question,
 	// so that changes that come together cross the domain once.
 	followPause = 100 * time.Millisecond
@@ -83,11 +86,12 @@
 
 // askLeader waits for a change that the leader sees and takes it over.
 func (r *Registry) askLeader(ctx context.Context, leader fleet.Entry, at *followed) (changed bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, r.config.WatchWait+r.config.PeerTimeout)
+	wait := r.config.WatchWait / 2
+	ctx, cancel := context.WithTimeout(ctx, wait+leaderTimeout)
 	defer cancel()
 	question := peerState{
 		Version: uint64(r.deps.Routes.Version()), Entries: []fleet.Entry{r.Own()}, Digest: r.deps.Fleet.View().Digest(),
-		Run: at.run, Position: at.position, WaitMs: r.config.WatchWait.Milliseconds(),
+		Run: at.run, Position: at.position, WaitMs: wait.Milliseconds(),
 	}
 	theirs, err := r.exchange(ctx, r.deps.Leader, leader, question)
 	if err != nil {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -202,3 +202,23 @@
 	g.Expect(a.routes.Version()).To(gomega.Equal(routing.Version(4)))
 	g.Expect(decoded.Load()).To(gomega.BeEquivalentTo(2))
 }
+
+// TestRestartedNodeAsksItsLeader guards against nodes that restart together and all
+// read a large configuration from the store, until none of the reads ends in time.
+func TestRestartedNodeAsksItsLeader(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := newFakeStore()
+	store.configure(4)
+	for _, name := range []string{"a", "b"} {
+		r := startRegistry(t, store, name)
+		g.Eventually(r.Ready).WithTimeout(settle).Should(gomega.BeTrue())
+	}
+	g.Eventually(func() int { return len(store.keys("nodes/")) }).WithTimeout(settle).Should(gomega.Equal(2))
+	before := store.configurationReads()
+	for _, name := range []string{"c", "d", "e"} {
+		r := startRegistry(t, store, name)
+		g.Eventually(r.routes.Version).WithTimeout(settle).Should(gomega.Equal(routing.Version(4)))
+	}
+	// A node whose name makes it a leader reads for itself.
+	g.Expect(store.configurationReads() - before).To(gomega.BeNumerically("<=", leadersPerDomain))
+}
--- a/internal/registry/version_change.go
+++ b/internal/registry/version_change.go
@@ -3,8 +3,9 @@
 // versionChange leads from one version of the configuration to the next one that
 // the sender held.
 type versionChange struct {
-	From  uint64 `json:"f"`
-	To    uint64 `json:"t"`
+	From uint64 `json:"f"`
+	To   uint64 `json:"t"`
+	// Delta is compressed: a version that adds many routes is long.
 	Delta []byte `json:"d"`
 	// Sum is the hash of the configuration that the delta leads to.
 	Sum uint64 `json:"s"`
--- a/internal/registry/watch_loop.go
+++ b/internal/registry/watch_loop.go
@@ -17,6 +17,13 @@
 			continue
 		}
 		at, err := r.list(ctx)
+		if _, found := r.pickLeader(); err == nil && found {
+			// The leader has the configuration in its short form.
+			continue
+		}
+		if err == nil {
+			err = r.readConfiguration(ctx)
+		}
 		if err == nil {
 			retry.reset()
 			err = r.follow(ctx, at)
@@ -38,21 +45,17 @@
 	}
 }
 
-// list takes over everything and returns the revision to watch from.
+// list takes over the entries of the fleet and returns the revision to watch from.
 func (r *Registry) list(ctx context.Context) (Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.config.CallTimeout)
 	defer cancel()
-	items, at, err := r.deps.Store.List(ctx, r.config.WatchPrefix)
+	items, at, err := r.deps.Store.List(ctx, r.config.EntriesPrefix)
 	if err != nil {
 		return 0, err
 	}
 	r.answered()
 	var entries []fleet.Entry
 	for _, item := range items {
-		if item.Key == r.config.ConfigurationKey {
-			r.applyConfiguration(item.Value, "store")
-			continue
-		}
 		if _, found := r.nodeOf(item.Key); !found {
 			continue
 		}
@@ -76,6 +79,24 @@
 	return at, nil
 }
 
+// readConfiguration takes over the configuration. A large one takes a while on a thin
+// link, and longer when every node reads it after a common restart.
+func (r *Registry) readConfiguration(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, r.config.ReadTimeout)
+	defer cancel()
+	items, _, err := r.deps.Store.List(ctx, r.config.ConfigurationKey)
+	if err != nil {
+		return err
+	}
+	r.answered()
+	for _, item := range items {
+		if item.Key == r.config.ConfigurationKey {
+			r.applyConfiguration(item.Value, "store")
+		}
+	}
+	return nil
+}
+
 // follow takes over changes until the watch fails or a leader can be followed.
 func (r *Registry) follow(ctx context.Context, at Revision) error {
 	for {
