Wait on for a late first sign while the node stops; followers spare a store that is away

While a node stops, an overdue sign is waited for when the gate may have the request (TestOverdueSign).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -86,6 +86,9 @@
 	if e.out.AckWithin > 0 {
 		e.setReadDeadline(ctx, time.Now().Add(e.out.AckWithin))
 	}
+	if err := e.awaitSign(ctx); err != nil {
+		return false, err
+	}
 	for foreign := 0; ; {
 		response, err := e.readHead()
 		if err != nil {
@@ -114,6 +117,22 @@
 	}
 }
 
+// awaitSign waits for the first byte of the peer.
+func (e *Exchange) awaitSign(ctx context.Context) error {
+	e.conn.limit.limitHead(e.pool.options.HeadBytes + connReadBuffer)
+	defer e.conn.limit.lift()
+	_, err := e.conn.reader.Peek(1)
+	overdue := errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() == nil
+	if overdue && e.bodySent && e.out.KeepWaiting != nil && e.out.KeepWaiting() {
+		e.setReadDeadline(ctx, time.Time{})
+		_, err = e.conn.reader.Peek(1)
+	}
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // continueBody sends a held body after the interim answer 100.
 func (e *Exchange) continueBody(status int) error {
 	if status != http.StatusContinue || e.bodySent {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -116,3 +116,31 @@
 	send()
 	g.Expect(client.pool(address).idle[0]).NotTo(gomega.BeIdenticalTo(first))
 }
+
+// TestOverdueSign guards against a request that is broken off while its server works,
+// because the first sign of the peer is late and the node stops; and against a silent
+// peer that is waited for otherwise.
+func TestOverdueSign(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, keeps := range []bool{true, false} {
+		client, address := serve(t, func(conn net.Conn, requests *bufio.Reader) {
+			if _, err := http.ReadRequest(requests); err != nil {
+				return
+			}
+			time.Sleep(200 * time.Millisecond)
+			answer(conn, "1", "")
+		})
+		out := get("1")
+		out.AckWithin = 30 * time.Millisecond
+		out.KeepWaiting = func() bool { return keeps }
+		e, failed := client.Do(t.Context(), address, out)
+		if !keeps {
+			g.Expect(failed).NotTo(gomega.BeNil())
+			g.Expect(failed.Silent).To(gomega.BeTrue())
+			continue
+		}
+		g.Expect(failed).To(gomega.BeNil())
+		g.Expect(e.Response.StatusCode).To(gomega.Equal(http.StatusOK))
+		e.Finish(true)
+	}
+}
--- a/internal/exchange/outgoing.go
+++ b/internal/exchange/outgoing.go
@@ -33,6 +33,9 @@
 	// AckWithin bounds the wait for the first sign of the peer, an interim answer
 	// for example; 0 waits until the context ends.
 	AckWithin time.Duration
+	// KeepWaiting is asked when the first sign of the peer is overdue although it may
+	// have the whole request: true waits on until the context ends. nil gives up.
+	KeepWaiting func() bool
 	// HoldBody sends the body only after the peer's interim answer 100, so that a
 	// silent peer certainly does not have the request.
 	HoldBody bool
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 
 	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
@@ -19,6 +20,8 @@
 	splitter *routing.Splitter
 	budgets  *budgets
 	patience *patience
+	// draining ends each connection of a caller with its next answer.
+	draining atomic.Bool
 }
 
 // serve answers one request.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -18,8 +18,6 @@
 	front    *front
 	gate     *gate
 	inFlight atomic.Int64
-	// draining ends each connection of a caller with its next answer.
-	draining atomic.Bool
 	// sealed refuses new requests of callers.
 	sealed atomic.Bool
 }
@@ -56,7 +54,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.inFlight.Add(1)
 		defer p.inFlight.Add(-1)
-		if p.draining.Load() {
+		if p.front.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		if p.sealed.Load() {
@@ -70,7 +68,7 @@
 // Drain ends the connections of callers with their next answers. Idle ones stay
 // open: net/http counts a connection as idle while it reads a request, so closing
 // idle connections would cut requests.
-func (p *Proxy) Drain() { p.draining.Store(true) }
+func (p *Proxy) Drain() { p.front.draining.Store(true) }
 
 // Seal refuses the callers' new requests; those in flight go on.
 func (p *Proxy) Seal() { p.sealed.Store(true) }
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -62,7 +62,9 @@
 			{Name: f.deps.Vocabulary.CallerService, Value: j.caller},
 		},
 		AckWithin: f.config.AckTimeout + c.choice.RTT,
-		HoldBody:  true,
+		// A node that stops must not break off what a server may be running.
+		KeepWaiting: f.draining.Load,
+		HoldBody:    true,
 	}
 }
 
--- a/internal/registry/follow_loop.go
+++ b/internal/registry/follow_loop.go
@@ -97,10 +97,15 @@
 	if err != nil {
 		return false, err
 	}
-	if time.Duration(theirs.SilentMs)*time.Millisecond > r.config.PeerAfter {
+	leaderCut := time.Duration(theirs.SilentMs)*time.Millisecond > r.config.PeerAfter
+	if leaderCut && !r.isCut() {
 		return false, errLeaderCut
 	}
-	r.answered()
+	// A store that is away from both answers nobody sooner for being asked by all
+	// followers as well.
+	if !leaderCut {
+		r.leaderAnswered()
+	}
 	r.takeOver(theirs, "leader "+leader.Node)
 	if theirs.Whole {
 		r.deps.Fleet.Adopt(theirs.Entries, r.Own())
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -18,10 +18,11 @@
 	config Config
 	deps   Deps
 
-	// heard is when the store last answered, in nanoseconds of the steady clock
-	// since started.
-	heard   atomic.Int64
-	started time.Time
+	// heard is when the store last answered this node or its leader, and answeredAt
+	// when it last answered this node, in nanoseconds of the steady clock since started.
+	heard      atomic.Int64
+	answeredAt atomic.Int64
+	started    time.Time
 	// listed is set once the fleet is known, from the store or from a peer.
 	listed atomic.Bool
 	// hinted is the newest version that a peer was seen to hold, and overdue is set
@@ -229,9 +230,10 @@
 	return strings.CutPrefix(key, r.config.EntriesPrefix)
 }
 
-// answered notes that the store answered.
+// answered notes that the store answered this node.
 func (r *Registry) answered() {
-	r.heard.Store(int64(r.deps.Now().Sub(r.started)))
+	r.answeredAt.Store(int64(r.deps.Now().Sub(r.started)))
+	r.leaderAnswered()
 	r.mu.Lock()
 	was := r.silent
 	r.silent = false
@@ -241,6 +243,9 @@
 	}
 }
 
+// leaderAnswered notes that the store answers this node's leader.
+func (r *Registry) leaderAnswered() { r.heard.Store(int64(r.deps.Now().Sub(r.started))) }
+
 // failed notes that the store did not answer.
 func (r *Registry) failed(call string, err error) {
 	r.lost.Inc(1)
@@ -253,11 +258,18 @@
 	}
 }
 
-// silence returns how long the store has not answered.
+// silence returns how long the store has answered neither this node nor its leader.
 func (r *Registry) silence() time.Duration {
 	return r.deps.Now().Sub(r.started) - time.Duration(r.heard.Load())
 }
 
+// isCut reports whether the store does not answer this node itself. Only a node that
+// keeps an entry asks it all the time.
+func (r *Registry) isCut() bool {
+	silent := r.deps.Now().Sub(r.started) - time.Duration(r.answeredAt.Load())
+	return r.Own().Server != "" && silent > r.config.PeerAfter
+}
+
 func wake(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -222,3 +222,51 @@
 	// A node whose name makes it a leader reads for itself.
 	g.Expect(store.configurationReads() - before).To(gomega.BeNumerically("<=", leadersPerDomain))
 }
+
+// countedStore counts the reads of one node.
+type countedStore struct {
+	*fakeStore
+	lists atomic.Int64
+}
+
+func (s *countedStore) List(ctx context.Context, prefix string) ([]Item, Revision, error) {
+	s.lists.Add(1)
+	return s.fakeStore.List(ctx, prefix)
+}
+
+// TestFollowersSpareAStoreThatIsAway guards against an outage in which every node
+// reads again and again, and against followers that stay with their leader when only
+// that one is cut from the store.
+func TestFollowersSpareAStoreThatIsAway(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := newFakeStore()
+	store.configure(1)
+	var stores []*countedStore
+	var nodes []*testRegistry
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		s := &countedStore{fakeStore: store}
+		stores, nodes = append(stores, s), append(nodes, startRegistry(t, s, name))
+	}
+	for _, n := range nodes {
+		g.Eventually(n.nodes).WithTimeout(settle).Should(gomega.Equal(len(nodes)))
+	}
+	// Every follower has found its leader after one wait.
+	time.Sleep(DefaultConfig().WatchWait)
+	store.set(func(s *fakeStore) { s.down = true })
+	for _, s := range stores {
+		s.lists.Store(0)
+	}
+	time.Sleep(2 * DefaultConfig().WatchWait)
+	asking := 0
+	for _, s := range stores {
+		if s.lists.Load() > 0 {
+			asking++
+		}
+	}
+	g.Expect(asking).To(gomega.BeNumerically("<=", leadersPerDomain))
+	store.set(func(s *fakeStore) { s.down = false })
+	store.configure(2)
+	for _, n := range nodes {
+		g.Eventually(n.routes.Version).WithTimeout(settle).Should(gomega.Equal(routing.Version(2)))
+	}
+}
