--- a/internal/registry/follow_loop.go
+++ b/internal/registry/follow_loop.go
@@ -70,20 +70,6 @@
 	}
 }
 
-// followed is how far a follower has read the fleet table of its leader.
-type followed struct {
-	run      int64
-	position uint64
-	// differing counts the answers in a row after which the two still held different
-	// entries.
-	differing int
-}
-
-// maxDiffering is the number of such answers after which the whole fleet is asked
-// for. A few are usual: an entry reaches the leader through the store and a follower
-// by itself.
-const maxDiffering = 3
-
 // askLeader waits for a change that the leader sees and takes it over.
 func (r *Registry) askLeader(ctx context.Context, leader fleet.Entry, at *followed) (changed bool, err error) {
 	wait := r.config.WatchWait / 2
@@ -118,18 +104,6 @@
 	return theirs.Position != question.Position || theirs.Version > question.Version, nil
 }
 
-// advance notes an answer of the leader and the digest of the entries held after it.
-func (f *followed) advance(theirs peerState, digest uint64) {
-	f.run, f.position = theirs.Run, theirs.Position
-	if theirs.Digest == digest {
-		f.differing = 0
-		return
-	}
-	if f.differing++; f.differing >= maxDiffering {
-		f.position, f.differing = 0, 0
-	}
-}
-
 // waitForNews waits until the own state differs from what a follower holds.
 func (r *Registry) waitForNews(request *http.Request, theirs peerState) {
 	if theirs.WaitMs <= 0 {
--- a/internal/standin/platformscenario/deployment.go
+++ b/internal/standin/platformscenario/deployment.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/standin/app"
-	"rosemaryladder.dev/rosemaryladder/internal/standin/faultproxy"
 	"rosemaryladder.dev/rosemaryladder/internal/standin/platformstore"
 )
 
@@ -36,19 +35,6 @@
 	proxies  Proxies
 }
 
-// Proxies stand between a sidecar and its peers, the store and its backend server.
-type Proxies struct {
-	Gate, Store, Server *faultproxy.Proxy
-}
-
-func (p Proxies) close() {
-	for _, proxy := range []*faultproxy.Proxy{p.Gate, p.Store, p.Server} {
-		if proxy != nil {
-			proxy.Close()
-		}
-	}
-}
-
 // Deployment is a store and hosts in two failure domains.
 type Deployment struct {
 	Store   *platformstore.Store
@@ -177,21 +163,6 @@
 	return d.StartNode(number)
 }
 
-func startProxies(ip, gate, store, server string) (Proxies, error) {
-	var p Proxies
-	var err error
-	for _, each := range []struct {
-		proxy  **faultproxy.Proxy
-		target string
-	}{{&p.Gate, gate}, {&p.Store, store}, {&p.Server, server}} {
-		if *each.proxy, err = faultproxy.Start(ip+":0", each.target); err != nil {
-			p.close()
-			return Proxies{}, err
-		}
-	}
-	return p, nil
-}
-
 // Proxies returns the fault proxies around the sidecar of a host.
 func (d *Deployment) Proxies(number int) Proxies { return d.hosts[number].proxies }
 
