Stamp requests to gates with the name of their clock

Cause: the gate compared the times of sending of a front by its address. The clock that counts suspensions starts anew when a host reboots, so a gate refused all requests of that host as late for up to two windows (20 s). Found by reading. Ruled out: a bound on the difference, because a suspended gate also sees large differences and must refuse those.

Each start of a node names its clock, and the gate learns by that name. TestRestartedHostIsNotLate fails without it. The time to the objective shrinks by the lateness, too, and the two windows of lateness and patience are one type.

--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -20,6 +20,8 @@
 	splitter *routing.Splitter
 	budgets  *budgets
 	patience *patience
+	// clock names the clock that requests to gates are stamped with.
+	clock string
 	// draining ends each connection of a caller with its next answer.
 	draining atomic.Bool
 }
--- a/internal/proxy/front_accept.go
+++ b/internal/proxy/front_accept.go
@@ -55,7 +55,7 @@
 	if err == nil && millis > 0 && millis <= maxHopTime.Milliseconds() {
 		stated := time.Duration(millis) * time.Millisecond
 		c.job.budget = min(c.job.budget, stated)
-		c.job.due = c.job.due.Add(-f.patience.spent(now, c.route.Name, stated))
+		c.job.due = c.job.due.Add(-f.patience.spent(c.job.arrived, c.route.Name, stated))
 	}
 	c.job.deadline = now.Add(c.job.budget)
 }
--- a/internal/proxy/gate_handler.go
+++ b/internal/proxy/gate_handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -66,15 +65,11 @@
 		return nil, refuse(result.BadRequest, err.Error())
 	}
 	now, arrived := g.deps.Now(), sinceBoot()
-	front, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		return nil, refuse(result.BadRequest, "the address of the front can't be read: "+err.Error())
-	}
-	late := g.late.of(front, h.sent, arrived)
+	late := g.late.of(h.clock, h.sent, arrived)
 	if late > g.config.AckTimeout {
 		return nil, refuse(result.DeadlineNotRun, fmt.Sprintf("the request was %s longer on its way than others, so that its front has given it up", late.Round(time.Millisecond)))
 	}
-	h.remaining = max(h.remaining-late, 0)
+	h.remaining, h.due = max(h.remaining-late, 0), max(h.due-late, 0)
 	j := &job{
 		id: r.Header.Get(g.deps.Vocabulary.RequestID), route: h.route, service: h.service,
 		caller: r.Header.Get(g.deps.Vocabulary.CallerService),
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	hopFields = 8
+	hopFields = 9
 	// maxHopTime bounds the times in a hop header, so that they fit a duration.
 	maxHopTime = 24 * time.Hour
 	once       = "once"
@@ -29,6 +29,9 @@
 	idempotent bool
 	// sent is the reading of the front's clock that counts suspensions.
 	sent time.Duration
+	// clock names the clock of sent. A front takes a new name with each start,
+	// because the clock starts anew with its host.
+	clock string
 }
 
 func (h hop) String() string {
@@ -41,7 +44,7 @@
 		strconv.FormatInt(h.remaining.Milliseconds(), 10),
 		strconv.FormatInt(h.due.Milliseconds(), 10),
 		strconv.FormatInt(h.maxWait.Milliseconds(), 10),
-		strconv.Itoa(h.priority), kind, strconv.FormatInt(h.sent.Milliseconds(), 10),
+		strconv.Itoa(h.priority), kind, strconv.FormatInt(h.sent.Milliseconds(), 10), h.clock,
 	}, " ")
 }
 
@@ -77,7 +80,7 @@
 	return hop{
 		service: fields[0], route: fields[1], remaining: remaining, due: due, maxWait: maxWait,
 		priority: priority, idempotent: fields[6] == many,
-		sent: time.Duration(sent) * time.Millisecond,
+		sent: time.Duration(sent) * time.Millisecond, clock: fields[8],
 	}, nil
 }
 
--- a/internal/proxy/lateness.go
+++ b/internal/proxy/lateness.go
@@ -9,8 +9,8 @@
 	// latenessWindow is how long the fastest request of a front counts, so that a
 	// longer way is learned.
 	latenessWindow = 10 * time.Second
-	// maxFronts bounds the fronts that are known.
-	maxFronts = 4096
+	// maxClocks bounds the clocks that are known.
+	maxClocks = 4096
 )
 
 // lateness tells how much longer a request was on its way than the fastest one of
@@ -18,35 +18,26 @@
 // run at the same rate, so the difference of their readings is the time on the way
 // and a constant.
 type lateness struct {
-	mu     sync.Mutex
-	fronts map[string]*fastest
+	mu sync.Mutex
+	// fastest holds, by clock, the largest head start of the sender's reading.
+	fastest map[string]*recentMax
 }
 
-// fastest holds the smallest differences of the current and of the previous window.
-type fastest struct {
-	current, previous time.Duration
-	began             time.Duration
-}
-
-func newLateness() *lateness { return &lateness{fronts: make(map[string]*fastest)} }
+func newLateness() *lateness { return &lateness{fastest: make(map[string]*recentMax)} }
 
-// of returns how late a request is that a front sent and that arrives now, each by
-// the clock of its host.
-func (l *lateness) of(front string, sent, now time.Duration) time.Duration {
+// of returns how late a request is that arrives now and that was sent at a reading
+// of the front's clock.
+func (l *lateness) of(clock string, sent, now time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	difference := now - sent
-	f := l.fronts[front]
+	headStart := sent - now
+	f := l.fastest[clock]
 	if f == nil {
-		if len(l.fronts) >= maxFronts {
-			clear(l.fronts)
+		if len(l.fastest) >= maxClocks {
+			clear(l.fastest)
 		}
-		f = &fastest{current: difference, previous: difference, began: now}
-		l.fronts[front] = f
-	}
-	if now-f.began >= latenessWindow {
-		f.previous, f.current, f.began = f.current, difference, now
+		f = newRecentMax(now, headStart)
+		l.fastest[clock] = f
 	}
-	f.current = min(f.current, difference)
-	return difference - min(f.current, f.previous)
+	return f.add(now, headStart, latenessWindow) - headStart
 }
--- a/internal/proxy/lateness_test.go
+++ b/internal/proxy/lateness_test.go
@@ -1,10 +1,14 @@
 package proxy
 
 import (
+	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
 // TestLateRequestsAreTold guards against a request that a cut or full link held back
@@ -17,7 +21,7 @@
 	g.Expect(at(0, 5*time.Millisecond)).To(gomega.BeZero(), "nothing to compare with")
 	g.Expect(at(time.Second, 2*time.Millisecond)).To(gomega.BeZero())
 	g.Expect(at(2*time.Second, 900*time.Millisecond)).To(gomega.Equal(898 * time.Millisecond))
-	g.Expect(l.of("b", 0, time.Minute)).To(gomega.BeZero(), "fronts have clocks of their own")
+	g.Expect(l.of("b", 0, time.Minute)).To(gomega.BeZero(), "clocks have origins of their own")
 	for i := range 30 {
 		at(time.Duration(i+3)*time.Second, 50*time.Millisecond)
 	}
@@ -29,10 +33,31 @@
 func TestHopRoundTrip(t *testing.T) {
 	g := gomega.NewWithT(t)
 	sent := hop{service: "s", route: "r", remaining: time.Second, due: 300 * time.Millisecond, maxWait: 20 * time.Millisecond,
-		priority: 2, idempotent: true, sent: 80 * 24 * time.Hour}
+		priority: 2, idempotent: true, sent: 80 * 24 * time.Hour, clock: "c"}
 	read, err := parseHop(sent.String())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(read).To(gomega.Equal(sent))
-	_, err = parseHop("s r 1 2 3 4 many -5")
+	_, err = parseHop("s r 1 2 3 4 many -5 c")
 	g.Expect(err).To(gomega.HaveOccurred())
 }
+
+// TestRestartedHostIsNotLate guards against a gate that takes each request of a
+// rebooted host for late, because the clock that stamps it has started anew.
+func TestRestartedHostIsNotLate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newTestFleet(t, 1, 4)
+	send := func(sent time.Duration, clock string) string {
+		h := hop{service: testService, route: "get", remaining: time.Second, due: 500 * time.Millisecond, maxWait: 50 * time.Millisecond, sent: sent, clock: clock}
+		request, err := http.NewRequest(http.MethodGet, f.nodes[0].gate.URL+"/get/1", nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		request.Header.Set(headerHop, h.String())
+		response, err := http.DefaultClient.Do(request)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(response.Body.Close()).To(gomega.Succeed())
+		return response.Header.Get(headerOutcome)
+	}
+	accepted := strconv.Itoa(int(result.OK))
+	g.Expect(send(30*24*time.Hour, "before")).To(gomega.Equal(accepted))
+	g.Expect(send(30*24*time.Hour-5*time.Second, "before")).To(gomega.Equal(strconv.Itoa(int(result.DeadlineNotRun))), "held back for 5 s")
+	g.Expect(send(time.Minute, "after")).To(gomega.Equal(accepted))
+}
--- a/internal/proxy/patience.go
+++ b/internal/proxy/patience.go
@@ -17,34 +17,24 @@
 // attempt on. A caller that states less has spent the rest already, so that its
 // request is due earlier.
 type patience struct {
-	mu     sync.Mutex
-	routes map[string]*longest
+	mu      sync.Mutex
+	longest map[string]*recentMax
 }
 
-// longest is the longest wait of the current and of the previous window.
-type longest struct {
-	current, previous time.Duration
-	began             time.Time
-}
-
-func newPatience() *patience { return &patience{routes: make(map[string]*longest)} }
+func newPatience() *patience { return &patience{longest: make(map[string]*recentMax)} }
 
 // spent notes the wait that a request states and returns how much of the route's
 // longest it lacks.
-func (p *patience) spent(now time.Time, route string, stated time.Duration) time.Duration {
+func (p *patience) spent(now time.Duration, route string, stated time.Duration) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := p.routes[route]
+	l := p.longest[route]
 	if l == nil {
-		if len(p.routes) >= maxPatientRoutes {
-			clear(p.routes)
+		if len(p.longest) >= maxPatientRoutes {
+			clear(p.longest)
 		}
-		l = &longest{began: now}
-		p.routes[route] = l
-	}
-	if now.Sub(l.began) >= patienceWindow {
-		l.previous, l.current, l.began = l.current, 0, now
+		l = newRecentMax(now, stated)
+		p.longest[route] = l
 	}
-	l.current = max(l.current, stated)
-	return max(l.current, l.previous) - stated
+	return l.add(now, stated, patienceWindow) - stated
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -36,7 +38,7 @@
 		Dial: dialWithin(deps.Dial, config.ServerConnectTimeout), MaxIdle: maxServerIdle, IdleTimeout: config.ServerIdleTimeout,
 		HeadBytes: config.HeadBytes, Now: deps.Now,
 	})}
-	f := &front{config: config, deps: deps, metrics: m, gate: g, splitter: routing.NewSplitter(), budgets: newBudgets(config, deps.Now), patience: newPatience()}
+	f := &front{config: config, deps: deps, metrics: m, gate: g, splitter: routing.NewSplitter(), budgets: newBudgets(config, deps.Now), patience: newPatience(), clock: strconv.FormatUint(rand.Uint64(), 36)}
 	f.client = exchange.NewClient(exchange.Options{
 		Dial: dialWithin(deps.Dial, config.ConnectTimeout), MaxIdle: config.IdlePerPeer, IdleTimeout: config.PeerIdleTimeout,
 		HeadBytes: config.HeadBytes, Now: deps.Now,
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -53,7 +53,7 @@
 	h := hop{
 		service: j.service, route: j.route, remaining: max(j.deadline.Sub(f.deps.Now()), 0),
 		due: due, maxWait: j.maxWait, priority: j.priority, idempotent: j.idempotent,
-		sent: sinceBoot(),
+		sent: sinceBoot(), clock: f.clock,
 	}
 	return &exchange.Outgoing{
 		Method: j.method, URI: j.uri, Host: j.host, Header: j.header, Skip: f.gate.skips, Body: j.body,
