Judge late requests of the soak by when they were sent

The proxy held requests back that the node had sent before it acknowledged the leaving, and the stand-in counted them by their arrival. Ruled out: hand-over after the acknowledgement; with the time at which the proxy took each piece, no request was sent late.

--- a/internal/standin/app/app.go
+++ b/internal/standin/app/app.go
@@ -28,6 +28,9 @@
 	Slots   int
 	// Work is how long a request takes.
 	Work time.Duration
+	// Sent returns when the latest bytes of the connection from an address were sent,
+	// for a server behind a proxy that holds them back. Nil: as they arrive.
+	Sent func(remote string) time.Time
 	// Ran is called with the id of each request that begins to run.
 	Ran func(id string)
 }
@@ -39,8 +42,9 @@
 	born     int64
 	sequence atomic.Int64
 	draining atomic.Bool
-	acked    atomic.Bool
-	// late counts the requests that began after the leaving was acknowledged.
+	// acked is when the leaving was acknowledged; nil before.
+	acked atomic.Pointer[time.Time]
+	// late counts the requests that were sent after the leaving was acknowledged.
 	late   atomic.Int64
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -63,11 +67,11 @@
 // Drain says that the server leaves.
 func (a *App) Drain() { a.draining.Store(true) }
 
-// Late returns the requests that began after the leaving was acknowledged.
+// Late returns the requests that were sent after the leaving was acknowledged.
 func (a *App) Late() int64 { return a.late.Load() }
 
 // Acknowledged reports whether the leaving was acknowledged.
-func (a *App) Acknowledged() bool { return a.acked.Load() }
+func (a *App) Acknowledged() bool { return a.acked.Load() != nil }
 
 // Stop ends the server at once.
 func (a *App) Stop() {
@@ -89,7 +93,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if a.acked.Load() {
+	if acked := a.acked.Load(); acked != nil && a.sent(r).After(*acked) {
 		a.late.Add(1)
 	}
 	body, err := io.ReadAll(r.Body)
@@ -106,12 +110,21 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s", id, r.Header.Get("X-Rosemaryladder-Caller-Service"), body)
 }
 
+// sent returns when a request left the node beside the server.
+func (a *App) sent(r *http.Request) time.Time {
+	if a.options.Sent == nil {
+		return time.Now()
+	}
+	return a.options.Sent(r.RemoteAddr)
+}
+
 func (a *App) checkIns(ctx context.Context) {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for ctx.Err() == nil {
 		leaving := a.draining.Load()
-		if a.checkIn(ctx, client, leaving) && leaving {
-			a.acked.Store(true)
+		if a.checkIn(ctx, client, leaving) && leaving && a.acked.Load() == nil {
+			now := time.Now()
+			a.acked.Store(&now)
 		}
 		select {
 		case <-time.After(checkInInterval):
--- a/internal/standin/faultproxy/proxy.go
+++ b/internal/standin/faultproxy/proxy.go
@@ -41,8 +41,11 @@
 	target   string
 	fault    atomic.Pointer[Fault]
 
-	mu     sync.Mutex
-	open   map[net.Conn]bool
+	mu   sync.Mutex
+	open map[net.Conn]bool
+	// sent holds, by the proxy's own address of a connection to the target, when the
+	// client's latest piece came.
+	sent   map[string]time.Time
 	closed bool
 }
 
@@ -52,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, open: make(map[net.Conn]bool)}
+	p := &Proxy{listener: listener, target: target, open: make(map[net.Conn]bool), sent: make(map[string]time.Time)}
 	p.Set(None)
 	go p.accept()
 	return p, nil
@@ -61,6 +64,25 @@
 // Address returns the address that the proxy listens on.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
+// Sent returns when the client's latest piece came on the connection that the
+// target sees from an address. It is now for a connection that the proxy doesn't
+// know, so that nothing unknown counts as held back.
+func (p *Proxy) Sent(remote string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, found := p.sent[remote]
+	if !found {
+		return time.Now()
+	}
+	return at
+}
+
+func (p *Proxy) noteSent(server net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sent[server.LocalAddr().String()] = time.Now()
+}
+
 // Set changes the fault. Reset breaks what is open.
 func (p *Proxy) Set(fault Fault) {
 	p.fault.Store(&fault)
@@ -114,6 +136,9 @@
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
+			if !answers {
+				p.noteSent(to)
+			}
 			p.wait(answers)
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
@@ -154,6 +179,7 @@
 func (p *Proxy) drop(conn net.Conn) {
 	p.mu.Lock()
 	delete(p.open, conn)
+	delete(p.sent, conn.LocalAddr().String())
 	p.mu.Unlock()
 	reset(conn)
 }
--- a/internal/standin/platformscenario/deployment.go
+++ b/internal/standin/platformscenario/deployment.go
@@ -156,6 +156,9 @@
 		ID: fmt.Sprintf("i-%d", number), Service: Service, Address: addresses[4], Control: addresses[3],
 		Slots: 4, Work: 20 * time.Millisecond, Ran: d.ran,
 	}
+	if d.proxied {
+		h.options.Sent = h.proxies.Server.Sent
+	}
 	d.hosts = append(d.hosts, h)
 	if h.app, err = app.Start(h.options); err != nil {
 		return err
