explain host shows why other hosts rejected the version that the host lacks

The script asked pattern-reg-1, which is the reader when it starts first; beside load another node took the lease first, and the host that lacks the version could not tell why. Ruled out: a late rejection; the readers had recorded it. A converged command that fails shows each node's role, parent and last events.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"rosemaryladder.dev/rosemaryladder/internal/cli"
+	"rosemaryladder.dev/rosemaryladder/internal/event"
 	"rosemaryladder.dev/rosemaryladder/internal/operator"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
@@ -40,8 +41,11 @@
 	mu     sync.Mutex
 	taken  []operator.ChangeRequest
 	// cut makes the port take a change and close the connection without an answer.
-	cut     bool
-	status  operator.FleetStatus
+	cut    bool
+	status operator.FleetStatus
+	host   operator.HostReport
+	// events are those of other nodes, by subject.
+	events  map[string][]event.Event
 	problem *operator.Problem
 }
 
@@ -50,6 +54,11 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/changes", node.change)
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { reply(w, node.status) })
+	mux.HandleFunc("GET /v1/hosts/{name}", func(w http.ResponseWriter, _ *http.Request) { reply(w, node.host) })
+	mux.HandleFunc("GET /v1/events", func(w http.ResponseWriter, r *http.Request) {
+		events := node.events[r.URL.Query().Get("subject")]
+		reply(w, operator.EventReply{Events: append([]event.Event{}, events...)})
+	})
 	mux.HandleFunc("GET /v1/document", func(w http.ResponseWriter, _ *http.Request) {
 		reply(w, operator.Document{Version: 7})
 	})
@@ -198,6 +207,27 @@
 	})
 })
 
+var _ = Describe("explain host", func() {
+	// Guards against a host that lacks a version for no stated reason, because only
+	// another host met the invalid version.
+	It("shows why another host refused the version that the host lacks", func() {
+		node := newFakeNode()
+		node.status = operator.FleetStatus{Accepted: 8}
+		node.host = operator.HostReport{Host: "orderdesk-1", Version: 7}
+		node.events = map[string][]event.Event{"8": {
+			{Node: "orderdesk-2", Kind: event.KindConfig, Subject: "8", Message: "rejected version 8 from the store: unknown field", Code: result.DocumentInvalid},
+			{Node: "orderdesk-3", Kind: event.KindConfig, Subject: "8", Message: "version 8 in force"},
+		}}
+		status, out, _ := run("explain", "host", "orderdesk-1", "--node", node.address())
+		Expect(status).To(Equal(int(result.OK)))
+		Expect(out).To(ContainSubstring("rejected version 8 from the store: unknown field"))
+		Expect(out).NotTo(ContainSubstring("version 8 in force"))
+		node.host.Version = 8
+		_, out, _ = run("explain", "host", "orderdesk-1", "--node", node.address())
+		Expect(out).NotTo(ContainSubstring("rejected version 8"))
+	})
+})
+
 var _ = Describe("--wait", func() {
 	// Guards against a script that goes on although a node lags.
 	It("ends with its own code and names the node that lags", func() {
--- a/internal/cli/explain_host.go
+++ b/internal/cli/explain_host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -70,6 +71,11 @@
 	}
 	events := newestVersions(slices.DeleteFunc(own.Events, func(e event.Event) bool { return !ownState(e, name) }))
 	events = append(events, slices.DeleteFunc(others.Events, func(e event.Event) bool { return e.Node == name })...)
+	refusals, err := c.refusalsOf(ctx, explanation)
+	if err != nil {
+		return err
+	}
+	events = append(events, refusals...)
 	slices.SortStableFunc(events, func(a, b event.Event) int { return b.At.Compare(a.At) })
 	observations := condense(events)
 	explanation.Events = observations[:min(len(observations), hostEventLimit)]
@@ -77,6 +83,23 @@
 	return nil
 }
 
+// refusalsOf returns what other hosts recorded of refusing the accepted version.
+// Only hosts that read the store meet a version that is not valid, so the host that
+// lacks it may not know why.
+func (c *command) refusalsOf(ctx context.Context, explanation *HostExplanation) ([]event.Event, error) {
+	if explanation.Report.Version >= explanation.Accepted {
+		return nil, nil
+	}
+	version := strconv.FormatUint(explanation.Accepted, 10)
+	reply, err := c.askEvents(ctx, operator.EventQuery{Kind: event.KindConfig, Subject: version, Fleet: true, Limit: hostEventsAsked})
+	if err != nil {
+		return nil, err
+	}
+	return slices.DeleteFunc(reply.Events, func(e event.Event) bool {
+		return e.Code == result.OK || e.Node == explanation.Report.Host
+	}), nil
+}
+
 // ownState reports whether an event that the host recorded concerns the host
 // itself, not its view of another node or a refused call.
 func ownState(e event.Event, host string) bool {
--- a/internal/relay/inbox.go
+++ b/internal/relay/inbox.go
@@ -144,7 +144,7 @@
 	}
 	i.holder.Reject(digest.Version, reason, i.now())
 	i.counters.rejections.Inc(1)
-	message := fmt.Sprintf("refused version %d from %s: %v", digest.Version, source, reason)
+	message := fmt.Sprintf("rejected version %d from %s: %v", digest.Version, source, reason)
 	i.logger.Warn(message)
 	i.events.Record(event.Event{At: i.now(), Kind: event.KindConfig, Subject: versionText(digest.Version), Message: message, Code: result.CodeOf(reason)})
 }
--- a/internal/standin/scenario/versions_test.go
+++ b/internal/standin/scenario/versions_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"rosemaryladder.dev/rosemaryladder/internal/operator"
 	"rosemaryladder.dev/rosemaryladder/internal/standin/fleet"
 )
 
@@ -72,11 +73,37 @@
 		behind = r.behind(version, skipped)
 	}
 	if (len(behind) > 0) != neg {
-		ts.Fatalf("after %s these nodes do not have version %d in force: %s", time.Since(begin), version, strings.Join(behind, ", "))
+		waited := time.Since(begin)
+		ts.Logf("%s", r.explainHosts())
+		ts.Fatalf("after %s these nodes do not have version %d in force: %s", waited, version, strings.Join(behind, ", "))
 	}
 	ts.Logf("version %d: %d nodes behind after %s", version, len(behind), time.Since(begin).Round(time.Millisecond))
 }
 
+// shownEvents is the number of events of a node in the explanation of a failure.
+const shownEvents = 8
+
+// explainHosts returns the place of each node in the distribution and its last
+// events, to trace a version that did not spread.
+func (r *run) explainHosts() string {
+	var text strings.Builder
+	for _, host := range r.fleet.Hosts {
+		ctx, cancel := context.WithTimeout(r.ctx, time.Second)
+		report, err := host.Operator().Host(ctx, "")
+		fmt.Fprintf(&text, "%s in %s: %s, version %d, parent %q, ready %t (%s), error %v\n",
+			host.Name, host.FailureDomain, report.Role, report.Version, report.Parent, report.Ready, report.ReadyReason, err)
+		reply, err := host.Operator().Events(ctx, operator.EventQuery{Limit: shownEvents})
+		cancel()
+		if err != nil {
+			fmt.Fprintf(&text, "  no events: %v\n", err)
+		}
+		for _, e := range reply.Events {
+			fmt.Fprintf(&text, "  %s %s %s: %s\n", e.At.Format(time.RFC3339Nano), e.Kind, e.Subject, e.Message)
+		}
+	}
+	return text.String()
+}
+
 // behind names the nodes that do not serve the version or a newer one.
 func (r *run) behind(version uint64, skipped map[string]bool) []string {
 	var behind []string
