Retry unknown seeds soon after joining, and explain targets without a reader

Cause of scenario herd (KNOWN-RED): nodes that start together each stop at the first seed that answers. Seeds of different groups were then tried again only after 5 to 15 s, so the fleet could stand as two groups that did not know each other, each with a reader, and a change did not reach the other group. The new output of a failed converged command showed two groups of 6 and 7 nodes. Ruled out: the reader lease, the distribution tree. Attempts now start 200 ms after joining and double up to the old interval.

Cause of scenario crash-request (KNOWN-RED): explain target failed as a whole when a region had no reader at that moment, because it needs the burn report. It now says that the report is missing.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"rosemaryladder.dev/rosemaryladder/internal/cli"
+	"rosemaryladder.dev/rosemaryladder/internal/config"
 	"rosemaryladder.dev/rosemaryladder/internal/event"
 	"rosemaryladder.dev/rosemaryladder/internal/operator"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
@@ -41,26 +42,32 @@
 	mu     sync.Mutex
 	taken  []operator.ChangeRequest
 	// cut makes the port take a change and close the connection without an answer.
-	cut    bool
-	status operator.FleetStatus
-	host   operator.HostReport
+	cut      bool
+	document operator.Document
+	status   operator.FleetStatus
+	host     operator.HostReport
 	// events are those of other nodes, by subject.
 	events  map[string][]event.Event
 	problem *operator.Problem
 }
 
 func newFakeNode() *fakeNode {
-	node := &fakeNode{}
+	node := &fakeNode{document: operator.Document{Version: 7}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/changes", node.change)
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { reply(w, node.status) })
+	mux.HandleFunc("GET /v1/members", func(w http.ResponseWriter, _ *http.Request) { reply(w, []operator.Member{}) })
+	mux.HandleFunc("GET /v1/burn", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusBadGateway)
+		reply(w, operator.Problem{Code: result.NodeUnreachable, Message: "region \"north\" has no reader at present"})
+	})
 	mux.HandleFunc("GET /v1/hosts/{name}", func(w http.ResponseWriter, _ *http.Request) { reply(w, node.host) })
 	mux.HandleFunc("GET /v1/events", func(w http.ResponseWriter, r *http.Request) {
 		events := node.events[r.URL.Query().Get("subject")]
 		reply(w, operator.EventReply{Events: append([]event.Event{}, events...)})
 	})
 	mux.HandleFunc("GET /v1/document", func(w http.ResponseWriter, _ *http.Request) {
-		reply(w, operator.Document{Version: 7})
+		reply(w, node.document)
 	})
 	node.server = httptest.NewServer(mux)
 	DeferCleanup(node.server.Close)
@@ -228,6 +235,20 @@
 	})
 })
 
+var _ = Describe("explain target", func() {
+	// Guards against an explanation that fails as a whole while a region has no
+	// reader, when it is wanted most.
+	It("goes on without the burn report", func() {
+		node := newFakeNode()
+		node.document.Targets = []config.Target{{Name: "lookups", Service: "pattern-reg"}}
+		status, out, errOut := run("explain", "target", "lookups", "--node", node.address())
+		Expect(status).To(Equal(int(result.OK)), errOut)
+		Expect(out).To(ContainSubstring("the burn report is missing: "))
+		Expect(out).To(ContainSubstring("no reader at present"))
+		Expect(out).To(ContainSubstring("0 of 0 backend servers are ready"))
+	})
+})
+
 var _ = Describe("--wait", func() {
 	// Guards against a script that goes on although a node lags.
 	It("ends with its own code and names the node that lags", func() {
--- a/internal/cli/explain_print.go
+++ b/internal/cli/explain_print.go
@@ -46,7 +46,7 @@
 func (c *command) printTarget(explanation TargetExplanation) {
 	target := explanation.Target
 	c.line("%s of %s: %s within %s, %s succeed", target.Name, target.Service, formatPercent(target.LatencyPercent), target.Latency, formatPercent(target.SuccessPercent))
-	c.printBurn(explanation.Burn)
+	c.printBurn(explanation)
 	c.printServers(explanation.Servers)
 	c.printRefusals(explanation)
 	if text := unasked(explanation.Unreachable); text != "" {
@@ -55,13 +55,17 @@
 }
 
 // printBurn writes what was achieved by region.
-func (c *command) printBurn(reports []burn.TargetReport) {
-	if len(reports) == 0 {
+func (c *command) printBurn(explanation TargetExplanation) {
+	if explanation.BurnMissing != "" {
+		c.line("the burn report is missing: %s", explanation.BurnMissing)
+		return
+	}
+	if len(explanation.Burn) == 0 {
 		c.line("no calls in the last 6 h")
 		return
 	}
 	// A write fails only when the reader of the output has gone away.
-	_ = burn.Report{Targets: reports}.WriteText(c.streams.Out)
+	_ = burn.Report{Targets: explanation.Burn}.WriteText(c.streams.Out)
 }
 
 func (c *command) printServers(servers []operator.Member) {
--- a/internal/cli/explain_target.go
+++ b/internal/cli/explain_target.go
@@ -15,9 +15,11 @@
 
 // TargetExplanation is the output of explain target.
 type TargetExplanation struct {
-	Target  config.Target       `json:"target"`
-	Burn    []burn.TargetReport `json:"burn"`
-	Servers []operator.Member   `json:"servers"`
+	Target config.Target       `json:"target"`
+	Burn   []burn.TargetReport `json:"burn"`
+	// BurnMissing says why there is no burn report; empty when there is one.
+	BurnMissing string            `json:"burn_missing,omitempty"`
+	Servers     []operator.Member `json:"servers"`
 	// RefusedByCode counts the recent refusals.
 	RefusedByCode map[result.Code]int `json:"refused_by_code"`
 	// Refusals are recent refused calls of the target, newest first.
@@ -49,9 +51,12 @@
 	if err != nil {
 		return TargetExplanation{}, err
 	}
+	// The burn report needs the readers of the regions; the rest of the explanation
+	// must not depend on them.
 	report, err := c.askBurn(ctx)
+	burnMissing := ""
 	if err != nil {
-		return TargetExplanation{}, err
+		burnMissing = err.Error()
 	}
 	events, err := c.askEvents(ctx, operator.EventQuery{Kind: event.KindRefusal, Target: name, Limit: refusalLimit, Fleet: true})
 	if err != nil {
@@ -60,6 +65,7 @@
 	return TargetExplanation{
 		Target:        target,
 		Burn:          rowsOf(report, name),
+		BurnMissing:   burnMissing,
 		Servers:       serversOf(members, target.Service),
 		RefusedByCode: countCodes(events.Events),
 		Refusals:      events.Events,
--- a/internal/gossip/config.go
+++ b/internal/gossip/config.go
@@ -43,8 +43,12 @@
 	// IsolatedAfter is the time without a message from any node after which the
 	// node joins anew through its seeds.
 	IsolatedAfter time.Duration
-	// RejoinInterval is the time between two attempts to reach a node that is
-	// believed dead.
+	// FirstRejoin is the time from joining to the first attempt to reach a seed or a
+	// node that is not known to live. It doubles with each attempt up to
+	// RejoinInterval: nodes that start together join through different seeds and
+	// form groups that must find each other.
+	FirstRejoin time.Duration
+	// RejoinInterval is the longest time between two such attempts.
 	RejoinInterval time.Duration
 	// SeedInterval is the time between two writes of the seeds to the store.
 	SeedInterval time.Duration
@@ -70,6 +74,7 @@
 		StoreJitter:          2 * time.Second,
 		MaxJoinDelay:         30 * time.Second,
 		IsolatedAfter:        5 * time.Second,
+		FirstRejoin:          200 * time.Millisecond,
 		RejoinInterval:       10 * time.Second,
 		SeedInterval:         30 * time.Second,
 		SeedTTL:              90 * time.Second,
@@ -93,7 +98,8 @@
 		{"StoreJitter", c.StoreJitter},
 		{"MaxJoinDelay", c.MaxJoinDelay},
 		{"IsolatedAfter", c.IsolatedAfter},
-		{"RejoinInterval", c.RejoinInterval},
+		{"FirstRejoin", c.FirstRejoin},
+		{"RejoinInterval minus FirstRejoin", c.RejoinInterval - c.FirstRejoin},
 		{"SeedInterval", c.SeedInterval},
 		{"SeedTTL minus SeedInterval", c.SeedTTL - c.SeedInterval},
 		{"Interval minus SkipWithin", c.Interval - c.SkipWithin},
--- a/internal/gossip/seeder.go
+++ b/internal/gossip/seeder.go
@@ -25,10 +25,14 @@
 // run joins, then publishes seeds and tries nodes that are believed dead.
 func (s *seeder) run(ctx context.Context) {
 	s.join(ctx)
+	config := s.exchanger.config
+	delay := config.FirstRejoin
 	var nextPublication time.Time
-	for sleep(ctx, s.exchanger.config.RejoinInterval/2+s.exchanger.jitter(s.exchanger.config.RejoinInterval)) {
+	for sleep(ctx, delay/2+s.exchanger.jitter(delay)) {
+		delay = min(2*delay, config.RejoinInterval)
 		if s.exchanger.isolated() {
 			s.join(ctx)
+			delay = config.FirstRejoin
 			continue
 		}
 		s.rejoin(ctx)
@@ -37,7 +41,7 @@
 			continue
 		}
 		if s.publish(ctx, true) {
-			nextPublication = now.Add(s.exchanger.config.SeedInterval)
+			nextPublication = now.Add(config.SeedInterval)
 		}
 	}
 }
--- a/internal/gossip/store_test.go
+++ b/internal/gossip/store_test.go
@@ -92,6 +92,24 @@
 	await(t, 10*time.Second, "a late node knows all others", func() bool { return alive(late) == size+1 })
 }
 
+// inForceLimit is the time in which a change must be in force everywhere, and so
+// the longest that parts of a fleet may stay unknown to each other.
+const inForceLimit = 3 * time.Second
+
+// TestGroupsOfSeedsFindEachOther guards against nodes that start together, join
+// through different seeds and stay apart: a change does not reach the other group.
+func TestGroupsOfSeedsFindEachOther(t *testing.T) {
+	first, second := startNode(t, 0, nil, nil), startNode(t, 1, nil, nil)
+	both := []string{first.address(), second.address()}
+	nodes := []*testNode{first, second}
+	for index := range 4 {
+		nodes = append(nodes, startNode(t, index+2, both, nil))
+	}
+	await(t, inForceLimit, "all nodes know all others", func() bool {
+		return all(nodes, func(n *testNode) bool { return alive(n) == len(nodes) })
+	})
+}
+
 // TestDomainsFindEachOther guards against parts of a fleet that each joined
 // through their own seeds and never learn of the other part.
 func TestDomainsFindEachOther(t *testing.T) {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -265,6 +265,9 @@
 				return nil
 			}
 		}
+		if host.Node.Wait(0) {
+			return fmt.Errorf("the node of host %s has ended with status %d\n%s", host.Name, host.Node.ExitCode(), host.Node.Output())
+		}
 		select {
 		case <-ctx.Done():
 			return fmt.Errorf("host %s is not ready: %+v %v\n%s", host.Name, report, err, host.Node.Output())
--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -61,7 +61,8 @@
 	p.Wait(5 * time.Second)
 }
 
-// Wait waits for the end of the program and reports whether it ended in time.
+// Wait waits for the end of the program and reports whether it ended in time. No
+// time to wait asks whether it has ended.
 func (p *Process) Wait(limit time.Duration) bool {
 	p.mu.Lock()
 	done := p.done
@@ -69,10 +70,12 @@
 	if done == nil {
 		return true
 	}
+	timeout := time.NewTimer(limit)
+	defer timeout.Stop()
 	select {
 	case <-done:
 		return true
-	case <-time.After(limit):
+	case <-timeout.C:
 		return false
 	}
 }
