One client of the store, and one stand-in that speaks the published protocol

The earlier daemon had a client and a stand-in with a protocol of their own. platform.Store now serves both daemons: store.Connection is one call each, store.Keyed adds the work on single keys. The stand-ins are merged; a watch that is not waited for replaces the conditional read. The types of the store's items, events, revisions, leases and errors exist once. Tests of the old client run against the new one; they no longer assume that revisions count the writes of a key.

--- a/internal/claim/service_test.go
+++ b/internal/claim/service_test.go
@@ -20,6 +20,7 @@
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 	standin "rosemaryladder.dev/rosemaryladder/internal/standin/store"
 	"rosemaryladder.dev/rosemaryladder/internal/store"
+	"rosemaryladder.dev/rosemaryladder/platform"
 )
 
 // mesh is a store and some nodes that claim through each other.
@@ -64,7 +65,8 @@
 func (m *mesh) start(id, region string) *meshNode {
 	listener := m.listen(id, region)
 	node := &meshNode{mesh: m, id: id, server: grpc.NewServer(), scope: tally.NewTestScope("", nil)}
-	client, err := store.NewHTTP(store.Options{Address: m.address, Timeout: time.Second}, dial.Dialer{}, tally.NoopScope)
+	connection := platform.NewStore(m.address, store.NewTransport(dial.Dialer{}), tally.NoopScope)
+	client, err := store.NewKeyed(store.Options{Timeout: time.Second}, connection, tally.NoopScope)
 	if err != nil {
 		m.t.Fatal(err)
 	}
--- a/internal/lease/keeper_test.go
+++ b/internal/lease/keeper_test.go
@@ -14,6 +14,7 @@
 	standin "rosemaryladder.dev/rosemaryladder/internal/standin/store"
 	"rosemaryladder.dev/rosemaryladder/internal/store"
 	"rosemaryladder.dev/rosemaryladder/internal/telemetry"
+	"rosemaryladder.dev/rosemaryladder/platform"
 )
 
 // candidate is a keeper whose clock the test can move.
@@ -71,8 +72,8 @@
 	server := standin.NewServer(1)
 	listener := httptest.NewServer(server)
 	defer listener.Close()
-	options := store.Options{Address: listener.Listener.Addr().String(), Timeout: 200 * time.Millisecond}
-	client, err := store.NewHTTP(options, dial.Dialer{}, tally.NoopScope)
+	connection := platform.NewStore(listener.Listener.Addr().String(), store.NewTransport(dial.Dialer{}), tally.NoopScope)
+	client, err := store.NewKeyed(store.Options{Timeout: 200 * time.Millisecond}, connection, tally.NoopScope)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -47,8 +47,8 @@
 }
 
 func (n *Node) buildStore() (err error) {
-	options := store.Options{Address: n.settings.Store.Address, Timeout: n.settings.Store.Timeout}
-	client, err := store.NewHTTP(options, n.dialer, n.metrics.Scope)
+	connection := n.openStore(n.settings.Store.Address, store.NewTransport(n.dialer), n.metrics.Scope)
+	client, err := store.NewKeyed(store.Options{Timeout: n.settings.Store.Timeout}, connection, n.metrics.Scope)
 	if err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,17 +29,20 @@
 	"rosemaryladder.dev/rosemaryladder/internal/quarantine"
 	"rosemaryladder.dev/rosemaryladder/internal/relay"
 	"rosemaryladder.dev/rosemaryladder/internal/settings"
+	"rosemaryladder.dev/rosemaryladder/internal/store"
 	"rosemaryladder.dev/rosemaryladder/internal/telemetry"
 )
 
 // Node is one daemon.
 type Node struct {
 	settings settings.Settings
-	log      *logrus.Entry
-	metrics  *telemetry.Metrics
-	events   *event.Ring
-	dialer   dial.Dialer
-	now      func() time.Time
+	// openStore connects to the store of the platform that the node runs on.
+	openStore store.Opener
+	log       *logrus.Entry
+	metrics   *telemetry.Metrics
+	events    *event.Ring
+	dialer    dial.Dialer
+	now       func() time.Time
 
 	store  *storeWatch
 	holder *config.Holder
@@ -63,8 +66,8 @@
 }
 
 // New builds a node and listens on its ports. Run serves them.
-func New(settings settings.Settings, log *logrus.Entry) (*Node, error) {
-	n := &Node{settings: settings, log: log, now: time.Now}
+func New(settings settings.Settings, open store.Opener, log *logrus.Entry) (*Node, error) {
+	n := &Node{settings: settings, openStore: open, log: log, now: time.Now}
 	n.dialer = dial.Dialer{LocalIP: settings.Node.IP, EgressProxy: settings.Network.EgressProxy}
 	n.metrics = telemetry.NewMetrics(map[string]string{"host": settings.Node.Host, "failure_domain": settings.Node.FailureDomain})
 	n.events = event.NewRing(settings.Node.Host, event.DefaultRingSize, n.now)
--- a/internal/node/store_watch.go
+++ b/internal/node/store_watch.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
-	"rosemaryladder.dev/rosemaryladder/internal/config"
 	"rosemaryladder.dev/rosemaryladder/internal/event"
 	"rosemaryladder.dev/rosemaryladder/internal/store"
 )
@@ -52,10 +50,13 @@
 	}
 }
 
-// probe makes one call that transfers no value.
+// probeKey does not exist, so that a probe transfers no value.
+const probeKey = "probe"
+
+// probe makes one call.
 func (w *storeWatch) probe(ctx context.Context) {
 	if w.outage.lasts() {
-		_, _ = w.GetNewer(ctx, config.StoreKey, math.MaxUint64)
+		_, _ = w.Get(ctx, probeKey)
 	}
 }
 
--- a/internal/registry/fake_store_test.go
+++ b/internal/registry/fake_store_test.go
@@ -6,24 +6,26 @@
 	"strings"
 	"sync"
 	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/store"
 )
 
 var errStoreDown = errors.New("the store is down")
 
 // change is an event with its revision.
 type change struct {
-	event    Event
-	revision Revision
+	event    store.Event
+	revision store.Revision
 }
 
 // fakeStore is a store in memory with faults.
 type fakeStore struct {
 	mu       sync.Mutex
 	values   map[string][]byte
-	leases   map[Lease][]string
+	leases   map[store.LeaseID][]string
 	history  []change
-	revision Revision
-	next     Lease
+	revision store.Revision
+	next     store.LeaseID
 	down     bool
 	// deaf makes watches wait their full time and then fail as compacted.
 	deaf  bool
@@ -33,7 +35,7 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{values: make(map[string][]byte), leases: make(map[Lease][]string), revision: 1}
+	return &fakeStore{values: make(map[string][]byte), leases: make(map[store.LeaseID][]string), revision: 1}
 }
 
 // enter counts a call and fails while the store is down.
@@ -45,7 +47,7 @@
 	return nil
 }
 
-func (s *fakeStore) List(_ context.Context, prefix string) ([]Item, Revision, error) {
+func (s *fakeStore) List(_ context.Context, prefix string) ([]store.Item, store.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.enter(); err != nil {
@@ -54,16 +56,16 @@
 	if strings.HasPrefix(configurationKey, prefix) {
 		s.reads++
 	}
-	var items []Item
+	var items []store.Item
 	for key, value := range s.values {
 		if strings.HasPrefix(key, prefix) {
-			items = append(items, Item{Key: key, Value: value})
+			items = append(items, store.Item{Key: key, Value: value})
 		}
 	}
 	return items, s.revision, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Event, Revision, error) {
+func (s *fakeStore) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
 	s.mu.Lock()
 	deaf := s.deaf
 	s.mu.Unlock()
@@ -77,18 +79,18 @@
 		}
 	}
 	if deaf {
-		return nil, 0, ErrCompacted
+		return nil, 0, store.ErrCompacted
 	}
 	return nil, after, nil
 }
 
-func (s *fakeStore) since(prefix string, after Revision) ([]Event, Revision, error) {
+func (s *fakeStore) since(prefix string, after store.Revision) ([]store.Event, store.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
 		return nil, 0, errStoreDown
 	}
-	var events []Event
+	var events []store.Event
 	for _, c := range s.history {
 		if c.revision > after && strings.HasPrefix(c.event.Key, prefix) {
 			events = append(events, c.event)
@@ -97,7 +99,7 @@
 	return events, s.revision, nil
 }
 
-func (s *fakeStore) Put(_ context.Context, key string, value []byte, lease Lease) error {
+func (s *fakeStore) Put(_ context.Context, key string, value []byte, lease store.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.enter(); err != nil {
@@ -105,11 +107,11 @@
 	}
 	if lease != 0 {
 		if _, found := s.leases[lease]; !found {
-			return ErrLeaseEnded
+			return store.ErrLeaseExpired
 		}
 		s.leases[lease] = append(s.leases[lease], key)
 	}
-	s.write(Event{Key: key, Value: value})
+	s.write(store.Event{Key: key, Value: value})
 	return nil
 }
 
@@ -119,11 +121,11 @@
 	if err := s.enter(); err != nil {
 		return err
 	}
-	s.write(Event{Key: key, Removed: true})
+	s.write(store.Event{Key: key, Removed: true})
 	return nil
 }
 
-func (s *fakeStore) Grant(context.Context, time.Duration) (Lease, error) {
+func (s *fakeStore) Grant(context.Context, time.Duration) (store.LeaseID, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.enter(); err != nil {
@@ -134,20 +136,20 @@
 	return s.next, nil
 }
 
-func (s *fakeStore) Keep(_ context.Context, lease Lease) error {
+func (s *fakeStore) Keep(_ context.Context, lease store.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.enter(); err != nil {
 		return err
 	}
 	if _, found := s.leases[lease]; !found {
-		return ErrLeaseEnded
+		return store.ErrLeaseExpired
 	}
 	return nil
 }
 
 // write changes a key.
-func (s *fakeStore) write(event Event) {
+func (s *fakeStore) write(event store.Event) {
 	s.revision++
 	s.history = append(s.history, change{event, s.revision})
 	if event.Removed {
@@ -163,7 +165,7 @@
 	defer s.mu.Unlock()
 	for _, keys := range s.leases {
 		for _, key := range keys {
-			s.write(Event{Key: key, Removed: true})
+			s.write(store.Event{Key: key, Removed: true})
 		}
 	}
 	clear(s.leases)
--- a/internal/registry/lease_loop.go
+++ b/internal/registry/lease_loop.go
@@ -6,12 +6,13 @@
 	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+	"rosemaryladder.dev/rosemaryladder/internal/store"
 )
 
 // leaseLoop keeps the own entry in the store, bound to a lease.
 func (r *Registry) leaseLoop(ctx context.Context) {
 	retry := r.newBackoff()
-	var lease Lease
+	var lease store.LeaseID
 	for ctx.Err() == nil {
 		if r.Own().Server == "" {
 			// An entry without a server tells the fleet nothing, and each write wakes
@@ -27,7 +28,7 @@
 		switch {
 		case err == nil:
 			retry.reset()
-		case errors.Is(err, ErrLeaseEnded):
+		case errors.Is(err, store.ErrLeaseExpired):
 			r.deps.Log.WithField("lease", uint64(lease)).Info("lease ended; writing the own entry again")
 			lease = 0
 			r.forgetWritten()
@@ -44,7 +45,7 @@
 
 // maintain renews the lease or grants one, and writes the own entry when the
 // store's is older.
-func (r *Registry) maintain(ctx context.Context, lease Lease) (Lease, error) {
+func (r *Registry) maintain(ctx context.Context, lease store.LeaseID) (store.LeaseID, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*r.config.CallTimeout)
 	defer cancel()
 	own, current := r.isWritten()
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -16,6 +16,7 @@
 
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 	"rosemaryladder.dev/rosemaryladder/internal/routing"
+	"rosemaryladder.dev/rosemaryladder/internal/store"
 	"rosemaryladder.dev/rosemaryladder/internal/telemetry"
 )
 
@@ -43,7 +44,7 @@
 	return routing.NewTable(routing.Version(version), nil, nil, limits)
 }
 
-func startRegistry(t *testing.T, store Store, name string) *testRegistry {
+func startRegistry(t *testing.T, shared Store, name string) *testRegistry {
 	r := &testRegistry{routes: &routing.Holder{}, fleet: fleet.NewTable(500 * time.Millisecond)}
 	r.gate = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) { r.ServeHTTP(w, request) }))
 	t.Cleanup(r.gate.Close)
@@ -57,7 +58,7 @@
 	}
 	var err error
 	r.Registry, err = New(config, Deps{
-		Store: store, Decode: decodeTest, Routes: r.routes, Fleet: r.fleet, Peers: http.DefaultClient, Leader: http.DefaultClient,
+		Store: shared, Decode: decodeTest, Routes: r.routes, Fleet: r.fleet, Peers: http.DefaultClient, Leader: http.DefaultClient,
 		Log: telemetry.DiscardLogger(), Scope: tally.NoopScope, Now: time.Now, Random: func() float64 { return 0.5 },
 		Reached: func(string) {},
 	}, own)
@@ -78,7 +79,7 @@
 }
 
 func (s *fakeStore) configure(version int) {
-	s.set(func(s *fakeStore) { s.write(Event{Key: configurationKey, Value: []byte(strconv.Itoa(version))}) })
+	s.set(func(s *fakeStore) { s.write(store.Event{Key: configurationKey, Value: []byte(strconv.Itoa(version))}) })
 }
 
 func (r *testRegistry) nodes() int { return len(r.fleet.View().Ready("s")) }
@@ -87,14 +88,14 @@
 // reach a node, and against a refused configuration that stops the watch.
 func TestNodesFindEachOther(t *testing.T) {
 	g := gomega.NewWithT(t)
-	store := newFakeStore()
-	a, b := startRegistry(t, store, "a"), startRegistry(t, store, "b")
-	store.configure(3)
+	shared := newFakeStore()
+	a, b := startRegistry(t, shared, "a"), startRegistry(t, shared, "b")
+	shared.configure(3)
 	g.Eventually(a.nodes).WithTimeout(settle).Should(gomega.Equal(2))
 	g.Eventually(b.nodes).WithTimeout(settle).Should(gomega.Equal(2))
-	store.set(func(s *fakeStore) { s.write(Event{Key: configurationKey, Value: []byte("cut sho")}) })
-	store.configure(2)
-	store.configure(5)
+	shared.set(func(s *fakeStore) { s.write(store.Event{Key: configurationKey, Value: []byte("cut sho")}) })
+	shared.configure(2)
+	shared.configure(5)
 	g.Eventually(a.routes.Version).WithTimeout(settle).Should(gomega.Equal(routing.Version(5)))
 	g.Expect(a.Ready()).To(gomega.BeTrue())
 }
@@ -103,14 +104,14 @@
 // watch began while the store dropped its history.
 func TestDeafWatch(t *testing.T) {
 	g := gomega.NewWithT(t)
-	store := newFakeStore()
-	store.configure(1)
-	store.set(func(s *fakeStore) { s.deaf = true })
-	a := startRegistry(t, store, "a")
+	shared := newFakeStore()
+	shared.configure(1)
+	shared.set(func(s *fakeStore) { s.deaf = true })
+	a := startRegistry(t, shared, "a")
 	g.Eventually(a.routes.Version).WithTimeout(settle).Should(gomega.Equal(routing.Version(1)))
 	time.Sleep(50 * time.Millisecond)
-	store.set(func(s *fakeStore) { s.deaf = false })
-	store.configure(2)
+	shared.set(func(s *fakeStore) { s.deaf = false })
+	shared.configure(2)
 	g.Eventually(a.routes.Version).WithTimeout(settle).Should(gomega.Equal(routing.Version(2)))
 }
 
@@ -118,11 +119,11 @@
 // ended its lease.
 func TestLapsedEntryReturns(t *testing.T) {
 	g := gomega.NewWithT(t)
-	store := newFakeStore()
-	a, b := startRegistry(t, store, "a"), startRegistry(t, store, "b")
+	shared := newFakeStore()
+	a, b := startRegistry(t, shared, "a"), startRegistry(t, shared, "b")
 	g.Eventually(a.nodes).WithTimeout(settle).Should(gomega.Equal(2))
-	store.revoke()
-	g.Eventually(func() bool { return store.has("nodes/a") && store.has("nodes/b") }).WithTimeout(2 * time.Second).Should(gomega.BeTrue())
+	shared.revoke()
+	g.Eventually(func() bool { return shared.has("nodes/a") && shared.has("nodes/b") }).WithTimeout(2 * time.Second).Should(gomega.BeTrue())
 	g.Consistently(b.nodes).WithTimeout(700 * time.Millisecond).Should(gomega.Equal(2))
 }
 
@@ -130,10 +131,10 @@
 // configuration because the store is down, although a peer holds one.
 func TestPeersWhileTheStoreIsAway(t *testing.T) {
 	g := gomega.NewWithT(t)
-	store, away := newFakeStore(), newFakeStore()
+	shared, away := newFakeStore(), newFakeStore()
 	away.down = true
-	store.configure(7)
-	a := startRegistry(t, store, "a")
+	shared.configure(7)
+	a := startRegistry(t, shared, "a")
 	g.Eventually(a.routes.Version).WithTimeout(settle).Should(gomega.Equal(routing.Version(7)))
 	b := startRegistry(t, away, "b")
 	a.Suspect(b.Own())
@@ -143,16 +144,16 @@
 	g.Eventually(b.nodes).WithTimeout(settle).Should(gomega.Equal(2))
 }
 
-// TestFollowersSpareTheStore guards against store calls that grow with the nodes of
+// TestFollowersSpareTheStore guards against shared calls that grow with the nodes of
 // a failure domain, and against a follower that stays behind its leader or does
 // not notice that it is cut from the store.
 func TestFollowersSpareTheStore(t *testing.T) {
 	g := gomega.NewWithT(t)
-	store := newFakeStore()
-	store.configure(1)
+	shared := newFakeStore()
+	shared.configure(1)
 	var all []*testRegistry
 	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
-		all = append(all, startRegistry(t, store, name))
+		all = append(all, startRegistry(t, shared, name))
 	}
 	for _, r := range all {
 		g.Eventually(r.nodes).WithTimeout(settle).Should(gomega.Equal(len(all)))
@@ -169,11 +170,11 @@
 		return n
 	}
 	g.Eventually(watching).WithTimeout(settle).Should(gomega.Equal(leadersPerDomain))
-	store.configure(9)
+	shared.configure(9)
 	for _, r := range all {
 		g.Eventually(r.routes.Version).WithTimeout(settle).Should(gomega.Equal(routing.Version(9)))
 	}
-	store.revoke()
+	shared.revoke()
 	for _, r := range all {
 		g.Eventually(r.nodes).WithTimeout(settle).Should(gomega.Equal(len(all)))
 	}
@@ -184,9 +185,9 @@
 // one before it out of force.
 func TestNewestOfManyVersions(t *testing.T) {
 	g := gomega.NewWithT(t)
-	store := newFakeStore()
-	store.configure(1)
-	a := startRegistry(t, store, "a")
+	shared := newFakeStore()
+	shared.configure(1)
+	a := startRegistry(t, shared, "a")
 	g.Eventually(a.routes.Version).WithTimeout(settle).Should(gomega.Equal(routing.Version(1)))
 	decoded := atomic.Int64{}
 	decode := a.deps.Decode
@@ -194,9 +195,9 @@
 		decoded.Add(1)
 		return decode(data)
 	}
-	var events []Event
+	var events []store.Event
 	for _, value := range []string{"2", "3", "4", "cut sho"} {
-		events = append(events, Event{Key: configurationKey, Value: []byte(value)})
+		events = append(events, store.Event{Key: configurationKey, Value: []byte(value)})
 	}
 	a.applyAll(events)
 	g.Expect(a.routes.Version()).To(gomega.Equal(routing.Version(4)))
@@ -207,20 +208,20 @@
 // read a large configuration from the store, until none of the reads ends in time.
 func TestRestartedNodeAsksItsLeader(t *testing.T) {
 	g := gomega.NewWithT(t)
-	store := newFakeStore()
-	store.configure(4)
+	shared := newFakeStore()
+	shared.configure(4)
 	for _, name := range []string{"a", "b"} {
-		r := startRegistry(t, store, name)
+		r := startRegistry(t, shared, name)
 		g.Eventually(r.Ready).WithTimeout(settle).Should(gomega.BeTrue())
 	}
-	g.Eventually(func() int { return len(store.keys("nodes/")) }).WithTimeout(settle).Should(gomega.Equal(2))
-	before := store.configurationReads()
+	g.Eventually(func() int { return len(shared.keys("nodes/")) }).WithTimeout(settle).Should(gomega.Equal(2))
+	before := shared.configurationReads()
 	for _, name := range []string{"c", "d", "e"} {
-		r := startRegistry(t, store, name)
+		r := startRegistry(t, shared, name)
 		g.Eventually(r.routes.Version).WithTimeout(settle).Should(gomega.Equal(routing.Version(4)))
 	}
 	// A node whose name makes it a leader reads for itself.
-	g.Expect(store.configurationReads() - before).To(gomega.BeNumerically("<=", leadersPerDomain))
+	g.Expect(shared.configurationReads() - before).To(gomega.BeNumerically("<=", leadersPerDomain))
 }
 
 // countedStore counts the reads of one node.
@@ -229,7 +230,7 @@
 	lists atomic.Int64
 }
 
-func (s *countedStore) List(ctx context.Context, prefix string) ([]Item, Revision, error) {
+func (s *countedStore) List(ctx context.Context, prefix string) ([]store.Item, store.Revision, error) {
 	s.lists.Add(1)
 	return s.fakeStore.List(ctx, prefix)
 }
@@ -239,12 +240,12 @@
 // that one is cut from the store.
 func TestFollowersSpareAStoreThatIsAway(t *testing.T) {
 	g := gomega.NewWithT(t)
-	store := newFakeStore()
-	store.configure(1)
+	shared := newFakeStore()
+	shared.configure(1)
 	var stores []*countedStore
 	var nodes []*testRegistry
 	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
-		s := &countedStore{fakeStore: store}
+		s := &countedStore{fakeStore: shared}
 		stores, nodes = append(stores, s), append(nodes, startRegistry(t, s, name))
 	}
 	for _, n := range nodes {
@@ -252,7 +253,7 @@
 	}
 	// Every follower has found its leader after one wait.
 	time.Sleep(DefaultConfig().WatchWait)
-	store.set(func(s *fakeStore) { s.down = true })
+	shared.set(func(s *fakeStore) { s.down = true })
 	for _, s := range stores {
 		s.lists.Store(0)
 	}
@@ -264,8 +265,8 @@
 		}
 	}
 	g.Expect(asking).To(gomega.BeNumerically("<=", leadersPerDomain))
-	store.set(func(s *fakeStore) { s.down = false })
-	store.configure(2)
+	shared.set(func(s *fakeStore) { s.down = false })
+	shared.configure(2)
 	for _, n := range nodes {
 		g.Eventually(n.routes.Version).WithTimeout(settle).Should(gomega.Equal(routing.Version(2)))
 	}
--- a/internal/registry/watch_loop.go
+++ b/internal/registry/watch_loop.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+	"rosemaryladder.dev/rosemaryladder/internal/store"
 )
 
 // watchLoop lists what the store holds and follows its changes.
@@ -34,7 +35,7 @@
 		if err == nil {
 			continue
 		}
-		if errors.Is(err, ErrCompacted) {
+		if errors.Is(err, store.ErrCompacted) {
 			r.deps.Log.Info("store dropped its history; listing again")
 			continue
 		}
@@ -46,7 +47,7 @@
 }
 
 // list takes over the entries of the fleet and returns the revision to watch from.
-func (r *Registry) list(ctx context.Context) (Revision, error) {
+func (r *Registry) list(ctx context.Context) (store.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.config.CallTimeout)
 	defer cancel()
 	items, at, err := r.deps.Store.List(ctx, r.config.EntriesPrefix)
@@ -98,7 +99,7 @@
 }
 
 // follow takes over changes until the watch fails or a leader can be followed.
-func (r *Registry) follow(ctx context.Context, at Revision) error {
+func (r *Registry) follow(ctx context.Context, at store.Revision) error {
 	for {
 		events, next, err := r.watch(ctx, at)
 		if err != nil {
@@ -117,7 +118,7 @@
 	}
 }
 
-func (r *Registry) watch(ctx context.Context, at Revision) ([]Event, Revision, error) {
+func (r *Registry) watch(ctx context.Context, at store.Revision) ([]store.Event, store.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.config.WatchWait+r.config.CallTimeout)
 	defer cancel()
 	return r.deps.Store.Watch(ctx, r.config.WatchPrefix, at, r.config.WatchWait)
@@ -126,7 +127,7 @@
 // applyAll takes over changes in their order. Of the configurations only the newest
 // valid one is put in force: versions that follow each other quickly would otherwise
 // keep a slow processor busy with what is replaced at once.
-func (r *Registry) applyAll(events []Event) {
+func (r *Registry) applyAll(events []store.Event) {
 	applied := false
 	for _, event := range slices.Backward(events) {
 		if event.Key == r.config.ConfigurationKey && !event.Removed && !applied {
@@ -138,7 +139,7 @@
 	}
 }
 
-func (r *Registry) applyEntryEvent(event Event) {
+func (r *Registry) applyEntryEvent(event store.Event) {
 	node, isEntry := r.nodeOf(event.Key)
 	switch {
 	case isEntry && event.Removed && node == r.Own().Node:
--- a/internal/standin/measure/baseline.go
+++ b/internal/standin/measure/baseline.go
@@ -29,7 +29,8 @@
 	watchers := make([]*watcher, len(m.fleet.Hosts))
 	for i, host := range m.fleet.Hosts {
 		watchers[i] = &watcher{arrived: make(map[uint64]time.Time)}
-		client, err := store.NewHTTP(store.Options{Address: m.fleet.StoreAddress(), Timeout: time.Second}, m.fleet.Dialer(host), tally.NoopScope)
+		connection := m.options.OpenStore(m.fleet.StoreAddress(), store.NewTransport(m.fleet.Dialer(host)), tally.NoopScope)
+		client, err := store.NewKeyed(store.Options{Timeout: time.Second}, connection, tally.NoopScope)
 		if err != nil {
 			return err
 		}
@@ -55,7 +56,7 @@
 	return err
 }
 
-func (w *watcher) watch(ctx context.Context, client *store.HTTP) {
+func (w *watcher) watch(ctx context.Context, client store.Client) {
 	var known store.Revision
 	for ctx.Err() == nil {
 		value, err := client.Watch(ctx, config.StoreKey, known)
--- a/internal/standin/measure/options.go
+++ b/internal/standin/measure/options.go
@@ -2,7 +2,11 @@
 // prints figures, one "name value unit" a line.
 package measure
 
-import "time"
+import (
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/store"
+)
 
 // Options are the arguments of the measurement.
 type Options struct {
@@ -13,6 +17,8 @@
 	Changes    int           `arg:"--changes" default:"40" help:"changes for each convergence figure"`
 	Quiet      time.Duration `arg:"--quiet" default:"8s" help:"length of the quiet period"`
 	Batch      time.Duration `arg:"--batch" default:"0s" help:"batch setting of the nodes"`
+	// OpenStore connects the nodes of the baseline to the store.
+	OpenStore store.Opener `arg:"-"`
 }
 
 func (o *Options) setDefaults() {
--- a/internal/standin/platformscenario/deployment.go
+++ b/internal/standin/platformscenario/deployment.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/standin/app"
-	"rosemaryladder.dev/rosemaryladder/internal/standin/platformstore"
+	"rosemaryladder.dev/rosemaryladder/internal/standin/store"
 )
 
 // Service is the service of all backend servers.
@@ -37,7 +37,7 @@
 
 // Deployment is a store and hosts in two failure domains.
 type Deployment struct {
-	Store   *platformstore.Store
+	Store   *store.Server
 	program string
 	folder  string
 	// proxied is set when fault proxies stand around each sidecar.
@@ -73,7 +73,7 @@
 }
 
 func start(program, folder string, hosts int, proxied bool) (*Deployment, error) {
-	d := &Deployment{Store: platformstore.New(), program: program, folder: folder, proxied: proxied, number: deployments.Add(1), runs: make(map[string]int)}
+	d := &Deployment{Store: store.NewServer(uint64(hosts)), program: program, folder: folder, proxied: proxied, number: deployments.Add(1), runs: make(map[string]int)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -241,7 +241,7 @@
 	for i := range further {
 		routes += fmt.Sprintf(`,{"name":"more-%d","prefix":"/more-%d/","kind":"safe","timeout":"1s","targetLatency":"500ms","priority":2,"service":"orders","maxAttempts":1}`, i, i)
 	}
-	d.Store.Write("op/config", []byte(fmt.Sprintf(`{"version":"r%d","services":[{"name":"orders","healthPath":"/healthz","maxConnections":100}],
+	d.Store.State().Write("op/config", []byte(fmt.Sprintf(`{"version":"r%d","services":[{"name":"orders","healthPath":"/healthz","maxConnections":100}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeout":"3s","idleTimeout":"15s"},
 "virtualHosts":[{"host":"orders.example","pathMatches":[%s]}]}`, version, routes)))
 }
--- a/internal/standin/platformscenario/scenario_test.go
+++ b/internal/standin/platformscenario/scenario_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"rosemaryladder.dev/rosemaryladder/internal/standin/store"
 )
 
 // program is the sidecar that the scenarios run.
@@ -60,7 +62,7 @@
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"deploy": deploy, "configure": configure, "ready": ready, "load": load, "check": check,
-			"signal": signal, "node": node, "store": store, "app": appCommand, "pause": pause,
+			"signal": signal, "node": node, "store": storeCommand, "app": appCommand, "pause": pause,
 		},
 	})
 }
@@ -156,16 +158,16 @@
 	ts.Check(d.WaitExit(n, 6*time.Second))
 }
 
-// store down|up|compact|revoke makes the store fail.
-func store(ts *testscript.TestScript, _ bool, args []string) {
-	s := worldOf(ts).deployment.Store
+// storeCommand: store down|up|compact|revoke makes the store fail.
+func storeCommand(ts *testscript.TestScript, _ bool, args []string) {
+	server := worldOf(ts).deployment.Store
 	switch args[0] {
 	case "down", "up":
-		s.Down.Store(args[0] == "down")
+		server.SetFaults(store.Faults{Refuses: args[0] == "down"})
 	case "compact":
-		s.Compact()
+		server.State().Compact()
 	case "revoke":
-		s.Revoke()
+		server.State().Revoke()
 	}
 }
 
--- a/internal/standin/scenario/document_test.go
+++ b/internal/standin/scenario/document_test.go
@@ -12,12 +12,14 @@
 	"rosemaryladder.dev/rosemaryladder/internal/config"
 	"rosemaryladder.dev/rosemaryladder/internal/dial"
 	"rosemaryladder.dev/rosemaryladder/internal/store"
+	"rosemaryladder.dev/rosemaryladder/platform"
 )
 
 // document: document unknown-field|dangling|garbage|good writes a document with
 // the next version to the store, past the check of the operators' tool.
 func (r *run) document(ts *testscript.TestScript, _ bool, args []string) {
-	client, err := store.NewHTTP(store.Options{Address: r.fleet.StoreAddress(), Timeout: time.Second}, dial.Dialer{}, tally.NoopScope)
+	connection := platform.NewStore(r.fleet.StoreAddress(), store.NewTransport(dial.Dialer{}), tally.NoopScope)
+	client, err := store.NewKeyed(store.Options{Timeout: time.Second}, connection, tally.NoopScope)
 	ts.Check(err)
 	defer client.Close()
 	value, err := client.Get(r.ctx, config.StoreKey)
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -8,6 +8,7 @@
 
 	"rosemaryladder.dev/rosemaryladder/internal/standin/faultproxy"
 	"rosemaryladder.dev/rosemaryladder/internal/standin/platformscenario"
+	"rosemaryladder.dev/rosemaryladder/internal/standin/store"
 )
 
 const (
@@ -19,6 +20,9 @@
 	grace = 6 * time.Second
 	// reloadTime is how long a sidecar is watched after a reload.
 	reloadTime = 50 * time.Millisecond
+	// lostAnswersPercent is the share of the store's calls that take effect without
+	// an answer while it loses answers.
+	lostAnswersPercent = 50
 	// poll is how often a state is looked at.
 	poll = 20 * time.Millisecond
 )
@@ -92,13 +96,18 @@
 		defer r.hosts[f.host].Unlock()
 		r.restartServer(f)
 	case storeDown:
-		r.hold(string(f.kind), f.lasts, r.deployment.Store.Down.Store)
+		r.disturbStore(f, func(faults *store.Faults, on bool) { faults.Refuses = on })
 	case storeLoses:
-		r.hold(string(f.kind), f.lasts, r.deployment.Store.LoseAnswers.Store)
+		r.disturbStore(f, func(faults *store.Faults, on bool) {
+			faults.LostAnswersPercent = 0
+			if on {
+				faults.LostAnswersPercent = lostAnswersPercent
+			}
+		})
 	case compact:
-		r.deployment.Store.Compact()
+		r.deployment.Store.State().Compact()
 	case revoke:
-		r.deployment.Store.Revoke()
+		r.deployment.Store.State().Revoke()
 	case configure:
 		r.configure()
 	}
@@ -159,6 +168,13 @@
 	})
 }
 
+// disturbStore keeps a fault of the store switched on for a time.
+func (r *run) disturbStore(f fault, set func(faults *store.Faults, on bool)) {
+	r.hold(string(f.kind), f.lasts, func(on bool) {
+		r.deployment.Store.ChangeFaults(func(faults *store.Faults) { set(faults, on) })
+	})
+}
+
 // hold keeps something switched on for a time.
 func (r *run) hold(name string, lasts time.Duration, set func(on bool)) {
 	r.mu.Lock()
--- a/internal/standin/store/faults.go
+++ b/internal/standin/store/faults.go
@@ -10,6 +10,8 @@
 type Faults struct {
 	// Down closes every connection without an answer; calls take no effect.
 	Down bool `json:"down"`
+	// Refuses answers every call with 503; calls take no effect.
+	Refuses bool `json:"refuses"`
 	// SlowMs delays every call before it takes effect, in milliseconds.
 	SlowMs int `json:"slow_ms"`
 	// LostAnswersPercent is the share of calls other than watches that take
@@ -35,10 +37,10 @@
 	return &faultSwitch{random: rand.New(rand.NewPCG(seed, 0)), changed: make(chan struct{})}
 }
 
-func (s *faultSwitch) set(faults Faults) {
+func (s *faultSwitch) change(change func(*Faults)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.faults = faults
+	change(&s.faults)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -2,39 +2,61 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"rosemaryladder.dev/rosemaryladder/internal/store"
 )
 
-// Server answers the store's HTTP protocol from a State.
+const (
+	// pageItems is the number of items of a page; small, so that pages are tested.
+	pageItems = 5
+	// maxWait bounds how long a watch waits.
+	maxWait = 30 * time.Second
+	// maxBody bounds the body of a call: 32 values in base64.
+	maxBody = 64 << 20
+)
+
+// Server answers the store's protocol from a State.
 type Server struct {
 	state  *State
 	faults *faultSwitch
 	counts *counter
+	mux    *http.ServeMux
 }
 
 // NewServer returns a server with an empty state. The seed decides which calls
 // the faults hit.
 func NewServer(seed uint64) *Server {
-	return &Server{
+	s := &Server{
 		state:  NewState(time.Now),
 		faults: newFaultSwitch(seed),
 		counts: newCounter(time.Now),
+		mux:    http.NewServeMux(),
 	}
+	s.mux.HandleFunc("GET /api/kv-key", s.key)
+	s.mux.HandleFunc("GET /api/kv-range", s.list)
+	s.mux.HandleFunc("GET /api/kv-watch", s.watch)
+	s.mux.HandleFunc("POST /api/kv-txn", s.transact)
+	s.mux.HandleFunc("POST /api/kv-lease", s.grant)
+	s.mux.HandleFunc("POST /api/kv-keep/{id}", s.keep)
+	s.mux.HandleFunc("DELETE /api/kv-lease-end/{id}", s.end)
+	return s
 }
 
 // State returns the keys and leases.
 func (s *Server) State() *State { return s.state }
 
 // SetFaults replaces the faults in force.
-func (s *Server) SetFaults(faults Faults) { s.faults.set(faults) }
+func (s *Server) SetFaults(faults Faults) { s.faults.change(func(f *Faults) { *f = faults }) }
+
+// ChangeFaults changes the faults in force.
+func (s *Server) ChangeFaults(change func(*Faults)) { s.faults.change(change) }
 
 // Counts returns the calls since the last reset.
 func (s *Server) Counts() Counts { return s.counts.snapshot() }
@@ -44,90 +66,89 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	kind, handle := s.handler(r)
-	if handle == nil {
-		http.NotFound(w, r)
-		return
-	}
-	s.counts.call(kind)
+	s.counts.call(kindOf(r))
 	readBody(r)
 	faults, _ := s.faults.get()
 	// A slow store applies a write even when its caller has given up.
 	time.Sleep(faults.slow())
-	if faults, _ = s.faults.get(); faults.Down {
+	faults, _ = s.faults.get()
+	if faults.Down {
 		panic(http.ErrAbortHandler)
 	}
-	handle(w, r)
+	if faults.Refuses {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.mux.ServeHTTP(w, r)
 }
 
-// handler returns the kind of the call and the function that answers it.
-func (s *Server) handler(r *http.Request) (string, http.HandlerFunc) {
-	if strings.HasPrefix(r.URL.Path, store.KeysPath) {
-		return s.keyHandler(r)
+// kindOf names the call in the counts.
+func kindOf(r *http.Request) string {
+	call := strings.TrimPrefix(r.URL.Path, "/api/kv-")
+	call, _, _ = strings.Cut(call, "/")
+	if call == "watch" && waitOf(r) == 0 {
+		return "get_newer"
 	}
-	if !strings.HasPrefix(r.URL.Path, store.LeasesPath) {
-		return "", nil
-	}
-	switch r.Method {
-	case http.MethodPost:
-		return "grant", s.grant
-	case http.MethodPut:
-		return "keep_alive", s.keepAlive
-	case http.MethodDelete:
-		return "revoke", s.revoke
-	default:
-		return "", nil
+	kinds := map[string]string{
+		"key": "get", "range": "list", "watch": "watch", "txn": "change",
+		"lease": "grant", "keep": "keep_alive", "lease-end": "revoke",
 	}
+	return kinds[call]
 }
 
-func (s *Server) keyHandler(r *http.Request) (string, http.HandlerFunc) {
-	query := r.URL.Query()
-	switch {
-	case r.Method == http.MethodPut:
-		return "compare_and_swap", s.compareAndSwap
-	case r.Method != http.MethodGet:
-		return "", nil
-	case query.Has(store.QueryWait):
-		return "watch", s.watch
-	case query.Has(store.QueryNewer):
-		return "get_newer", s.get
-	default:
-		return "get", s.get
+func (s *Server) key(w http.ResponseWriter, r *http.Request) {
+	faults, _ := s.faults.get()
+	found, at, exists := s.state.read(r.URL.Query().Get("key"), s.faults.chance(faults.OldValuesPercent))
+	s.loseAnswer()
+	if !exists {
+		w.WriteHeader(http.StatusNotFound)
+		return
 	}
+	s.counts.read(len(found.Value))
+	answer(w, http.StatusOK, struct {
+		item
+		At uint64 `json:"at"`
+	}{found, at})
 }
 
-func (s *Server) get(w http.ResponseWriter, r *http.Request) {
-	known := number(r, store.QueryNewer)
-	s.answerValue(w, s.read(key(r)), r.URL.Query().Has(store.QueryNewer), store.Revision(known))
-}
-
-// read returns the value, or the one before it when the old-value fault hits.
-func (s *Server) read(key string) store.Value {
-	if faults, _ := s.faults.get(); s.faults.chance(faults.OldValuesPercent) {
-		return s.state.Previous(key)
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	items, at := s.state.list(r.URL.Query().Get("prefix"), r.URL.Query().Get("after"))
+	more := len(items) > pageItems
+	if more {
+		items = items[:pageItems]
 	}
-	return s.state.Get(key)
+	s.loseAnswer()
+	answer(w, http.StatusOK, map[string]any{"items": items, "hasMore": more, "at": at})
 }
 
 func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
-	known := store.Revision(number(r, store.QueryNewer))
-	end := time.NewTimer(store.MaxWatch)
-	defer end.Stop()
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timeout := time.NewTimer(min(waitOf(r), maxWait))
+	defer timeout.Stop()
 	for {
-		changed, value := s.state.Changed(key(r))
+		events, at, changed, compacted := s.state.since(r.URL.Query().Get("prefix"), after)
 		faults, switched := s.faults.get()
-		if faults.Down {
+		switch {
+		case faults.Down || faults.Refuses:
 			panic(http.ErrAbortHandler)
-		}
-		if value.Revision > known {
-			s.answerValue(w, s.read(key(r)), true, known)
+		case compacted:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(events) > 0:
+			s.answerEvents(w, events, at)
 			return
 		}
+		// What was looked through needs no history any more.
+		after = max(after, at)
 		select {
 		case <-changed:
 		case <-switched:
-		case <-end.C:
-			w.WriteHeader(http.StatusNotModified)
+		case <-timeout.C:
+			s.answerEvents(w, []item{}, at)
 			return
 		case <-r.Context().Done():
 			return
@@ -135,66 +156,80 @@
 	}
 }
 
-func (s *Server) answerValue(w http.ResponseWriter, value store.Value, conditional bool, known store.Revision) {
-	s.loseAnswer()
-	w.Header().Set(store.RevisionHeader, strconv.FormatUint(uint64(value.Revision), 10))
-	switch {
-	case conditional && value.Revision <= known:
-		w.WriteHeader(http.StatusNotModified)
-	case value.Revision == 0:
-		w.WriteHeader(http.StatusNotFound)
-	default:
-		s.counts.read(len(value.Data))
-		_, _ = w.Write(value.Data)
+func (s *Server) answerEvents(w http.ResponseWriter, events []item, at uint64) {
+	for _, event := range events {
+		s.counts.read(len(event.Value))
 	}
+	answer(w, http.StatusOK, map[string]any{"events": events, "at": at})
 }
 
-func (s *Server) compareAndSwap(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(r.Body)
-	if err != nil {
-		panic(http.ErrAbortHandler)
+// waitOf returns how long a watch waits; 0 when it doesn't say.
+func waitOf(r *http.Request) time.Duration {
+	millis, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	return time.Duration(millis) * time.Millisecond
+}
+
+func (s *Server) transact(w http.ResponseWriter, r *http.Request) {
+	var t transaction
+	if json.NewDecoder(r.Body).Decode(&t) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
 	}
-	expected := store.Revision(number(r, store.QueryExpected))
-	id := store.LeaseID(number(r, store.QueryLease))
-	revision, err := s.state.CompareAndSwap(key(r), expected, data, id)
+	revision, failed, err := s.state.apply(t)
 	if err == nil {
-		prefix, _, _ := strings.Cut(key(r), "/")
-		s.counts.written(prefix, len(data))
-		w.Header().Set(store.RevisionHeader, strconv.FormatUint(uint64(revision), 10))
+		for _, p := range t.Puts {
+			prefix, _, _ := strings.Cut(p.Key, "/")
+			s.counts.written(prefix, len(p.Value))
+		}
+	}
+	s.loseAnswer()
+	switch {
+	case errors.Is(err, errConditions):
+		answer(w, http.StatusPreconditionFailed, map[string]any{"items": failed})
+	case errors.Is(err, store.ErrLeaseExpired):
+		w.WriteHeader(http.StatusNotFound)
+	case errors.Is(err, store.ErrTooLarge):
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	default:
+		answer(w, http.StatusOK, map[string]any{"revision": revision})
 	}
-	s.answer(w, err)
 }
 
 func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
-	id := s.state.Grant(time.Duration(number(r, store.QueryTTL)) * time.Millisecond)
-	w.Header().Set(store.LeaseHeader, strconv.FormatUint(uint64(id), 10))
-	s.answer(w, nil)
-}
-
-func (s *Server) keepAlive(w http.ResponseWriter, r *http.Request) {
-	s.answer(w, s.state.KeepAlive(leaseID(r)))
+	var body struct {
+		TTL string `json:"ttl_time"`
+	}
+	err := json.NewDecoder(r.Body).Decode(&body)
+	ttl, parseErr := time.ParseDuration(body.TTL)
+	if err != nil || parseErr != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	id := s.state.Grant(ttl)
+	s.loseAnswer()
+	answer(w, http.StatusOK, map[string]any{"lease": id, "ttl_time": body.TTL})
 }
 
-func (s *Server) revoke(w http.ResponseWriter, r *http.Request) {
-	s.answer(w, s.state.Revoke(leaseID(r)))
+func (s *Server) keep(w http.ResponseWriter, r *http.Request) {
+	id, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	ttl, found := s.state.keep(id)
+	s.loseAnswer()
+	if err != nil || !found {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(w, http.StatusOK, map[string]any{"ttl_time": ttl.String()})
 }
 
-// answer sends the outcome of a call that took effect, unless the answer is
-// lost.
-func (s *Server) answer(w http.ResponseWriter, err error) {
+func (s *Server) end(w http.ResponseWriter, r *http.Request) {
+	id, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	found := s.state.revoke(id)
 	s.loseAnswer()
-	switch {
-	case err == nil:
-		w.WriteHeader(http.StatusOK)
-	case errors.Is(err, store.ErrConflict):
-		w.WriteHeader(http.StatusConflict)
-	case errors.Is(err, store.ErrLeaseExpired):
-		w.WriteHeader(http.StatusGone)
-	case errors.Is(err, store.ErrTooLarge):
-		w.WriteHeader(http.StatusRequestEntityTooLarge)
-	default:
-		w.WriteHeader(http.StatusInternalServerError)
+	if err != nil || !found {
+		w.WriteHeader(http.StatusNotFound)
+		return
 	}
+	answer(w, http.StatusOK, map[string]any{})
 }
 
 // loseAnswer closes the connection without an answer when the fault hits or the
@@ -206,25 +241,18 @@
 	}
 }
 
-// readBody reads the whole body before any delay. One byte above the limit is
-// kept, so that the state refuses the value.
+// readBody reads the whole body before any delay.
 func readBody(r *http.Request) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, store.MaxValueBytes+1))
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	r.Body = io.NopCloser(bytes.NewReader(data))
 }
 
-func key(r *http.Request) string { return strings.TrimPrefix(r.URL.Path, store.KeysPath) }
-
-func leaseID(r *http.Request) store.LeaseID {
-	id, _ := strconv.ParseUint(strings.TrimPrefix(r.URL.Path, store.LeasesPath), 10, 64)
-	return store.LeaseID(id)
-}
-
-// number returns a query parameter; 0 when it is missing or malformed.
-func number(r *http.Request, name string) uint64 {
-	value, _ := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
-	return value
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A client that is gone hears nothing.
+	_ = json.NewEncoder(w).Encode(body)
 }
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -1,7 +1,9 @@
-// Package store is the client of the platform's key-value store.
+// Package store says what the product needs of a key-value store: single calls
+// (Connection) and work on single keys (Client).
 //
-// It owns the connections to the store. When the store does not answer, every
-// call returns an error that tells whether the write can have taken effect.
+// It owns no state; the platform's adapter makes the calls. When the store does not
+// answer, every call returns an error that tells whether the write can have taken
+// effect.
 package store
 
 import (
@@ -9,7 +11,8 @@
 	"time"
 )
 
-// Revision counts the writes of a key. A key that does not exist has revision 0.
+// Revision counts the changes of the store. That of a key is its last change; a key
+// that does not exist has revision 0.
 type Revision uint64
 
 // LeaseID names a lease; 0 means no lease.
--- a/internal/store/error.go
+++ b/internal/store/error.go
@@ -12,6 +12,9 @@
 	ErrNotSent = errors.New("the store was not reached")
 	// ErrLeaseExpired means that the lease does not exist any more.
 	ErrLeaseExpired = errors.New("the lease expired")
+	// ErrCompacted means that the store no longer keeps the changes after a
+	// revision, so that the keys must be read again.
+	ErrCompacted = errors.New("the store no longer keeps these changes")
 	// ErrTooLarge means that the value exceeds MaxValueBytes.
 	ErrTooLarge = errors.New("the value is too large")
 )
--- /dev/null
+++ b/internal/store/opener.go
@@ -0,0 +1,10 @@
+package store
+
+import (
+	"net/http"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Opener returns a connection to the store at an address.
+type Opener func(address string, transport http.RoundTripper, scope tally.Scope) Connection
