Refuse content that ends the servers which run it

Each gate now publishes in its entry what its server was running when it ended without notice. Content that ran in three crashes at different times is refused by every gate for ten minutes. Ruled out: counting each server that ended, because a common loss would refuse frequent content; blame without acquittal, because what ran beside the cause would be refused, too.

TestCrashingContentIsStopped fails without the check.

--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -5,6 +5,8 @@
 	"net"
 
 	"github.com/pkg/errors"
+
+	"rosemaryladder.dev/rosemaryladder/internal/crash"
 )
 
 // Entry describes a node and the backend server beside it. The field names are
@@ -27,6 +29,8 @@
 	// each change of the entry in between.
 	Incarnation int64 `json:"e"`
 	Sequence    int64 `json:"q"`
+	// Crashes is the written crash.Record of the node.
+	Crashes string `json:"k,omitempty"`
 }
 
 // Newer reports whether the entry replaces another one of the same node.
@@ -71,9 +75,9 @@
 		return errors.Errorf("entry of node %s: unknown state %q", e.Node, e.State)
 	case e.Slots < 0:
 		return errors.Errorf("entry of node %s: %d slots", e.Node, e.Slots)
-	default:
-		return nil
 	}
+	_, err := crash.ParseRecord(e.Crashes)
+	return errors.Wrapf(err, "entry of node %s: record of crashes", e.Node)
 }
 
 func validAddress(address string) bool {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -4,6 +4,8 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+
+	"rosemaryladder.dev/rosemaryladder/internal/crash"
 )
 
 // View is an immutable list of the nodes by service.
@@ -12,19 +14,32 @@
 	services map[string][]Entry
 	position uint64
 	digest   func() uint64
+	blocks   crash.Blocks
 }
 
 func newView(entries []Entry, position uint64) *View {
 	view := &View{entries: entries, services: make(map[string][]Entry), position: position}
 	view.digest = sync.OnceValue(func() uint64 { return digestOf(entries) })
+	var records []crash.Contents
 	for _, entry := range entries {
+		if entry.Crashes != "" {
+			// The record of a valid entry can be read.
+			record, _ := crash.ParseRecord(entry.Crashes)
+			records = append(records, record)
+		}
 		if entry.State == Ready {
 			view.services[entry.Service] = append(view.services[entry.Service], entry)
 		}
 	}
+	if len(records) > 0 {
+		view.blocks = crash.NewBlocks(records)
+	}
 	return view
 }
 
+// Blocks returns the content that is refused because it ends servers.
+func (v *View) Blocks() crash.Blocks { return v.blocks }
+
 // Ready returns the nodes whose server is ready to run requests of a service.
 func (v *View) Ready(service string) []Entry { return v.services[service] }
 
--- /dev/null
+++ b/internal/proxy/crash_test.go
@@ -0,0 +1,42 @@
+package proxy
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// TestCrashingContentIsStopped guards against a request that ends one server after the
+// other because its caller repeats it, and against the refusal of other requests.
+func TestCrashingContentIsStopped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newTestFleet(t, 2, 4)
+	for _, n := range f.nodes {
+		n.backend.handle = func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/post/poison" {
+				panic(http.ErrAbortHandler)
+			}
+			w.WriteHeader(http.StatusOK)
+		}
+	}
+	send := func(id, path string) reply { return f.send(t.Context(), http.MethodPost, path, id, "body") }
+	runs := func(id string) int { return f.nodes[0].backend.ran(id) + f.nodes[1].backend.ran(id) }
+	now := time.Now()
+	for i := range 3 {
+		id := string(rune('a' + i))
+		g.Expect(send(id, "/post/poison").status).To(gomega.Equal(http.StatusBadGateway))
+		g.Expect(runs(id)).To(gomega.Equal(1))
+		for _, n := range f.nodes {
+			// The servers of this test live on; their nodes are told that they ended, at
+			// times that lie apart.
+			n.crashes.Ended(now.Add(time.Duration(i-1) * 1200 * time.Millisecond))
+			f.publish(n)
+		}
+	}
+	refused := send("d", "/post/poison")
+	g.Expect(refused.status).To(gomega.Equal(http.StatusServiceUnavailable), refused.body)
+	g.Expect(runs("d")).To(gomega.BeZero())
+	g.Expect(send("e", "/post/other").status).To(gomega.Equal(http.StatusOK))
+}
--- a/internal/proxy/deps.go
+++ b/internal/proxy/deps.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"rosemaryladder.dev/rosemaryladder/internal/balance"
+	"rosemaryladder.dev/rosemaryladder/internal/crash"
 	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 	"rosemaryladder.dev/rosemaryladder/internal/instance"
@@ -22,9 +23,13 @@
 	Balancer   *balance.Balancer
 	Server     *instance.Tracker
 	Slots      *slots.Controller
-	Dial       exchange.DialFunc
-	Scope      tally.Scope
-	Log        *logrus.Entry
+	// Crashes records which content ends the server beside the node.
+	Crashes *crash.Record
+	// CrashesChanged is called when that record has changed.
+	CrashesChanged func()
+	Dial           exchange.DialFunc
+	Scope          tally.Scope
+	Log            *logrus.Entry
 	// NewerVersion is called when a peer holds a newer configuration.
 	NewerVersion func(routing.Version)
 	// Suspect is called when a node could not be reached.
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"rosemaryladder.dev/rosemaryladder/internal/balance"
+	"rosemaryladder.dev/rosemaryladder/internal/crash"
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 	"rosemaryladder.dev/rosemaryladder/internal/instance"
 	"rosemaryladder.dev/rosemaryladder/internal/routing"
@@ -40,6 +41,11 @@
 	front   string
 	gate    *httptest.Server
 	backend *testBackend
+	crashes crash.Record
+	// sequence counts the changes of the node's entry.
+	sequence  int64
+	name      string
+	slotCount int
 }
 
 // testFleet is a number of nodes that know each other.
@@ -47,6 +53,8 @@
 	t     *testing.T
 	nodes []*testNode
 	table *fleet.Table
+	// mu guards the entries of the nodes.
+	mu sync.Mutex
 }
 
 // testBackend counts what it ran.
@@ -107,7 +115,7 @@
 }
 
 func (f *testFleet) newNode(name string, slotCount int, routes *routing.Holder) *testNode {
-	n := &testNode{backend: &testBackend{runs: make(map[string]int)}}
+	n := &testNode{name: name, backend: &testBackend{runs: make(map[string]int)}}
 	server := httptest.NewServer(n.backend)
 	f.t.Cleanup(server.Close)
 	n.tracker = instance.NewTracker(testService)
@@ -126,7 +134,7 @@
 	config.BudgetSlack = 1000
 	n.proxy, err = New(config, Deps{
 		Vocabulary: testVocabulary, Routes: routes, View: f.table.View, Balancer: balancer,
-		Server: n.tracker, Slots: n.slots, Dial: (&net.Dialer{}).DialContext, Scope: tally.NoopScope, Log: telemetry.DiscardLogger(),
+		Server: n.tracker, Slots: n.slots, Crashes: &n.crashes, CrashesChanged: func() { f.publish(n) }, Dial: (&net.Dialer{}).DialContext, Scope: tally.NoopScope, Log: telemetry.DiscardLogger(),
 		NewerVersion: func(routing.Version) {}, Suspect: func(fleet.Entry) {}, Lost: func(id string) { n.tracker.Gone(id) },
 		Now: time.Now, Random: func() float64 { return 0.5 },
 	})
@@ -139,11 +147,21 @@
 	f.t.Cleanup(n.gate.Close)
 	f.t.Cleanup(front.Close)
 	f.t.Cleanup(n.proxy.Close)
+	n.slotCount = slotCount
+	f.publish(n)
+	return n
+}
+
+// publish merges the next entry of a node into the table.
+func (f *testFleet) publish(n *testNode) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n.sequence++
 	f.table.Merge(fleet.Entry{
-		Node: name, Gate: strings.TrimPrefix(n.gate.URL, "http://"), Domain: "d", Service: testService,
-		Server: "server-" + name, State: fleet.Ready, Slots: slotCount, Incarnation: 1,
+		Node: n.name, Gate: strings.TrimPrefix(n.gate.URL, "http://"), Domain: "d", Service: testService,
+		Server: "server-" + n.name, State: fleet.Ready, Slots: n.slotCount, Incarnation: 1, Sequence: n.sequence,
+		Crashes: n.crashes.String(),
 	})
-	return n
 }
 
 // reply is what a caller got; err is set when the connection broke.
--- a/internal/proxy/front_attempts.go
+++ b/internal/proxy/front_attempts.go
@@ -30,7 +30,7 @@
 		last = refused
 		c.note(refused)
 		switch {
-		case refused.cancelled || (c.unknown && !c.job.idempotent):
+		case refused.cancelled || refused.code == result.Quarantined || (c.unknown && !c.job.idempotent):
 			return nil, refused
 		case refused.arrived:
 			if !f.mayRepeat(ctx, c) {
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -45,6 +45,9 @@
 	if refused := g.check(j, server.State); refused != nil {
 		return nil, refused, 0
 	}
+	if blocks := g.deps.View().Blocks(); !blocks.Empty() && blocks.Refuses(j.content()) {
+		return nil, refuse(result.Quarantined, "requests of this content have ended several servers"), 0
+	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline.Add(g.config.AnswerGrace/2))
 	release, err := g.deps.Slots.Acquire(ctx, slots.Request{Route: j.route, Priority: j.priority, Late: j.late, Due: j.due, Deadline: j.deadline, MaxWait: j.maxWait})
 	if err != nil {
@@ -109,14 +112,14 @@
 	}
 	e, failed := g.client.Do(ctx, g.config.Server, out)
 	if failed != nil {
-		return nil, g.refuseExchange(ctx, server, failed)
+		return nil, g.refuseExchange(ctx, j, server, failed)
 	}
 	if refused := g.checkAnswer(j, e); refused != nil {
 		g.failures.add(g.deps.Now(), true)
 		e.Finish(false)
 		return nil, refused
 	}
-	return g.accept(ctx, e), nil
+	return g.accept(ctx, j, e), nil
 }
 
 // skips reports the headers that the gate itself sets.
@@ -164,7 +167,7 @@
 	return nil
 }
 
-func (g *gate) accept(ctx context.Context, e *exchange.Exchange) *answer {
+func (g *gate) accept(ctx context.Context, j *job, e *exchange.Exchange) *answer {
 	response := e.Response
 	failed := response.StatusCode >= http.StatusInternalServerError && response.StatusCode != http.StatusGatewayTimeout
 	return &answer{
@@ -176,14 +179,31 @@
 			e.Finish(whole)
 			if whole || ctx.Err() == nil {
 				g.failures.add(g.deps.Now(), failed || !whole)
+				g.noteContent(j, whole)
 			}
 		},
 	}
 }
 
+// noteContent records whether the server finished the content of a request or broke
+// off, which it does when it ends.
+func (g *gate) noteContent(j *job, whole bool) {
+	if !whole {
+		g.deps.Crashes.Broke(g.deps.Now(), j.content())
+		return
+	}
+	blocks := g.deps.View().Blocks()
+	if blocks.Empty() {
+		return
+	}
+	if content := j.content(); blocks.Suspects(content) && g.deps.Crashes.Served(g.deps.Now(), content) {
+		g.deps.CrashesChanged()
+	}
+}
+
 // refuseExchange states what is known of a request whose exchange with the server
 // failed before the head of the answer.
-func (g *gate) refuseExchange(ctx context.Context, server string, failed *exchange.Error) *refusal {
+func (g *gate) refuseExchange(ctx context.Context, j *job, server string, failed *exchange.Error) *refusal {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		return &refusal{code: result.OutcomeUnknown, message: "the caller gave up", cancelled: true, arrived: failed.Begun}
@@ -198,6 +218,7 @@
 	default:
 		g.failures.add(g.deps.Now(), true)
 		g.metrics.broken.Inc(1)
+		g.noteContent(j, false)
 		if errors.Is(failed.Cause, syscall.ECONNRESET) {
 			g.client.DropIdle(g.config.Server)
 		}
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"rosemaryladder.dev/rosemaryladder/internal/crash"
 	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 )
 
@@ -36,6 +37,11 @@
 	budget  time.Duration
 }
 
+// content returns the fingerprint of what a server would run.
+func (j *job) content() crash.Fingerprint {
+	return crash.Fingerprint(j.body.Fingerprint(j.method, j.host+j.uri))
+}
+
 // expired reports whether the deadline has passed, also while the host was
 // suspended.
 func (j *job) expired(now time.Time) bool {
--- a/internal/sidecar/server_change.go
+++ b/internal/sidecar/server_change.go
@@ -15,6 +15,7 @@
 	if old.ID != next.ID {
 		s.proxy.ServerChanged()
 	}
+	s.noteEnd(old, next)
 	switch {
 	case s.stopping.Load():
 	case next.State == fleet.Ready:
@@ -25,7 +26,7 @@
 		s.slots.Close(result.Errorf(result.ServerGone, "the server takes no connections"))
 	}
 	s.registry.Update(func(entry *fleet.Entry) {
-		entry.Server, entry.Slots = next.ID, next.Slots
+		entry.Server, entry.Slots, entry.Crashes = next.ID, next.Slots, s.crashes.String()
 		if !s.stopping.Load() {
 			entry.State = next.State
 		}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rosemaryladder.dev/rosemaryladder/internal/balance"
+	"rosemaryladder.dev/rosemaryladder/internal/crash"
 	"rosemaryladder.dev/rosemaryladder/internal/dial"
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 	"rosemaryladder.dev/rosemaryladder/internal/instance"
@@ -37,6 +38,7 @@
 	fleet    *fleet.Table
 	balancer *balance.Balancer
 	server   *instance.Tracker
+	crashes  crash.Record
 	slots    *slots.Controller
 	proxy    *proxy.Proxy
 	registry *registry.Registry
@@ -111,7 +113,7 @@
 	var err error
 	s.proxy, err = proxy.New(config, proxy.Deps{
 		Vocabulary: s.adapter.Vocabulary, Routes: s.routes, View: s.fleet.View, Balancer: s.balancer,
-		Server: s.server, Slots: s.slots, Dial: dialer.DialContext, Scope: s.metrics.Scope, Log: s.log,
+		Server: s.server, Slots: s.slots, Crashes: &s.crashes, CrashesChanged: s.publishCrashes, Dial: dialer.DialContext, Scope: s.metrics.Scope, Log: s.log,
 		NewerVersion: s.registry.NewerVersion, Suspect: s.registry.Suspect, Lost: s.serverLost,
 		Now: time.Now, Random: rand.Float64,
 	})
@@ -156,6 +158,9 @@
 		select {
 		case <-ticker.C:
 			s.balancer.Retain(s.fleet.View())
+			if s.crashes.Expire(time.Now()) {
+				s.publishCrashes()
+			}
 		case <-ctx.Done():
 			return
 		}
--- a/internal/standin/app/app.go
+++ b/internal/standin/app/app.go
@@ -31,6 +31,8 @@
 	// Sent returns when the latest bytes of the connection from an address were sent,
 	// for a server behind a proxy that holds them back. Nil: as they arrive.
 	Sent func(remote string) time.Time
+	// Poison is the path of requests that end the server; empty for none.
+	Poison string
 	// Ran is called with the id of each request that begins to run.
 	Ran func(id string)
 }
@@ -43,7 +45,8 @@
 	sequence atomic.Int64
 	draining atomic.Bool
 	// acked is when the leaving was acknowledged; nil before.
-	acked atomic.Pointer[time.Time]
+	acked   atomic.Pointer[time.Time]
+	crashed atomic.Bool
 	// late counts the requests that were sent after the leaving was acknowledged.
 	late   atomic.Int64
 	cancel context.CancelFunc
@@ -73,6 +76,9 @@
 // Acknowledged reports whether the leaving was acknowledged.
 func (a *App) Acknowledged() bool { return a.acked.Load() != nil }
 
+// Crashed reports whether a request has ended the server.
+func (a *App) Crashed() bool { return a.crashed.Load() }
+
 // Stop ends the server at once.
 func (a *App) Stop() {
 	a.cancel()
@@ -101,6 +107,12 @@
 		return
 	}
 	a.options.Ran(id)
+	if a.options.Poison != "" && r.URL.Path == a.options.Poison {
+		a.crashed.Store(true)
+		go a.Stop()
+		<-r.Context().Done()
+		return
+	}
 	select {
 	case <-time.After(a.options.Work):
 	case <-r.Context().Done():
--- a/internal/standin/platformscenario/deployment.go
+++ b/internal/standin/platformscenario/deployment.go
@@ -19,8 +19,12 @@
 	"rosemaryladder.dev/rosemaryladder/internal/standin/store"
 )
 
-// Service is the service of all backend servers.
-const Service = "orders"
+const (
+	// Service is the service of all backend servers.
+	Service = "orders"
+	// PoisonPath is the path of requests that end the server which runs them.
+	PoisonPath = "/post/poison"
+)
 
 // host is one host with a sidecar and a backend server.
 type host struct {
@@ -154,7 +158,7 @@
 	}
 	h.options = app.Options{
 		ID: fmt.Sprintf("i-%d", number), Service: Service, Address: addresses[4], Control: addresses[3],
-		Slots: 4, Work: 20 * time.Millisecond, Ran: d.ran,
+		Slots: 4, Work: 20 * time.Millisecond, Poison: PoisonPath, Ran: d.ran,
 	}
 	if d.proxied {
 		h.options.Sent = h.proxies.Server.Sent
@@ -261,6 +265,17 @@
 	return err
 }
 
+// Crashed returns the hosts whose backend server was ended by a request.
+func (d *Deployment) Crashed() []int {
+	var crashed []int
+	for number, h := range d.hosts {
+		if h.app.Crashed() {
+			crashed = append(crashed, number)
+		}
+	}
+	return crashed
+}
+
 func (d *Deployment) ran(id string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/standin/platformscenario/load.go
+++ b/internal/standin/platformscenario/load.go
@@ -26,6 +26,24 @@
 	posts map[string]int
 }
 
+// sendPoison sends a request that ends the server which runs it.
+func (d *Deployment) sendPoison(host, number int) (int, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+d.Front(host)+PoisonPath, strings.NewReader("poison"))
+	if err != nil {
+		return 0, err
+	}
+	request.Host = "orders.example"
+	request.Header.Set("X-Rosemaryladder-Request-Id", fmt.Sprintf("poison-%d", number))
+	request.Header.Set("X-Rosemaryladder-Deadline-Ms", "1500")
+	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	response.Body.Close()
+	return response.StatusCode, nil
+}
+
 // StartLoad starts callers, each of which sends one request after the other.
 func (d *Deployment) StartLoad(callers int) *Load {
 	l := &Load{deployment: d, stop: make(chan struct{}), posts: make(map[string]int)}
--- a/internal/standin/platformscenario/scenario_test.go
+++ b/internal/standin/platformscenario/scenario_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -62,7 +63,7 @@
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"deploy": deploy, "configure": configure, "ready": ready, "load": load, "check": check,
-			"signal": signal, "node": node, "store": storeCommand, "app": appCommand, "pause": pause,
+			"signal": signal, "node": node, "store": storeCommand, "app": appCommand, "pause": pause, "poison": poison,
 		},
 	})
 }
@@ -171,6 +172,30 @@
 	}
 }
 
+// poison HOST CRASHES repeats a request that ends servers, starts each server again,
+// and fails unless the request is refused after the number of crashes.
+func poison(ts *testscript.TestScript, _ bool, args []string) {
+	d, host, limit := worldOf(ts).deployment, number(ts, args[0]), number(ts, args[1])
+	for crashes := 0; ; crashes++ {
+		status, err := d.sendPoison(host, crashes)
+		ts.Check(err)
+		crashed := d.Crashed()
+		if status == http.StatusServiceUnavailable && len(crashed) == 0 && crashes == limit {
+			return
+		}
+		if len(crashed) != 1 || crashes >= limit {
+			ts.Fatalf("send %d was answered %d and ended %d servers", crashes, status, len(crashed))
+		}
+		// Crashes within a second count as one, and a server is back after a while.
+		time.Sleep(restartTime)
+		ts.Check(d.StartApp(crashed[0]))
+		time.Sleep(time.Second)
+	}
+}
+
+// restartTime is how long a server that was ended stays away.
+const restartTime = 500 * time.Millisecond
+
 // app HOST drain|stop|start changes a backend server.
 func appCommand(ts *testscript.TestScript, _ bool, args []string) {
 	d, n := worldOf(ts).deployment, number(ts, args[0])
