--- /dev/null
+++ b/internal/sidecar/idle_conns.go
@@ -0,0 +1,66 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/routing"
+)
+
+// idleCheckInterval is how often idle connections of callers are looked at: short
+// against the operators' limit, which is several seconds.
+const idleCheckInterval = time.Second
+
+// idleConns closes connections of callers that stay idle for longer than the
+// operators allow. The limit may change with each configuration, which the time-outs
+// of net/http can't.
+type idleConns struct {
+	mu    sync.Mutex
+	since map[net.Conn]time.Time
+}
+
+func newIdleConns() *idleConns { return &idleConns{since: make(map[net.Conn]time.Time)} }
+
+// note follows the state of a connection, as http.Server.ConnState tells it.
+func (c *idleConns) note(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state == http.StateIdle {
+		c.since[conn] = time.Now()
+		return
+	}
+	delete(c.since, conn)
+}
+
+// closeIdle closes the connections that have been idle for the limit. A request may
+// be arriving on one of them; callers must not use it so late.
+func (c *idleConns) closeIdle(now time.Time, limit time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, since := range c.since {
+		if now.Sub(since) >= limit {
+			// The server forgets the connection when its next read fails.
+			_ = conn.Close()
+			delete(c.since, conn)
+		}
+	}
+}
+
+// run closes idle connections until the context ends.
+func (c *idleConns) run(ctx context.Context, routes *routing.Holder) {
+	ticker := time.NewTicker(idleCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			if table := routes.Load(); table != nil {
+				c.closeIdle(now, table.Limits().IdleTimeout)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -16,11 +16,13 @@
 const (
 	// readHeaderTimeout bounds how long a request head may take.
 	readHeaderTimeout = 10 * time.Second
-	// idleTimeout is above the idle time of every client: peers close after 10 s,
-	// and the operators' limit for callers is far below it.
+	// idleTimeout is above the idle time of every client: peers close after 10 s, and
+	// idleConns closes the connections of callers after the operators' limit.
 	idleTimeout = 2 * time.Minute
 	// maxHeadBytes bounds a request head.
 	maxHeadBytes = 64 << 10
+	// frontName names the listener of the callers.
+	frontName = "front"
 	// metricsPath serves the metrics.
 	metricsPath = "/metrics"
 )
@@ -40,7 +42,7 @@
 		name, address string
 		handler       http.Handler
 	}{
-		{"front", loaded.Listen.Front, s.proxy.Front()},
+		{frontName, loaded.Listen.Front, s.proxy.Front()},
 		{"gate", loaded.Listen.Gate, s.proxy.Gate(s.registry)},
 		{"announce", loaded.Listen.Announce, s.adapter.Announcements(s.server, s.log, s.metrics.Scope)},
 		{"ready", loaded.Listen.Ready, s.adapter.Readiness(s.ready)},
@@ -51,6 +53,9 @@
 		if err != nil {
 			return err
 		}
+		if a.name == frontName {
+			l.server.ConnState = s.idleConns.note
+		}
 		s.servers = append(s.servers, l)
 	}
 	return nil
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -44,6 +44,8 @@
 	registry *registry.Registry
 	prober   *prober
 	servers  []*listener
+	// idleConns holds the idle connections of callers.
+	idleConns *idleConns
 
 	stopping atomic.Bool
 }
@@ -57,6 +59,8 @@
 		fleet:   fleet.NewTable(lapsedAfter),
 		server:  instance.NewTracker(loaded.Node.Service),
 		slots:   slots.NewController(time.Now),
+
+		idleConns: newIdleConns(),
 	}
 	s.settings.Store(&loaded)
 	for _, step := range []func(settings.Sidecar) error{s.buildBalancer, s.buildRegistry, s.buildProxy, s.listen} {
@@ -131,6 +135,7 @@
 	group.Go(func() error { s.registry.Run(background); return nil })
 	group.Go(func() error { s.prober.run(background); return nil })
 	group.Go(func() error { s.forgetGone(background); return nil })
+	group.Go(func() error { s.idleConns.run(background, s.routes); return nil })
 	s.log.WithField("incarnation", s.registry.Own().Incarnation).Info("node started")
 	select {
 	case <-ctx.Done():
