Followers renew their lease less often

A follower hears of the store from its leader, so it renews each 1.75 s, below the 2.5 s for which the fleet keeps an entry that left the store. When its leader is cut it renews at once to learn whether it is cut, too. TestFollowersRenewSeldom guards both.

--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -19,6 +19,10 @@
 	// KeepInterval is the time between two renewals of the lease. It is below
 	// PeerAfter, so that a node that waits in a watch still hears the store.
 	KeepInterval time.Duration
+	// FollowerKeepInterval is the same for a node that follows a leader and hears of
+	// the store from it. It is below the time for which the fleet keeps an entry that
+	// left the store, so that one whose lease was revoked is written again in time.
+	FollowerKeepInterval time.Duration
 	// WatchWait is how long one watch waits for a change. A watch that began while
 	// the store dropped its history hears nothing until it ends, so this is below
 	// the time after which the operators expect a calm store to be followed.
@@ -45,6 +49,9 @@
 	return Config{
 		LeaseTTL:     6 * time.Second,
 		KeepInterval: time.Second,
+
+		FollowerKeepInterval: 1750 * time.Millisecond,
+
 		WatchWait:    1500 * time.Millisecond,
 		WatchPause:   350 * time.Millisecond,
 		CallTimeout:  time.Second,
@@ -66,7 +73,8 @@
 		key   string
 		value time.Duration
 	}{
-		{"LeaseTTL", c.LeaseTTL}, {"KeepInterval", c.KeepInterval}, {"WatchWait", c.WatchWait},
+		{"LeaseTTL", c.LeaseTTL}, {"KeepInterval", c.KeepInterval},
+		{"FollowerKeepInterval", c.FollowerKeepInterval}, {"WatchWait", c.WatchWait},
 		{"WatchPause", c.WatchPause}, {"CallTimeout", c.CallTimeout}, {"ReadTimeout", c.ReadTimeout}, {"FirstRetry", c.FirstRetry},
 		{"MaxRetry", c.MaxRetry}, {"PeerAfter", c.PeerAfter}, {"PeerInterval", c.PeerInterval}, {"PeerTimeout", c.PeerTimeout},
 	}
@@ -75,8 +83,8 @@
 			return errors.Errorf("registry: %s %s must be above 0", field.key, field.value)
 		}
 	}
-	if c.KeepInterval >= c.LeaseTTL {
-		return errors.Errorf("registry: KeepInterval %s must be below LeaseTTL %s", c.KeepInterval, c.LeaseTTL)
+	if c.KeepInterval >= c.LeaseTTL || c.FollowerKeepInterval >= c.LeaseTTL {
+		return errors.Errorf("registry: KeepInterval %s and FollowerKeepInterval %s must be below LeaseTTL %s", c.KeepInterval, c.FollowerKeepInterval, c.LeaseTTL)
 	}
 	if c.KeepInterval >= c.PeerAfter {
 		return errors.Errorf("registry: KeepInterval %s must be below PeerAfter %s", c.KeepInterval, c.PeerAfter)
--- a/internal/registry/follow_loop.go
+++ b/internal/registry/follow_loop.go
@@ -51,6 +51,8 @@
 // no more.
 func (r *Registry) followLeader(ctx context.Context, leader fleet.Entry) {
 	r.deps.Log.WithField("peer", leader.Node).Info("following a leader of the failure domain")
+	r.following.Store(true)
+	defer r.following.Store(false)
 	at := followed{}
 	for ctx.Err() == nil {
 		changed, err := r.askLeader(ctx, leader, &at)
@@ -84,7 +86,7 @@
 		return false, err
 	}
 	leaderCut := time.Duration(theirs.SilentMs)*time.Millisecond > r.config.PeerAfter
-	if leaderCut && !r.isCut() {
+	if leaderCut && !r.isCutNow(ctx) {
 		return false, errLeaderCut
 	}
 	// A store that is away from both answers nobody sooner for being asked by all
@@ -104,6 +106,20 @@
 	return theirs.Position != question.Position || theirs.Version > question.Version, nil
 }
 
+// probeTime is how long the store has to answer before a node counts as cut from it:
+// many times its usual answer.
+const probeTime = 150 * time.Millisecond
+
+// isCutNow reports whether the store doesn't answer this node. A follower renews its
+// lease too seldom to know, so that it is renewed at once when the last answer is old.
+func (r *Registry) isCutNow(ctx context.Context) bool {
+	if !r.isCut() {
+		return false
+	}
+	wake(r.changed)
+	return !pause(ctx, probeTime) || r.isCut()
+}
+
 // waitForNews waits until the own state differs from what a follower holds.
 func (r *Registry) waitForNews(request *http.Request, theirs peerState) {
 	if theirs.WaitMs <= 0 {
--- a/internal/registry/lease_loop.go
+++ b/internal/registry/lease_loop.go
@@ -24,7 +24,7 @@
 		}
 		var err error
 		lease, err = r.maintain(ctx, lease)
-		wait := r.config.KeepInterval
+		wait := r.keepInterval()
 		switch {
 		case err == nil:
 			retry.reset()
@@ -43,6 +43,14 @@
 	}
 }
 
+// keepInterval returns the time until the next renewal.
+func (r *Registry) keepInterval() time.Duration {
+	if r.following.Load() {
+		return r.config.FollowerKeepInterval
+	}
+	return r.config.KeepInterval
+}
+
 // maintain renews the lease or grants one, and writes the own entry when the
 // store's is older.
 func (r *Registry) maintain(ctx context.Context, lease store.LeaseID) (store.LeaseID, error) {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -23,6 +23,8 @@
 	heard      atomic.Int64
 	answeredAt atomic.Int64
 	started    time.Time
+	// following is set while the node follows a leader.
+	following atomic.Bool
 	// listed is set once the fleet is known, from the store or from a peer.
 	listed atomic.Bool
 	// hinted is the newest version that a peer was seen to hold, and overdue is set
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -51,6 +51,7 @@
 	config := DefaultConfig()
 	config.ConfigurationKey, config.EntriesPrefix = configurationKey, "nodes/"
 	config.WatchPause, config.KeepInterval = 10*time.Millisecond, 100*time.Millisecond
+	config.FollowerKeepInterval = 400 * time.Millisecond
 	config.PeerAfter, config.PeerInterval = 200*time.Millisecond, 50*time.Millisecond
 	own := fleet.Entry{
 		Node: name, Gate: strings.TrimPrefix(r.gate.URL, "http://"), Domain: "d", Service: "s", Server: "server-" + name,
@@ -144,7 +145,7 @@
 	g.Eventually(b.nodes).WithTimeout(settle).Should(gomega.Equal(2))
 }
 
-// TestFollowersSpareTheStore guards against shared calls that grow with the nodes of
+// TestFollowersSpareTheStore guards against store calls that grow with the nodes of
 // a failure domain, and against a follower that stays behind its leader or does
 // not notice that it is cut from the store.
 func TestFollowersSpareTheStore(t *testing.T) {
@@ -224,14 +225,35 @@
 	g.Expect(shared.configurationReads() - before).To(gomega.BeNumerically("<=", leadersPerDomain))
 }
 
-// countedStore counts the reads of one node.
+// countedStore counts the calls of one node and can be cut from it.
 type countedStore struct {
 	*fakeStore
 	lists atomic.Int64
+	keeps atomic.Int64
+	cut   atomic.Bool
+}
+
+func (s *countedStore) Keep(ctx context.Context, lease store.LeaseID) error {
+	s.keeps.Add(1)
+	if s.cut.Load() {
+		return errStoreDown
+	}
+	return s.fakeStore.Keep(ctx, lease)
+}
+
+func (s *countedStore) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
+	events, at, err := s.fakeStore.Watch(ctx, prefix, after, wait)
+	if s.cut.Load() {
+		return nil, 0, errStoreDown
+	}
+	return events, at, err
 }
 
 func (s *countedStore) List(ctx context.Context, prefix string) ([]store.Item, store.Revision, error) {
 	s.lists.Add(1)
+	if s.cut.Load() {
+		return nil, 0, errStoreDown
+	}
 	return s.fakeStore.List(ctx, prefix)
 }
 
@@ -271,3 +293,42 @@
 		g.Eventually(n.routes.Version).WithTimeout(settle).Should(gomega.Equal(routing.Version(2)))
 	}
 }
+
+// TestFollowersRenewSeldom guards against store calls of followers, which hear of the
+// store from their leader, and against followers that stay with leaders that the store
+// does not answer while it answers them.
+func TestFollowersRenewSeldom(t *testing.T) {
+	g := gomega.NewWithT(t)
+	shared := newFakeStore()
+	shared.configure(1)
+	stores := make(map[string]*countedStore)
+	var nodes []*testRegistry
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		stores[name] = &countedStore{fakeStore: shared}
+		nodes = append(nodes, startRegistry(t, stores[name], name))
+	}
+	for _, n := range nodes {
+		g.Eventually(n.nodes).WithTimeout(settle).Should(gomega.Equal(len(nodes)))
+	}
+	time.Sleep(DefaultConfig().WatchWait)
+	for _, s := range stores {
+		s.keeps.Store(0)
+	}
+	time.Sleep(2 * time.Second)
+	var followers []*testRegistry
+	for _, n := range nodes {
+		keeps := stores[n.Own().Node].keeps.Load()
+		if n.following.Load() {
+			followers = append(followers, n)
+			g.Expect(keeps).To(gomega.BeNumerically("<=", 2*time.Second/(400*time.Millisecond)+1))
+		} else {
+			g.Expect(keeps).To(gomega.BeNumerically(">", 2*time.Second/(400*time.Millisecond)+1))
+			stores[n.Own().Node].cut.Store(true)
+		}
+	}
+	g.Expect(followers).To(gomega.HaveLen(len(nodes) - leadersPerDomain))
+	shared.configure(2)
+	for _, n := range followers {
+		g.Eventually(n.routes.Version).WithTimeout(settle).Should(gomega.Equal(routing.Version(2)))
+	}
+}
