Keep the addresses of soaks apart

Concurrent soaks used the same loopback network, and the fault proxies took any free port, which could be one picked for another part of the host. Networks now follow from the process id, and all addresses of a host are picked together.

--- a/internal/standin/platformscenario/deployment.go
+++ b/internal/standin/platformscenario/deployment.go
@@ -46,7 +46,8 @@
 	folder  string
 	// proxied is set when fault proxies stand around each sidecar.
 	proxied bool
-	// number keeps the addresses of deployments apart that run at the same time.
+	// number keeps the addresses of deployments apart that run at the same time, also
+	// in other processes: the address of a server that is away would be picked there.
 	number  uint32
 	hosts   []*host
 	server  *http.Server
@@ -64,6 +65,9 @@
 	// deployments use in turn.
 	firstNetwork = 20
 	networks     = 200
+	// lastByte keeps them apart from the fleets of the earlier daemon, whose hosts
+	// count from 1.
+	lastByte = 200
 )
 
 // Start starts a deployment of hosts that run a program.
@@ -77,7 +81,7 @@
 }
 
 func start(program, folder string, hosts int, proxied bool) (*Deployment, error) {
-	d := &Deployment{Store: store.NewServer(uint64(hosts)), program: program, folder: folder, proxied: proxied, number: deployments.Add(1), runs: make(map[string]int)}
+	d := &Deployment{Store: store.NewServer(uint64(hosts)), program: program, folder: folder, proxied: proxied, number: uint32(os.Getpid()) + deployments.Add(1), runs: make(map[string]int)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -94,8 +98,10 @@
 	return d, nil
 }
 
-// addressesOfHost is the number of addresses that a host uses.
-const addressesOfHost = 6
+// addressesOfHost is the number of addresses that a host uses, those of its proxies
+// included: a proxy that took any free address could take one that was picked for
+// another part of the host and is not in use yet.
+const addressesOfHost = 9
 
 // freeAddresses returns addresses of the IP that the kernel picked. All are held
 // until the last is picked, so that none is picked twice. The lock keeps a process
@@ -116,7 +122,7 @@
 }
 
 func (d *Deployment) addHost(number int) error {
-	h := &host{ip: fmt.Sprintf("127.%d.%d.1", firstNetwork+d.number%networks, number)}
+	h := &host{ip: fmt.Sprintf("127.%d.%d.%d", firstNetwork+d.number%networks, number, lastByte)}
 	addresses, err := freeAddresses(h.ip)
 	if err != nil {
 		return err
@@ -128,7 +134,7 @@
 	}
 	server, store, advertise := addresses[4], d.address, addresses[1]
 	if d.proxied {
-		if h.proxies, err = startProxies(h.ip, addresses[1], d.address, addresses[4]); err != nil {
+		if h.proxies, err = startProxies(proxyAddresses{Gate: addresses[6], Store: addresses[7], Server: addresses[8]}, addresses[1], d.address, addresses[4]); err != nil {
 			return err
 		}
 		server, store, advertise = h.proxies.Server.Address(), h.proxies.Store.Address(), h.proxies.Gate.Address()
--- a/internal/standin/platformscenario/proxies.go
+++ b/internal/standin/platformscenario/proxies.go
@@ -15,15 +15,18 @@
 	}
 }
 
+// proxyAddresses are the addresses of the proxies themselves.
+type proxyAddresses struct{ Gate, Store, Server string }
+
 // startProxies starts a proxy before each target.
-func startProxies(ip, gate, store, server string) (Proxies, error) {
+func startProxies(at proxyAddresses, gate, store, server string) (Proxies, error) {
 	var p Proxies
 	var err error
 	for _, each := range []struct {
-		proxy  **faultproxy.Proxy
-		target string
-	}{{&p.Gate, gate}, {&p.Store, store}, {&p.Server, server}} {
-		if *each.proxy, err = faultproxy.Start(ip+":0", each.target); err != nil {
+		proxy           **faultproxy.Proxy
+		address, target string
+	}{{&p.Gate, at.Gate, gate}, {&p.Store, at.Store, store}, {&p.Server, at.Server, server}} {
+		if *each.proxy, err = faultproxy.Start(each.address, each.target); err != nil {
 			p.close()
 			return Proxies{}, err
 		}
