--- a/internal/standin/soak/options.go
+++ b/internal/standin/soak/options.go
@@ -20,13 +20,17 @@
 	Faulty time.Duration
 }
 
+// maxHosts bounds the hosts of a run: the proxies of 200 hosts needed more than the
+// 20,000 descriptors that a process may open, those of 100 did not.
+const maxHosts = 100
+
 // Validate names the first invalid field and its value.
 func (o Options) Validate() error {
 	switch {
 	case o.Program == "" || o.Folder == "":
 		return errors.Errorf("soak: Program %q and Folder %q must not be empty", o.Program, o.Folder)
-	case o.Hosts < 2:
-		return errors.Errorf("soak: %d hosts, want 2 or more", o.Hosts)
+	case o.Hosts < 2 || o.Hosts > maxHosts:
+		return errors.Errorf("soak: %d hosts, want 2 to %d", o.Hosts, maxHosts)
 	case o.Callers < 1:
 		return errors.Errorf("soak: %d callers, want 1 or more", o.Callers)
 	case o.Faulty <= 0:
