--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -47,20 +47,18 @@
 // DefaultConfig returns the defaults; the keys are empty.
 func DefaultConfig() Config {
 	return Config{
-		LeaseTTL:     6 * time.Second,
-		KeepInterval: time.Second,
-
+		LeaseTTL:             6 * time.Second,
+		KeepInterval:         time.Second,
 		FollowerKeepInterval: 1750 * time.Millisecond,
-
-		WatchWait:    1500 * time.Millisecond,
-		WatchPause:   350 * time.Millisecond,
-		CallTimeout:  time.Second,
-		ReadTimeout:  4 * time.Second,
-		FirstRetry:   100 * time.Millisecond,
-		MaxRetry:     800 * time.Millisecond,
-		PeerAfter:    1500 * time.Millisecond,
-		PeerInterval: 500 * time.Millisecond,
-		PeerTimeout:  400 * time.Millisecond,
+		WatchWait:            1500 * time.Millisecond,
+		WatchPause:           350 * time.Millisecond,
+		CallTimeout:          time.Second,
+		ReadTimeout:          4 * time.Second,
+		FirstRetry:           100 * time.Millisecond,
+		MaxRetry:             800 * time.Millisecond,
+		PeerAfter:            1500 * time.Millisecond,
+		PeerInterval:         500 * time.Millisecond,
+		PeerTimeout:          400 * time.Millisecond,
 	}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -54,12 +54,11 @@
 func New(loaded settings.Sidecar, adapter Adapter, log *logrus.Entry) (*Sidecar, error) {
 	s := &Sidecar{
 		adapter: adapter, log: log,
-		metrics: telemetry.NewMetrics(map[string]string{"host": loaded.Node.Host, "failure_domain": loaded.Node.FailureDomain}),
-		routes:  new(routing.Holder),
-		fleet:   fleet.NewTable(lapsedAfter),
-		server:  instance.NewTracker(loaded.Node.Service),
-		slots:   slots.NewController(time.Now),
-
+		metrics:   telemetry.NewMetrics(map[string]string{"host": loaded.Node.Host, "failure_domain": loaded.Node.FailureDomain}),
+		routes:    new(routing.Holder),
+		fleet:     fleet.NewTable(lapsedAfter),
+		server:    instance.NewTracker(loaded.Node.Service),
+		slots:     slots.NewController(time.Now),
 		idleConns: newIdleConns(),
 	}
 	s.settings.Store(&loaded)
