Share the recent maxima of lateness and patience, and one opener of the store

Lateness and patience each kept a locked, bounded map of the same maxima; both now call recentMaxima.shortfall. Two programs wrapped platform.NewStore in the same closure; both now pass platform.Open. A needless variable in crash.Record is gone. No behaviour changes and no test is touched.

--- a/cmd/rosemaryladderd/main.go
+++ b/cmd/rosemaryladderd/main.go
@@ -4,19 +4,16 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
 	"github.com/sirupsen/logrus"
-	"github.com/uber-go/tally/v4"
 
 	"rosemaryladder.dev/rosemaryladder/internal/node"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 	"rosemaryladder.dev/rosemaryladder/internal/settings"
-	"rosemaryladder.dev/rosemaryladder/internal/store"
 	"rosemaryladder.dev/rosemaryladder/internal/telemetry"
 	"rosemaryladder.dev/rosemaryladder/platform"
 )
@@ -75,14 +72,9 @@
 		return result.Wrap(err, result.SettingsInvalid, "section [log]: key %q", "level")
 	}
 	log := telemetry.NewLogger(os.Stderr, telemetry.LogFormat(loaded.Log.Format), level, loaded.Node.Host)
-	daemon, err := node.New(loaded, openStore, log)
+	daemon, err := node.New(loaded, platform.Open, log)
 	if err != nil {
 		return err
 	}
 	return daemon.Run(ctx)
 }
-
-// openStore connects the node to the store of the users' platform.
-func openStore(address string, transport http.RoundTripper, scope tally.Scope) store.Connection {
-	return platform.NewStore(address, transport, scope)
-}
--- a/cmd/standin/measure.go
+++ b/cmd/standin/measure.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"net/http"
 	"os/signal"
 	"syscall"
 
-	"github.com/uber-go/tally/v4"
-
 	"rosemaryladder.dev/rosemaryladder/internal/standin/measure"
-	"rosemaryladder.dev/rosemaryladder/internal/store"
 	"rosemaryladder.dev/rosemaryladder/platform"
 )
 
@@ -22,8 +18,6 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	options.OpenStore = func(address string, transport http.RoundTripper, scope tally.Scope) store.Connection {
-		return platform.NewStore(address, transport, scope)
-	}
+	options.OpenStore = platform.Open
 	return measure.Run(ctx, options)
 }
--- a/internal/crash/record.go
+++ b/internal/crash/record.go
@@ -44,14 +44,13 @@
 	defer r.mu.Unlock()
 	last := since(r.broken, now.Add(-attributed))
 	r.broken = nil
-	before := len(last)
 	for i, s := range last {
 		// Requests of the same content that ran together are one crash.
 		if !slices.ContainsFunc(last[:i], func(other Seen) bool { return other.Content == s.Content }) {
 			r.crashed = add(r.crashed, Seen{s.Content, now})
 		}
 	}
-	return before > 0
+	return len(last) > 0
 }
 
 // Served notes that the server finished a suspected content, which clears it, and
--- a/internal/proxy/lateness.go
+++ b/internal/proxy/lateness.go
@@ -1,9 +1,6 @@
 package proxy
 
-import (
-	"sync"
-	"time"
-)
+import "time"
 
 const (
 	// latenessWindow is how long the fastest request of a front counts, so that a
@@ -18,26 +15,16 @@
 // run at the same rate, so the difference of their readings is the time on the way
 // and a constant.
 type lateness struct {
-	mu sync.Mutex
-	// fastest holds, by clock, the largest head start of the sender's reading.
-	fastest map[string]*recentMax
+	// headStarts holds, by clock, how far the sender's reading was ahead.
+	headStarts *recentMaxima
 }
 
-func newLateness() *lateness { return &lateness{fastest: make(map[string]*recentMax)} }
+func newLateness() *lateness {
+	return &lateness{headStarts: newRecentMaxima(latenessWindow, maxClocks)}
+}
 
 // of returns how late a request is that arrives now and that was sent at a reading
 // of the front's clock.
 func (l *lateness) of(clock string, sent, now time.Duration) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	headStart := sent - now
-	f := l.fastest[clock]
-	if f == nil {
-		if len(l.fastest) >= maxClocks {
-			clear(l.fastest)
-		}
-		f = newRecentMax(now, headStart)
-		l.fastest[clock] = f
-	}
-	return f.add(now, headStart, latenessWindow) - headStart
+	return l.headStarts.shortfall(now, clock, sent-now)
 }
--- a/internal/proxy/patience.go
+++ b/internal/proxy/patience.go
@@ -1,9 +1,6 @@
 package proxy
 
-import (
-	"sync"
-	"time"
-)
+import "time"
 
 const (
 	// patienceWindow is how long the longest stated wait of a route counts, so that
@@ -17,24 +14,16 @@
 // attempt on. A caller that states less has spent the rest already, so that its
 // request is due earlier.
 type patience struct {
-	mu      sync.Mutex
-	longest map[string]*recentMax
+	// waits holds the stated waits by route.
+	waits *recentMaxima
 }
 
-func newPatience() *patience { return &patience{longest: make(map[string]*recentMax)} }
+func newPatience() *patience {
+	return &patience{waits: newRecentMaxima(patienceWindow, maxPatientRoutes)}
+}
 
 // spent notes the wait that a request states and returns how much of the route's
 // longest it lacks.
 func (p *patience) spent(now time.Duration, route string, stated time.Duration) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	l := p.longest[route]
-	if l == nil {
-		if len(p.longest) >= maxPatientRoutes {
-			clear(p.longest)
-		}
-		l = newRecentMax(now, stated)
-		p.longest[route] = l
-	}
-	return l.add(now, stated, patienceWindow) - stated
+	return p.waits.shortfall(now, route, stated)
 }
