Start a stand-in node only once its killed process has ended

Cause of scenario kill, which failed once beside load: the script starts host 3 right after its kill, the killed process still held the front's address, and the new one could not listen on it. StartNode waits for the end of the process before.

--- a/internal/standin/platformscenario/deployment.go
+++ b/internal/standin/platformscenario/deployment.go
@@ -35,8 +35,9 @@
 	app      *app.App
 	options  app.Options
 	process  *exec.Cmd
-	exited   chan error
-	proxies  Proxies
+	// exited is closed when the process has ended.
+	exited  chan struct{}
+	proxies Proxies
 }
 
 // Deployment is a store and hosts in two failure domains.
@@ -188,9 +189,19 @@
 // LogFile returns the file that holds the log of a host's sidecar.
 func (d *Deployment) LogFile(number int) string { return d.hosts[number].settings + ".log" }
 
-// StartNode starts the sidecar of a host.
+// endTime bounds the end of a process that was killed or told to stop: the
+// platform's grace.
+const endTime = 6 * time.Second
+
+// StartNode starts the sidecar of a host, once an earlier one has ended.
 func (d *Deployment) StartNode(number int) error {
 	h := d.hosts[number]
+	if h.process != nil {
+		// A process that was killed holds its addresses until it has ended.
+		if err := d.WaitExit(number, endTime); err != nil {
+			return err
+		}
+	}
 	out, err := os.OpenFile(d.LogFile(number), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -201,8 +212,12 @@
 	if err := h.process.Start(); err != nil {
 		return err
 	}
-	h.exited = make(chan error, 1)
-	go func(process *exec.Cmd, exited chan<- error) { exited <- process.Wait() }(h.process, h.exited)
+	h.exited = make(chan struct{})
+	go func(process *exec.Cmd, exited chan<- struct{}) {
+		// How a process ended shows in its log.
+		_ = process.Wait()
+		close(exited)
+	}(h.process, h.exited)
 	return nil
 }
 
