Count idle closes and discarded bytes of callers' connections

The logs and metrics could not tell a request that the server read and discarded from one that crossed a close unread. ingress_idle_closed and ingress_discarded_bytes distinguish them.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -90,6 +90,7 @@
 			c.leave()
 			return false
 		case idleFor >= c.server.config.limits().IdleTimeout:
+			c.server.metrics.idleClosed.Inc(1)
 			return false
 		}
 		// The limit was raised, or the connection was not idle any more.
@@ -312,7 +313,8 @@
 	}
 	c.setReadDeadline(time.Now().Add(c.server.config.LingerTimeout))
 	// The error is that of the caller's close or of the deadline.
-	_, _ = io.Copy(io.Discard, c.reader)
+	discarded, _ := io.Copy(io.Discard, c.reader)
+	c.server.metrics.discardedBytes.Inc(discarded)
 }
 
 // write writes to the connection, each part within the write timeout and all of them
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -25,6 +25,7 @@
 	*Server
 	address string
 	limits  atomic.Pointer[routing.Limits]
+	scope   tally.TestScope
 
 	mu        sync.Mutex
 	started   []string
@@ -34,14 +35,14 @@
 // newTestServer starts a server. Requests with method GET are idempotent. The handler
 // responds with the URI and the body after the milliseconds in the query "wait".
 func newTestServer(t testing.TB, change func(*Config)) *testServer {
-	s := &testServer{}
+	s := &testServer{scope: tally.NewTestScope("", nil)}
 	s.limits.Store(&routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute})
 	config := DefaultConfig()
 	config.Handler = http.HandlerFunc(s.handle)
 	config.Reject = func(w http.ResponseWriter, status int, _ result.Code, message string) { http.Error(w, message, status) }
 	config.Idempotent = func(r *http.Request) bool { return r.Method == http.MethodGet }
 	config.Limits = s.limits.Load
-	config.Log, config.Scope = telemetry.DiscardLogger(), tally.NoopScope
+	config.Log, config.Scope = telemetry.DiscardLogger(), s.scope
 	if change != nil {
 		change(&config)
 	}
@@ -145,3 +146,12 @@
 	defer s.Server.mu.Unlock()
 	return len(s.conns)
 }
+
+// counter returns the value of a counter of the server.
+func (s *testServer) counter(name string) int64 {
+	counter, ok := s.scope.Snapshot().Counters()["ingress."+name+"+"]
+	if !ok {
+		return 0
+	}
+	return counter.Value()
+}
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -5,6 +5,11 @@
 // metrics counts connections and requests.
 type metrics struct {
 	requests, pipelined, rejected, left, aborted, panics tally.Counter
+	// idleClosed counts the connections that the server closed as idle.
+	idleClosed tally.Counter
+	// discardedBytes counts the bytes that arrived behind the last response of a
+	// connection and were read without being handled.
+	discardedBytes tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -15,5 +20,8 @@
 		left:      scope.Counter("callers_left"),
 		aborted:   scope.Counter("aborted"),
 		panics:    scope.Counter("panics"),
+
+		idleClosed:     scope.Counter("idle_closed"),
+		discardedBytes: scope.Counter("discarded_bytes"),
 	}
 }
