Answer requests that arrive as the idle limit passes

Callers saw: a whole request got neither a response nor a refusal, and its connection ended up to 3 s later, beside a change of the configuration or without one.

Cause: a read whose deadline has passed fails although bytes are in the socket. The reader of a connection took that error for idleness, closed the sending side and then read the caller's request in linger, only to discard it. The decision to close and the arrival of bytes were in two places.

Now the reader polls the socket after the limit has passed: bytes that have arrived are read and answered. A connection without any is closed at once and not read any more, so that a request which crosses the close stays unread; the caller sees a reset and may repeat it, whatever its kind. linger remains for connections whose last response announced the close.

TestIdleCloseKeepsStartedRequests checks that some connections are closed as idle while a request is sent.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -146,7 +146,7 @@
 func (b *body) end() {
 	if !b.isComplete() {
 		// It ends a read that is still pending.
-		b.exchange.conn.setReadDeadline(expired)
+		b.exchange.conn.setReadDeadline(pastDeadline)
 	}
 	b.mu.Lock()
 	if b.err == nil {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -23,8 +23,8 @@
 	leavePollInterval = 40 * time.Millisecond
 )
 
-// expired is a read deadline that ends a pending read.
-var expired = time.Unix(1, 0)
+// pastDeadline is a read deadline that ends a pending read.
+var pastDeadline = time.Unix(1, 0)
 
 // conn is the connection of a caller. Its reader goroutine reads the requests, starts
 // them in order and closes the connection; workers handle them.
@@ -36,6 +36,8 @@
 	cancel context.CancelFunc
 	// finished is signalled after an exchange has ended.
 	finished chan struct{}
+	// expired is set by the reader when the connection was idle for too long.
+	expired bool
 
 	mu sync.Mutex
 	// running holds the started exchanges that have not ended, oldest first.
@@ -69,7 +71,9 @@
 	}()
 	for c.awaitRequest() && c.startNext() {
 	}
-	if c.awaitEnd() {
+	// An expired connection is closed at once: nothing that is read from it now can be
+	// answered, and a request that the server does not read may be repeated.
+	if !c.expired && c.awaitEnd() {
 		c.linger()
 	}
 }
@@ -89,11 +93,20 @@
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			c.leave()
 			return false
-		case idleFor >= c.server.config.limits().IdleTimeout:
+		case idleFor < c.server.config.limits().IdleTimeout:
+			// The limit was raised, or the connection was not idle any more.
+		case hasInput(c.net):
+			// The request arrived as the limit passed, before the connection closes.
+			if _, err := c.reader.Peek(1); err != nil {
+				c.leave()
+				return false
+			}
+			return true
+		default:
 			c.server.metrics.idleClosed.Inc(1)
+			c.expired = true
 			return false
 		}
-		// The limit was raised, or the connection was not idle any more.
 	}
 }
 
@@ -141,7 +154,7 @@
 		c.idleSince = time.Time{}
 		c.setReadDeadline(time.Time{})
 	case c.closing:
-		c.setReadDeadline(expired)
+		c.setReadDeadline(pastDeadline)
 	default:
 		if c.idleSince.IsZero() {
 			c.idleSince = time.Now()
--- a/internal/ingress/limits_test.go
+++ b/internal/ingress/limits_test.go
@@ -101,6 +101,9 @@
 			s.limits.Store(&short)
 			s.LimitsChanged()
 		}()
+		// Requests that arrive before the close are answered, so that every other one is
+		// sent a little later.
+		time.Sleep(time.Duration(round%2) * 80 * time.Microsecond)
 		if receive() == nil {
 			responses++
 		}
