Leave callers time to learn of a lowered idle limit

Callers saw: a request on a kept connection ended with a closed connection, right after the operators had lowered the idle limit.

Cause: a lowered limit was applied at once to connections that had been idle for longer than it allows. Their callers still went by the previous limit, so that their next requests crossed the close.

Now the previous limit holds until the notice has passed since the node put the lower one in force ([callers] idle_limit_notice, on the platform the bound within which a configuration is in force everywhere). The policy is a pure value; its deadline is the later of the limit in force and of what callers may still go by. A raised limit applies at once.

Without the notice TestLoweredIdleLimitLeavesCallersTime fails with EOF in place of the response.

--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -32,6 +32,9 @@
 	// LingerTimeout is how long a connection stays open for reading after the last
 	// response, so that a reset does not destroy it.
 	LingerTimeout time.Duration
+	// IdleLimitNotice is how long callers may still go by the previous idle limit after
+	// it was lowered, since they learn of the change later than the server.
+	IdleLimitNotice time.Duration
 	// Now is the clock of ReceivedAt.
 	Now   func() time.Time
 	Log   *logrus.Entry
@@ -45,6 +48,7 @@
 		MaxBufferedBytes: 1 << 20,
 		WriteTimeout:     15 * time.Second,
 		LingerTimeout:    3 * time.Second,
+		IdleLimitNotice:  3 * time.Second,
 		Now:              time.Now,
 	}
 }
@@ -62,6 +66,7 @@
 		{"MaxBufferedBytes", int64(c.MaxBufferedBytes)},
 		{"WriteTimeout", int64(c.WriteTimeout)},
 		{"LingerTimeout", int64(c.LingerTimeout)},
+		{"IdleLimitNotice", int64(c.IdleLimitNotice)},
 	} {
 		if field.value <= 0 {
 			return errors.Errorf("ingress: %s %d must be above 0", field.key, field.value)
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -84,7 +84,7 @@
 	for {
 		c.startWaiting()
 		_, err := c.reader.Peek(1)
-		closing, idleFor := c.stopWaiting()
+		closing, overdue := c.stopWaiting()
 		switch {
 		case closing:
 			return false
@@ -93,7 +93,7 @@
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			c.leave()
 			return false
-		case idleFor < c.server.config.limits().IdleTimeout:
+		case !overdue:
 			// The limit was raised, or the connection was not idle any more.
 		case hasInput(c.net):
 			// The request arrived as the limit passed, before the connection closes.
@@ -133,17 +133,16 @@
 	c.updateWaiting()
 }
 
-// stopWaiting returns how long the connection was idle at the end, and sets the
+// stopWaiting reports whether the connection has been idle for too long, and sets the
 // deadline for the head of the request that may follow.
-func (c *conn) stopWaiting() (closing bool, idleFor time.Duration) {
+func (c *conn) stopWaiting() (closing, overdue bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting = false
-	if !c.idleSince.IsZero() {
-		idleFor = time.Since(c.idleSince)
-	}
-	c.setReadDeadline(time.Now().Add(c.server.config.limits().HeaderTimeout))
-	return c.closing, idleFor
+	now := time.Now()
+	overdue = !c.idleSince.IsZero() && !now.Before(c.server.idlePolicy().deadline(c.idleSince))
+	c.setReadDeadline(now.Add(c.server.config.limits().HeaderTimeout))
+	return c.closing, overdue
 }
 
 // updateWaiting sets the deadline of the waiting reader: none while exchanges run, the
@@ -159,16 +158,16 @@
 		if c.idleSince.IsZero() {
 			c.idleSince = time.Now()
 		}
-		c.setReadDeadline(c.idleSince.Add(c.server.config.limits().IdleTimeout))
+		c.setReadDeadline(c.server.idlePolicy().deadline(c.idleSince))
 	}
 }
 
-// updateIdleDeadline applies a changed limit to an idle connection.
-func (c *conn) updateIdleDeadline(limit time.Duration) {
+// limitsChanged applies a changed limit to an idle connection.
+func (c *conn) limitsChanged() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.waiting && !c.idleSince.IsZero() && !c.closing {
-		c.setReadDeadline(c.idleSince.Add(limit))
+	if c.waiting {
+		c.updateWaiting()
 	}
 }
 
--- a/internal/ingress/limits_test.go
+++ b/internal/ingress/limits_test.go
@@ -75,6 +75,7 @@
 	s := newTestServer(t, func(c *Config) {
 		c.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) })
 		c.LingerTimeout = 100 * time.Millisecond
+		c.IdleLimitNotice = time.Nanosecond
 	})
 	responses := 0
 	for round := range idleCloseRounds {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -21,6 +21,8 @@
 	config   Config
 	metrics  *metrics
 	draining atomic.Bool
+	// idle is the policy for the idle limit that was last seen in force.
+	idle atomic.Pointer[idlePolicy]
 	// work hands requests to idle workers.
 	work        chan *exchange
 	idleWorkers atomic.Int32
@@ -39,10 +41,12 @@
 	if err := config.Validate(); err != nil {
 		return nil, err
 	}
-	return &Server{
+	s := &Server{
 		config: config, metrics: newMetrics(config.Scope.SubScope("ingress")),
 		work: make(chan *exchange), stop: make(chan struct{}), conns: make(map[*conn]struct{}),
-	}, nil
+	}
+	s.idle.Store(&idlePolicy{limit: config.limits().IdleTimeout})
+	return s, nil
 }
 
 // Serve accepts connections until Close. It returns nil after Close.
@@ -80,13 +84,26 @@
 // Active returns the number of requests whose responses are not completely written.
 func (s *Server) Active() int64 { return s.active.Load() }
 
-// LimitsChanged applies changed limits to open connections.
+// LimitsChanged applies changed limits to open connections. A lowered idle limit takes
+// effect after IdleLimitNotice on connections that the previous one allows.
 func (s *Server) LimitsChanged() {
-	idleTimeout := s.config.limits().IdleTimeout
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.updateIdleDeadline(idleTimeout)
+		c.limitsChanged()
+	}
+}
+
+// idlePolicy returns the policy of the idle limit in force.
+func (s *Server) idlePolicy() idlePolicy {
+	for {
+		current := s.idle.Load()
+		limit := s.config.limits().IdleTimeout
+		if current.limit == limit {
+			return *current
+		}
+		next := current.changed(limit, s.config.IdleLimitNotice, time.Now())
+		s.idle.CompareAndSwap(current, &next)
 	}
 }
 
