Answer a request behind a response that began before the drain

Callers saw: at a planned stop, a pipelined request was read and its connection ended without a response or Connection: close.

Cause: while the server drains, no request was started beside a running one, because the last running response announces the end of the connection. A response whose head was written before the drain can't announce it.

Now such a request is started, and its own response announces the end. TestDrainAnswersBehindAnUnmarkedResponse failed with EOF before; passes 3 of 3 with -race.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -223,7 +223,10 @@
 func (c *conn) start(e *exchange) bool {
 	c.mu.Lock()
 	last := len(c.running) - 1
-	if c.closing || c.ctx.Err() != nil || (c.server.draining.Load() && last >= 0) {
+	// While the server drains, the last running response announces the end of the
+	// connection, unless it has begun already.
+	announcesEnd := c.server.draining.Load() && last >= 0 && !c.running[last].headDecided
+	if c.closing || c.ctx.Err() != nil || announcesEnd {
 		c.closing = true
 		c.mu.Unlock()
 		return false
--- a/internal/ingress/end_test.go
+++ b/internal/ingress/end_test.go
@@ -59,6 +59,41 @@
 	g.Expect(s.Active()).To(gomega.BeZero())
 }
 
+// TestDrainAnswersBehindAnUnmarkedResponse guards against a request that is read and
+// discarded at a planned stop, because the response before it had begun without
+// Connection: close.
+func TestDrainAnswersBehindAnUnmarkedResponse(t *testing.T) {
+	g := gomega.NewWithT(t)
+	finish := make(chan struct{})
+	s := newTestServer(t, func(c *Config) {
+		handler := c.Handler
+		c.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/begun" {
+				w.Header().Set("Content-Length", "4")
+				_, _ = io.WriteString(w, "ab")
+				g.Expect(http.NewResponseController(w).Flush()).To(gomega.Succeed())
+				<-finish
+				_, _ = io.WriteString(w, "cd")
+				return
+			}
+			handler.ServeHTTP(w, r)
+		})
+	})
+	c := s.dial(t, g)
+	c.send(get("/begun"))
+	_, err := c.reader.Peek(len("HTTP/1.1 200 OK"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	s.Drain()
+	c.send(get("/behind"))
+	g.Eventually(func() int64 { return s.counter("requests") }).Should(gomega.Equal(int64(2)))
+	close(finish)
+	_, body, closes := c.receive()
+	g.Expect([]any{body, closes}).To(gomega.Equal([]any{"abcd", false}))
+	status, body, closes := c.receive()
+	g.Expect([]any{status, body, closes}).To(gomega.Equal([]any{200, "/behind ", true}))
+	c.expectEnd()
+}
+
 // TestSlowReceiverGetsTheLastResponse guards against a close that destroys the part
 // of a response that is still on its way over a slow link, while bytes of the caller
 // are unread.
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -21,6 +21,9 @@
 	cancel     context.CancelFunc
 	// parallel is set when the exchange may run beside others of its connection.
 	parallel bool
+	// headDecided is set once it is decided whether the response announces the end of
+	// the connection. The mutex of the connection guards it.
+	headDecided bool
 	// previous is closed when the response before this one is written; nil when there
 	// is none. done is closed when this one is.
 	previous <-chan struct{}
@@ -132,6 +135,7 @@
 	c := e.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	e.headDecided = true
 	last := c.running[len(c.running)-1] == e
 	closes = last && (handlerCloses || bodyUnread || e.rejection != nil || e.request.Close || c.server.draining.Load())
 	if closes {
