End callers' connections without discarding a read request

Callers saw: a request that arrived on a kept connection in the last moment of a planned stop was read and its connection ended without a response.

Cause: the same class of fault as at the idle close. The stop waited until no request was in flight and then closed all connections, while their readers went on reading: what was read between the two was lost.

Server.Shutdown lets each reader decide on its own connection: one without input is closed at once, the others are answered (while the node drains, with Connection: close) and end after their last response. The stop waits up to a second for callers to close after such a response, within the grace.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -103,7 +103,9 @@
 			}
 			return true
 		default:
-			c.server.metrics.idleClosed.Inc(1)
+			if !c.server.ending.Load() {
+				c.server.metrics.idleClosed.Inc(1)
+			}
 			c.expired = true
 			return false
 		}
@@ -140,7 +142,7 @@
 	defer c.mu.Unlock()
 	c.waiting = false
 	now := time.Now()
-	overdue = !c.idleSince.IsZero() && !now.Before(c.server.idlePolicy().deadline(c.idleSince))
+	overdue = !c.idleSince.IsZero() && !now.Before(c.idleDeadline())
 	c.setReadDeadline(now.Add(c.server.config.limits().HeaderTimeout))
 	return c.closing, overdue
 }
@@ -158,12 +160,21 @@
 		if c.idleSince.IsZero() {
 			c.idleSince = time.Now()
 		}
-		c.setReadDeadline(c.server.idlePolicy().deadline(c.idleSince))
+		c.setReadDeadline(c.idleDeadline())
+	}
+}
+
+// idleDeadline returns when the idle connection is closed.
+func (c *conn) idleDeadline() time.Time {
+	if c.server.ending.Load() {
+		return pastDeadline
 	}
+	return c.server.idlePolicy().deadline(c.idleSince)
 }
 
-// limitsChanged applies a changed limit to an idle connection.
-func (c *conn) limitsChanged() {
+// updateDeadline applies a changed limit, or the end of the server, to a connection that
+// waits for a request.
+func (c *conn) updateDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.waiting {
--- a/internal/ingress/end_test.go
+++ b/internal/ingress/end_test.go
@@ -1,11 +1,14 @@
 package ingress
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -94,6 +97,53 @@
 	c.expectEnd()
 }
 
+// TestShutdownAnswersReadRequests guards against a request that arrives on a kept
+// connection as the server ends, is read, and gets no response.
+func TestShutdownAnswersReadRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const (
+		rounds, conns = 40, 50
+		// spread is the time around the end in which the requests are sent.
+		spread = 2 * time.Millisecond
+	)
+	total := 0
+	for range rounds {
+		s := newTestServer(t, nil)
+		clients := make([]*client, conns)
+		for i := range clients {
+			clients[i] = s.dial(t, g)
+			clients[i].send(get("/warm"))
+			clients[i].receive()
+		}
+		s.Drain()
+		var answered atomic.Int64
+		var callers sync.WaitGroup
+		for i, c := range clients {
+			callers.Go(func() {
+				time.Sleep(spread * time.Duration(i) / conns)
+				// The write fails when the server has closed the connection already.
+				if _, err := io.WriteString(c.conn, get("/x")); err != nil {
+					return
+				}
+				if response, err := http.ReadResponse(c.reader, nil); err == nil {
+					answered.Add(1)
+					g.Expect(response.Close).To(gomega.BeTrue(), "the response announces the end")
+				}
+				c.conn.Close()
+			})
+		}
+		time.Sleep(spread / 2)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		s.Shutdown(ctx)
+		cancel()
+		callers.Wait()
+		g.Expect(s.counter("requests")).To(gomega.Equal(conns+answered.Load()), "requests that were read and not answered")
+		total += int(answered.Load())
+	}
+	t.Logf("%d of %d requests at the end were answered", total, rounds*conns)
+	g.Expect(total).To(gomega.BeNumerically("<", rounds*conns), "no request crossed the end")
+}
+
 // TestSlowReceiverGetsTheLastResponse guards against a close that destroys the part
 // of a response that is still on its way over a slow link, while bytes of the caller
 // are unread.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
@@ -21,6 +22,10 @@
 	config   Config
 	metrics  *metrics
 	draining atomic.Bool
+	// ending is set once connections without a request are closed.
+	ending atomic.Bool
+	// removed is signalled after a connection has ended.
+	removed chan struct{}
 	// idle is the policy for the idle limit that was last seen in force.
 	idle atomic.Pointer[idlePolicy]
 	// work hands requests to idle workers.
@@ -44,6 +49,7 @@
 	s := &Server{
 		config: config, metrics: newMetrics(config.Scope.SubScope("ingress")),
 		work: make(chan *exchange), stop: make(chan struct{}), conns: make(map[*conn]struct{}),
+		removed: make(chan struct{}, 1),
 	}
 	s.idle.Store(&idlePolicy{limit: config.limits().IdleTimeout})
 	return s, nil
@@ -90,7 +96,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.limitsChanged()
+		c.updateDeadline()
 	}
 }
 
@@ -107,6 +113,37 @@
 	}
 }
 
+// Shutdown closes the server without discarding a request that it has read: it stops
+// listening, closes connections without a request at once and the others after their
+// last response. Drain must have been called. What is left when the context ends is
+// closed as by Close.
+func (s *Server) Shutdown(ctx context.Context) {
+	s.ending.Store(true)
+	s.mu.Lock()
+	if s.listener != nil {
+		// An error is that of a listener which is closed already.
+		_ = s.listener.Close()
+	}
+	for c := range s.conns {
+		c.updateDeadline()
+	}
+	s.mu.Unlock()
+	for s.openConns() > 0 && ctx.Err() == nil {
+		select {
+		case <-s.removed:
+		case <-ctx.Done():
+		}
+	}
+	// Close reports no error.
+	_ = s.Close()
+}
+
+func (s *Server) openConns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // Close closes the listener and all connections. It always returns nil.
 func (s *Server) Close() error {
 	s.mu.Lock()
@@ -140,6 +177,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	select {
+	case s.removed <- struct{}{}:
+	default:
+	}
 }
 
 func (s *Server) isClosed() bool {
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -26,6 +26,9 @@
 	// killMargin is the part of the grace that is reserved for the exit of the
 	// process.
 	killMargin = 600 * time.Millisecond
+	// callersCloseTimeout bounds the wait for callers to close the connections whose last
+	// response announced the end. Callers that received it close at once.
+	callersCloseTimeout = time.Second
 	// inFlightPollInterval is the time between two checks for requests in flight.
 	inFlightPollInterval = 20 * time.Millisecond
 )
@@ -56,9 +59,20 @@
 	if inFlight := s.proxy.InFlight(); inFlight > 0 {
 		s.log.WithField("in_flight", inFlight).Warn("requests were still in flight at the end of the grace")
 	}
+	s.closeCallers(deadline)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(entryDeleteTimeout))
 	defer cancel()
 	if err := s.registry.DeleteLocalEntry(ctx); err != nil {
 		s.log.WithError(err).Info("failed to delete the local entry from the store; it expires with its lease")
 	}
 }
+
+// closeCallers ends the connections of callers without discarding a request.
+func (s *Sidecar) closeCallers(deadline time.Time) {
+	if latest := time.Now().Add(callersCloseTimeout); deadline.After(latest) {
+		deadline = latest
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	s.callers.Shutdown(ctx)
+}
