--- a/internal/standin/platformscenario/deployment.go
+++ b/internal/standin/platformscenario/deployment.go
@@ -34,6 +34,7 @@
 	settingsFile    string
 	outboundAddress string
 	readyAddress    string
+	metricsAddress  string
 	// addresses are those on which the sidecar listens.
 	addresses []string
 	app       *app.App
@@ -46,9 +47,12 @@
 
 // Deployment is a store and a set of hosts spread over two failure domains.
 type Deployment struct {
-	Store     *store.Server
-	program   string
-	directory string
+	Store *store.Server
+	// IdleTimeout is the limit for callers' idle connections in the configurations that
+	// Configure writes.
+	IdleTimeout time.Duration
+	program     string
+	directory   string
 	// behindProxies is set when each sidecar is connected through fault proxies.
 	behindProxies bool
 	// networkIndex separates the address ranges of deployments that run at the same
@@ -63,6 +67,9 @@
 	runs map[string]int
 }
 
+// defaultIdleTimeout is the initial value of Deployment.IdleTimeout.
+const defaultIdleTimeout = 15 * time.Second
+
 // deployments is the number of deployments started by this process.
 var deployments atomic.Uint32
 
@@ -88,7 +95,7 @@
 }
 
 func start(program, directory string, hosts int, behindProxies bool) (*Deployment, error) {
-	d := &Deployment{Store: store.NewServer(uint64(hosts)), program: program, directory: directory, behindProxies: behindProxies, networkIndex: uint32(os.Getpid()) + deployments.Add(1), runs: make(map[string]int)}
+	d := &Deployment{Store: store.NewServer(uint64(hosts)), program: program, directory: directory, behindProxies: behindProxies, networkIndex: uint32(os.Getpid()) + deployments.Add(1), runs: make(map[string]int), IdleTimeout: defaultIdleTimeout}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -129,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	h.outboundAddress, h.readyAddress = addresses[0], addresses[2]
+	h.outboundAddress, h.readyAddress, h.metricsAddress = addresses[0], addresses[2], addresses[5]
 	h.addresses = []string{addresses[0], addresses[1], addresses[2], addresses[3], addresses[5]}
 	_, metrics, err := net.SplitHostPort(addresses[5])
 	if err != nil {
@@ -159,6 +166,8 @@
 metrics = %s
 [store]
 address = %s
+[callers]
+idle_limit_notice = 200ms
 [bounds]
 retry_slack = 100
 `, number, h.ip, number%2, Service, server, h.outboundAddress, addresses[1], advertise, h.readyAddress, addresses[3], metrics, store)
@@ -272,8 +281,8 @@
 		routes += fmt.Sprintf(`,{"name":"more-%d","prefix":"/more-%d/","kind":"safe","timeout":"1s","targetLatency":"500ms","priority":2,"service":"orders","maxAttempts":1}`, i, i)
 	}
 	d.Store.State().Write("op/config", []byte(fmt.Sprintf(`{"version":"r%d","services":[{"name":"orders","healthPath":"/healthz","maxConnections":100}],
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeout":"3s","idleTimeout":"15s"},
-"virtualHosts":[{"host":"orders.example","pathMatches":[%s]}]}`, version, routes)))
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeout":"3s","idleTimeout":"%dms"},
+"virtualHosts":[{"host":"orders.example","pathMatches":[%s]}]}`, version, d.IdleTimeout.Milliseconds(), routes)))
 }
 
 // App returns the backend server of a host.
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -210,12 +210,17 @@
 	r.recordError(r.deployment.StartApp(f.host))
 }
 
-// configure writes the next version of the configuration, which has one more route,
-// and returns the version.
+// idleTimeouts are the limits of successive versions of the configuration. Callers that
+// wait for their turn on other hosts exceed the shortest.
+var idleTimeouts = []time.Duration{15 * time.Second, 100 * time.Millisecond, 2 * time.Second}
+
+// configure writes the next version of the configuration, which has one more route and
+// another idle limit, and returns the version.
 func (r *runner) configure() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.version++
+	r.deployment.IdleTimeout = idleTimeouts[r.version%len(idleTimeouts)]
 	r.deployment.Configure(r.version, r.version)
 	return r.version
 }
