Send a request again when the peer closed the idle connection before it arrived

What callers saw: a backend server closes an idle connection between the check of the connection and the write of a request. A non-idempotent request got 502, an idempotent one used up an attempt and retry budget, and its content was recorded as one that may have crashed the server. The request had not run and was in no process.

Cause: the check that a kept connection is open and the write are two steps, and every written request whose connection ended without a response counted as maybe delivered.

The two can be told apart: the FIN acknowledges all that the peer had received when it closed, and a peer whose socket is closed resets the connection when bytes arrive. So end of stream, no acknowledged byte of the request and the state after a reset (TCP_INFO) together say that no process can have read it. Only then is the request sent once more, on another connection; a server that has left or changed meanwhile gets nothing. A reset without a FIN, a FIN that acknowledges a part of the request, and a half-closed peer stay "maybe delivered".

--- a/internal/exchange/error.go
+++ b/internal/exchange/error.go
@@ -6,7 +6,10 @@
 	MaybeDelivered bool
 	// Unresponsive is set when the peer did not acknowledge the request in time.
 	Unresponsive bool
-	Cause        error
+	// Closed is set when the peer had closed an idle connection and the request
+	// certainly did not arrive.
+	Closed bool
+	Cause  error
 }
 
 // Error implements error.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,6 +44,10 @@
 	pool    *pool
 	conn    *conn
 	request *Request
+	// kept is set when the connection was idle before.
+	kept bool
+	// offset is the number of bytes that were sent on the connection before.
+	offset uint64
 	// bodySent is set once sending the body has started.
 	bodySent bool
 	// stopWatch stops watching the context; it returns false when the context has
@@ -51,29 +56,59 @@
 }
 
 // Do sends a request and reads the head of the response. Finish must be called on
-// the returned exchange.
+// the returned exchange. A request that certainly did not arrive, because the peer had
+// closed the idle connection, is sent once more on another connection.
 func (c *Client) Do(ctx context.Context, address string, request *Request) (*Exchange, *Error) {
 	p := c.pool(address)
-	connection, err := p.get(ctx)
-	if err != nil {
-		request.reportSent()
-		return nil, &Error{Cause: err}
+	for {
+		connection, kept, err := p.get(ctx)
+		if err != nil {
+			request.reportSent()
+			return nil, &Error{Cause: err}
+		}
+		e := &Exchange{pool: p, conn: connection, request: request, kept: kept, offset: connection.written}
+		exchangeErr := e.run(ctx)
+		if exchangeErr == nil {
+			return e, nil
+		}
+		if !exchangeErr.Closed || ctx.Err() != nil || !request.mayResend() {
+			return nil, exchangeErr
+		}
 	}
-	e := &Exchange{pool: p, conn: connection, request: request}
-	e.stopWatch = context.AfterFunc(ctx, func() { _ = connection.SetDeadline(expiredDeadline) })
+}
+
+// run sends the request and reads the head of the response. After an error the
+// connection is closed.
+func (e *Exchange) run(ctx context.Context) *Error {
+	e.stopWatch = context.AfterFunc(ctx, func() { _ = e.conn.SetDeadline(expiredDeadline) })
 	maybeDelivered, err := e.send()
-	request.reportSent()
+	e.request.reportSent()
+	ended := errors.Is(err, syscall.EPIPE)
 	acknowledged := false
 	if err == nil {
 		acknowledged, err = e.receive(ctx)
 		maybeDelivered = maybeDelivered || e.bodySent
+		ended = !acknowledged && err == errPeerClosed && e.request.copyResult == nil
 	}
-	if err != nil {
-		e.Finish(false)
-		unresponsive := !acknowledged && ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded)
-		return nil, &Error{MaybeDelivered: maybeDelivered, Unresponsive: unresponsive, Cause: err}
+	if err == nil {
+		return nil
+	}
+	if maybeDelivered && ended && e.conn.closedBefore(e.offset) {
+		maybeDelivered = false
 	}
-	return e, nil
+	unresponsive := !acknowledged && ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded)
+	closed := e.kept && !acknowledged && !maybeDelivered && isClosedByPeer(err)
+	e.Finish(false)
+	return &Error{MaybeDelivered: maybeDelivered, Unresponsive: unresponsive, Closed: closed, Cause: err}
+}
+
+// errPeerClosed is returned when the peer closed the connection before it sent any
+// byte of a response.
+var errPeerClosed = errors.New("the peer closed the connection without a response")
+
+// isClosedByPeer reports whether an error shows that the peer closed the connection.
+func isClosedByPeer(err error) bool {
+	return err == errPeerClosed || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // send writes the request, or only its head when the body waits for the peer's
@@ -138,7 +173,7 @@
 		_, err = e.conn.reader.Peek(1)
 	}
 	if err == io.EOF {
-		return io.ErrUnexpectedEOF
+		return errPeerClosed
 	}
 	return err
 }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -19,18 +19,19 @@
 	closed bool
 }
 
-// get returns an idle connection or dials a new one.
-func (p *pool) get(ctx context.Context) (*conn, error) {
+// get returns an idle connection or dials a new one. kept is set for an idle one.
+func (p *pool) get(ctx context.Context) (c *conn, kept bool, err error) {
 	for {
 		c, err := p.takeIdleOrReserve()
 		if err != nil {
-			return nil, err
+			return nil, false, err
 		}
 		if c == nil {
-			return p.connect(ctx)
+			c, err = p.connect(ctx)
+			return c, false, err
 		}
 		if p.options.Now().Before(c.expires) && c.isUsable() {
-			return c, nil
+			return c, true, nil
 		}
 		p.drop(c)
 	}
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -45,9 +45,12 @@
 	// every one.
 	Matches func(*http.Response) bool
 
-	// OnSent is called once when the request, but for the part of its body that is not
+	// OnSent is called when the request, but for the part of its body that is not
 	// buffered, has been written or will not be written; nil for none.
 	OnSent func()
+	// MayResend is called, after OnSent, before a request that did not arrive is sent
+	// on another connection; OnSent is then called again. Nil allows it.
+	MayResend func() bool
 
 	copyResult chan error
 }
@@ -175,6 +178,11 @@
 	}
 }
 
+// mayResend reports whether the request can be sent once more from its start.
+func (r *Request) mayResend() bool {
+	return r.Body.CanSend() && (r.MayResend == nil || r.MayResend())
+}
+
 // isBodySent reports whether the complete body has been sent.
 func (r *Request) isBodySent() bool {
 	if r.copyResult == nil {
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -125,6 +125,7 @@
 		AddedHeaders: in.serverFields(req, server),
 		Matches:      func(response *http.Response) bool { return in.isResponseTo(req, response) },
 		OnSent:       func() { in.sending.Add(-1) },
+		MayResend:    func() bool { return in.mayResend(req, server) },
 	}
 	e, exchangeErr := in.client.Do(ctx, in.config.Server, out)
 	if exchangeErr != nil {
@@ -138,6 +139,18 @@
 	return in.newResponse(ctx, req, server, e), nil
 }
 
+// mayResend counts a request as being written once more, unless the server has changed
+// or is leaving.
+func (in *inbound) mayResend(req *upstreamRequest, server string) bool {
+	in.sending.Add(1)
+	current := in.deps.Server.Server()
+	if current.ID == server && in.checkServer(req, current.State) == nil {
+		return true
+	}
+	in.sending.Add(-1)
+	return false
+}
+
 // setsHeader reports whether the inbound proxy sets a header itself, so that the one
 // of the caller is not forwarded.
 func (in *inbound) setsHeader(name string) bool {
@@ -259,6 +272,8 @@
 		return &refusalReason{code: result.OutcomeUnknown, message: "the caller cancelled the request", cancelled: true, maybeDelivered: exchangeErr.MaybeDelivered}
 	case !exchangeErr.MaybeDelivered && ctx.Err() != nil:
 		return newRefusal(result.DeadlineNotRun, "the deadline passed before the server accepted the connection")
+	case exchangeErr.Closed:
+		return newRefusal(result.ServerGone, "the server of node "+in.config.Node+" closed the idle connection: "+exchangeErr.Cause.Error())
 	case !exchangeErr.MaybeDelivered:
 		in.deps.ServerLost(server)
 		return newRefusal(result.ServerGone, "the server of node "+in.config.Node+" takes no connection: "+exchangeErr.Cause.Error())
