Count a request as not delivered when its head was not completely written

What callers saw: 502 for a non-idempotent request whose connection broke while its head was being written. No peer runs a request without the end of its head.

Cause: any written byte counted as a possible delivery. Now a complete head does, and the request is sent again on another connection if the broken one was idle.

--- a/internal/exchange/kept_conn_test.go
+++ b/internal/exchange/kept_conn_test.go
@@ -239,3 +239,47 @@
 	<-server.ended
 	g.Expect(server.runs).To(gomega.Equal(map[string]int{"0": 1, "1": 1}))
 }
+
+// truncatingConn sends only the first bytes of its second write, then fails as after a
+// reset.
+type truncatingConn struct {
+	*net.TCPConn
+	writes, limit int
+}
+
+func (c *truncatingConn) Write(b []byte) (int, error) {
+	if c.writes++; c.writes < 2 {
+		return c.TCPConn.Write(b)
+	}
+	n, err := c.TCPConn.Write(b[:c.limit])
+	if err == nil {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
+// TestTruncatedHeadDidNotArrive guards against a request of unknown outcome when the
+// connection broke before the end of its head was written. No peer runs such a request.
+func TestTruncatedHeadDidNotArrive(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := &closingServer{runs: make(map[string]int), ended: make(chan struct{})}
+	server.end = func(_ *net.TCPConn, requests *bufio.Reader) { server.run(requests) }
+	client, address := startServer(t, server.serve)
+	dials := 0
+	client.options.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		var dialer net.Dialer
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil || dials > 0 {
+			return conn, err
+		}
+		dials++
+		return &truncatingConn{TCPConn: conn.(*net.TCPConn), limit: 20}, nil
+	}
+	for i := range 2 {
+		request := newTestRequest(strconv.Itoa(i))
+		request.Matches = nil
+		g.Expect(exchangeOnce(t.Context(), client, address, request)).To(gomega.BeNil())
+	}
+	<-server.ended
+	g.Expect(server.runs).To(gomega.Equal(map[string]int{"0": 1, "1": 1}))
+}
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -113,13 +113,14 @@
 	return err
 }
 
-// write sends the head and the buffered body. It reports whether any byte may
-// have left. A goroutine sends the rest of a body that is not fully buffered; see
+// write sends the head and the buffered body. It reports whether a complete head may
+// have left; without one no peer runs a request. A goroutine sends the rest of a body that is not fully buffered; see
 // isBodySent.
-func (r *Request) write(c *conn) (started bool, err error) {
+func (r *Request) write(c *conn) (headSent bool, err error) {
 	buffer := headBuffers.Get().(*[]byte)
 	defer headBuffers.Put(buffer)
 	head := r.appendHead((*buffer)[:0])
+	headBytes := len(head)
 	buffered := r.Body.Buffered
 	if r.Body.Length >= 0 && len(buffered) <= maxInlineBodyBytes {
 		head = append(head, buffered...)
@@ -127,7 +128,7 @@
 	}
 	*buffer = head[:0]
 	if n, err := c.Write(head); err != nil {
-		return n > 0, err
+		return n >= headBytes, err
 	}
 	return true, r.writeBody(c, buffered)
 }
