Refuse requests that cross the close of a connection between nodes

What callers saw: a request without a body that reached another node just as its inbound proxy closed at the end of a stop was neither handled nor refused. The outbound proxy can't tell that from a request whose server ran it: 502 for a non-idempotent one, an attempt and retry budget for an idempotent one. A check-in that was being handled had no acknowledgement.

Cause: the same class as the lost requests of callers. The decision to close is made in one place and the arrival of bytes in another: http.Server.Close closes connections whose next request is in the socket, or read and not yet handled; Shutdown does so too.

Now both are decided under one lock of the connection. A connection on which no request has begun gets a response of the protocol between nodes (draining, not run) and the end of the stream; what arrives after that is discarded, and the connection ends 100 ms later, so that no reset overtakes the response. Requests that have begun end within 150 ms. The ports for the backend server and the platform send nothing unasked, they only end what they have begun. The listeners close side by side, so a stop is 150 ms longer at most, within the 600 ms reserved for it.

Open: a new connection that the kernel has accepted and the listener has not is reset when it closes.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -105,6 +105,10 @@
 	})
 }
 
+// ClosingResponse returns the response to requests of other nodes that arrive while
+// their connection is being closed.
+func (p *Proxy) ClosingResponse() []byte { return p.inbound.closingResponse() }
+
 // InFlight returns the number of requests in flight, outbound and inbound.
 func (p *Proxy) InFlight() int64 { return p.inFlight.Load() }
 
--- /dev/null
+++ b/internal/sidecar/http_conn.go
@@ -0,0 +1,74 @@
+package sidecar
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// httpConn is a connection to an httpServer. Whether a request has begun is decided in
+// one place with the arrival of its bytes, so that each request is either handled or
+// refused.
+type httpConn struct {
+	*net.TCPConn
+
+	mu sync.Mutex
+	// busy is set from the first bytes of a request until its response is complete.
+	busy bool
+	// refused is set once the refusal is sent; what arrives after that is discarded.
+	refused bool
+}
+
+// Read implements net.Conn.
+func (c *httpConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.TCPConn.Read(b)
+		if err != nil || !c.isRefused(n) {
+			return n, err
+		}
+	}
+}
+
+// isRefused reports whether received bytes are discarded. Otherwise a request has
+// begun.
+func (c *httpConn) isRefused(received int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = c.busy || (received > 0 && !c.refused)
+	return c.refused
+}
+
+// setIdle marks the response as complete. net/http may have read one byte of the next
+// request by then, which is no complete request.
+func (c *httpConn) setIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = false
+}
+
+// refuse sends a refusal and ends the stream to the peer, unless a request has begun.
+// The connection ends when the peer closes it, or after closeLinger.
+func (c *httpConn) refuse(refusal []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy || c.refused {
+		return
+	}
+	c.refused = true
+	// Errors mean that the peer has closed the connection.
+	_ = c.TCPConn.SetDeadline(time.Now().Add(closeLinger))
+	if len(refusal) > 0 {
+		_, _ = c.Write(refusal)
+	}
+	_ = c.CloseWrite()
+}
+
+// SetReadDeadline implements net.Conn. The deadline of a refused connection stays.
+func (c *httpConn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refused {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(deadline)
+}
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -1,8 +1,6 @@
 package sidecar
 
 import (
-	"io"
-	"log"
 	"net"
 	"net/http"
 	"strconv"
@@ -43,17 +41,20 @@
 	addresses := []struct {
 		name, address string
 		handler       http.Handler
+		// refusal is sent to other nodes only: callers of the other ports expect no bytes
+		// without a request.
+		refusal []byte
 	}{
-		{"gate", loaded.Listen.Inbound, s.proxy.InboundHandler(s.registry)},
-		{"announce", loaded.Listen.Announce, s.adapter.AnnouncementHandler(s.tracker, s.log, s.metrics.Scope)},
-		{"ready", loaded.Listen.Ready, s.adapter.ReadinessHandler(s.ready)},
-		{"metrics", net.JoinHostPort(loaded.Node.IP, strconv.Itoa(loaded.Listen.Metrics)), metrics},
+		{"gate", loaded.Listen.Inbound, s.proxy.InboundHandler(s.registry), s.proxy.ClosingResponse()},
+		{"announce", loaded.Listen.Announce, s.adapter.AnnouncementHandler(s.tracker, s.log, s.metrics.Scope), nil},
+		{"ready", loaded.Listen.Ready, s.adapter.ReadinessHandler(s.ready), nil},
+		{"metrics", net.JoinHostPort(loaded.Node.IP, strconv.Itoa(loaded.Listen.Metrics)), metrics, nil},
 	}
 	if err := s.addListener("front", loaded.Listen.Outbound, s.callers); err != nil {
 		return err
 	}
 	for _, a := range addresses {
-		if err := s.addListener(a.name, a.address, newHTTPServer(a.handler)); err != nil {
+		if err := s.addListener(a.name, a.address, newHTTPServer(a.handler, a.refusal)); err != nil {
 			return err
 		}
 	}
@@ -69,16 +70,6 @@
 	return nil
 }
 
-// newHTTPServer returns a server for the peers of the node, its backend server and its
-// operators.
-func newHTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		// net/http would log broken client connections, which the proxy counts.
-		ErrorLog: log.New(io.Discard, "", 0),
-	}
-}
-
 // serve serves until the listener is closed.
 func (l *listener) serve() error {
 	if err := l.server.Serve(l.socket); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"reflect"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -168,9 +169,11 @@
 	case <-background.Done():
 	}
 	stop()
+	var closing sync.WaitGroup
 	for _, l := range s.listeners {
-		l.close()
+		closing.Go(l.close)
 	}
+	closing.Wait()
 	err := group.Wait()
 	s.proxy.Close()
 	s.log.Info("node stopped")
