Don't infer from a close that a written request did not arrive

The peer had stopped sending, ran the request and closed with the rest of the body unread; its reset came before its acknowledgement, which looks the same as a peer that had closed before. A request of which the outcome is unknown must not be sent again, so the inference is withdrawn.

What stays: a request whose head was not written completely did not arrive and is sent on another connection, and the tests of the other side.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -5,20 +5,11 @@
 	"net"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // connReadBufferBytes is the size of the read buffer of a connection.
 const connReadBufferBytes = 4096
 
-const (
-	// tcpClosed is the state of a socket after a reset.
-	tcpClosed = 7
-	// ackedSYN is the part of tcpi_bytes_acked that counts the SYN.
-	ackedSYN = 1
-)
-
 // conn is a client connection that carries one call at a time.
 type conn struct {
 	net.Conn
@@ -32,8 +23,6 @@
 	// would be an allocation.
 	probe  func(fd uintptr) bool
 	usable bool
-	// written is the number of bytes that were sent. One goroutine at a time writes.
-	written uint64
 }
 
 func newConn(netConn net.Conn) *conn {
@@ -48,15 +37,9 @@
 	return c
 }
 
-// Write implements net.Conn.
-func (c *conn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.written += uint64(n)
-	return n, err
-}
-
 // isUsable reports whether an idle connection is still open and has no unread
-// data. A peer can still close it before the request arrives; see closedBefore.
+// data. A peer can still close it before the request arrives. That request may have run:
+// a peer that has only stopped sending looks the same.
 func (c *conn) isUsable() bool {
 	if c.reader.Buffered() > 0 {
 		return false
@@ -76,23 +59,3 @@
 	c.usable = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
 	return true
 }
-
-// closedBefore reports whether the peer closed the connection before it received any
-// of the bytes sent after the first offset bytes. It is called after the end of the
-// peer's stream was read.
-//
-// The peer's FIN acknowledges all bytes that the peer had received by then. A peer
-// that only stopped sending would receive and acknowledge later bytes too; one that
-// has closed the connection resets it.
-func (c *conn) closedBefore(offset uint64) bool {
-	if c.raw == nil {
-		return false
-	}
-	var info *unix.TCPInfo
-	var infoErr error
-	err := c.raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	if err != nil || infoErr != nil || info.State != tcpClosed || info.Bytes_acked < ackedSYN {
-		return false
-	}
-	return info.Bytes_acked-ackedSYN <= offset
-}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -46,8 +46,6 @@
 	request *Request
 	// kept is set when the connection was idle before.
 	kept bool
-	// offset is the number of bytes that were sent on the connection before.
-	offset uint64
 	// bodySent is set once sending the body has started.
 	bodySent bool
 	// stopWatch stops watching the context; it returns false when the context has
@@ -66,7 +64,7 @@
 			request.reportSent()
 			return nil, &Error{Cause: err}
 		}
-		e := &Exchange{pool: p, conn: connection, request: request, kept: kept, offset: connection.written}
+		e := &Exchange{pool: p, conn: connection, request: request, kept: kept}
 		exchangeErr := e.run(ctx)
 		if exchangeErr == nil {
 			return e, nil
@@ -83,32 +81,23 @@
 	e.stopWatch = context.AfterFunc(ctx, func() { _ = e.conn.SetDeadline(expiredDeadline) })
 	maybeDelivered, err := e.send()
 	e.request.reportSent()
-	ended := errors.Is(err, syscall.EPIPE)
 	acknowledged := false
 	if err == nil {
 		acknowledged, err = e.receive(ctx)
 		maybeDelivered = maybeDelivered || e.bodySent
-		ended = !acknowledged && err == errPeerClosed && e.request.copyResult == nil
 	}
 	if err == nil {
 		return nil
 	}
-	if maybeDelivered && ended && e.conn.closedBefore(e.offset) {
-		maybeDelivered = false
-	}
 	unresponsive := !acknowledged && ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded)
 	closed := e.kept && !acknowledged && !maybeDelivered && isClosedByPeer(err)
 	e.Finish(false)
 	return &Error{MaybeDelivered: maybeDelivered, Unresponsive: unresponsive, Closed: closed, Cause: err}
 }
 
-// errPeerClosed is returned when the peer closed the connection before it sent any
-// byte of a response.
-var errPeerClosed = errors.New("the peer closed the connection without a response")
-
 // isClosedByPeer reports whether an error shows that the peer closed the connection.
 func isClosedByPeer(err error) bool {
-	return err == errPeerClosed || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // send writes the request, or only its head when the body waits for the peer's
@@ -173,7 +162,7 @@
 		_, err = e.conn.reader.Peek(1)
 	}
 	if err == io.EOF {
-		return errPeerClosed
+		return io.ErrUnexpectedEOF
 	}
 	return err
 }
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -114,8 +114,8 @@
 }
 
 // write sends the head and the buffered body. It reports whether a complete head may
-// have left; without one no peer runs a request. A goroutine sends the rest of a body that is not fully buffered; see
-// isBodySent.
+// have left; without one no peer runs a request. A goroutine sends the rest of a body
+// that is not fully buffered; see isBodySent.
 func (r *Request) write(c *conn) (headSent bool, err error) {
 	buffer := headBuffers.Get().(*[]byte)
 	defer headBuffers.Put(buffer)
