Keep an idle connection until its last response is received

The idle time began when the last byte of the response was in the kernel's send queue. A caller on a slow link that sent its next request before it had received the response got a reset in the middle of it, since a socket that is closed with unread bytes drops what it has not sent.

Now a connection whose last response is not acknowledged completely (SIOCOUTQ) stays open, for the write timeout at most, and its idle time begins anew; a request that arrives meanwhile is answered.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -81,6 +81,7 @@
 // awaitRequest waits for the first byte of the next request. It returns false when
 // there is none: the connection is closing, was idle for too long, or the caller left.
 func (c *conn) awaitRequest() bool {
+	var receivedBy time.Time
 	for {
 		c.startWaiting()
 		_, err := c.reader.Peek(1)
@@ -102,6 +103,8 @@
 				return false
 			}
 			return true
+		case c.isInTransit(&receivedBy):
+			c.awaitReceived()
 		default:
 			if !c.server.ending.Load() {
 				c.server.metrics.idleClosed.Inc(1)
@@ -112,6 +115,32 @@
 	}
 }
 
+// isInTransit reports whether the caller has not received the last response, for the
+// write timeout at most. The first call for a response sets receivedBy.
+func (c *conn) isInTransit(receivedBy *time.Time) bool {
+	if !hasUnacknowledged(c.net) {
+		return false
+	}
+	now := time.Now()
+	if receivedBy.IsZero() {
+		*receivedBy = now.Add(c.server.config.WriteTimeout)
+	}
+	return now.Before(*receivedBy)
+}
+
+// awaitReceived waits a while for the caller to receive the last response, or to send.
+// The idle time begins anew: a connection that is closed before, and on which bytes of
+// the caller arrive, is reset, which destroys the rest of the response.
+func (c *conn) awaitReceived() {
+	now := time.Now()
+	c.mu.Lock()
+	c.idleSince = now
+	c.mu.Unlock()
+	c.setReadDeadline(now.Add(leavePollInterval))
+	// The next wait for a request meets an error again.
+	_, _ = c.reader.Peek(1)
+}
+
 // awaitEnd waits until the running exchanges have ended. It returns false when the
 // caller leaves first.
 func (c *conn) awaitEnd() bool {
--- a/internal/ingress/socket.go
+++ b/internal/ingress/socket.go
@@ -22,6 +22,24 @@
 	return err != nil || input
 }
 
+// hasUnacknowledged reports whether the caller has not acknowledged all bytes that were
+// written to a connection; false for a connection without a socket.
+func hasUnacknowledged(conn net.Conn) (unacknowledged bool) {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = raw.Control(func(fd uintptr) {
+		queued, ioctlErr := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		unacknowledged = ioctlErr == nil && queued > 0
+	})
+	return err == nil && unacknowledged
+}
+
 // pollSocket polls the socket of a connection without waiting and reports whether one
 // of the expected events has occurred; false for a connection without a socket.
 func pollSocket(conn net.Conn, events, expected int16) (occurred bool, err error) {
