Let the idle policy see each limit, and send the warm-up before it applies

Found by the review: the policy noticed a limit only when an idle connection asked for it. A limit that was in force while all connections were busy was forgotten, and its callers lost the notice. TestLimitSeenWithoutIdleConnections failed with an unexpected EOF.

TestIdleLimitDiscardsNoRequest expected its first request to be answered although the limit of 10 ms ran from the accept. A pause of 10 ms between the two ended it with an unexpected EOF; a run of the package ended so once beside a load of 25 (the name of the test was not kept). The limit is now lowered after the first response; the assertions are unchanged.

--- a/internal/ingress/idle_close_test.go
+++ b/internal/ingress/idle_close_test.go
@@ -62,14 +62,16 @@
 		// spread is the time around the limit in which the requests are sent.
 		spread = 2 * time.Millisecond
 	)
-	s := newTestServer(t, nil)
-	s.limits.Store(idleLimits(limit))
-	s.LimitsChanged()
+	s := newTestServer(t, func(c *Config) { c.IdleLimitNotice = time.Nanosecond })
 	answered := 0
 	for round := range rounds {
+		s.limits.Store(idleLimits(time.Minute))
+		s.LimitsChanged()
 		c := s.dial(t, g)
 		c.send(get("/warm"))
 		c.receive()
+		s.limits.Store(idleLimits(limit))
+		s.LimitsChanged()
 		time.Sleep(limit - spread/2 + spread*time.Duration(round)/rounds)
 		// The write fails when the server has closed the connection already.
 		if _, err := io.WriteString(c.conn, get("/x")); err == nil {
@@ -117,3 +119,25 @@
 	}
 	g.Expect(time.Since(changedAt)).To(gomega.BeNumerically(">=", notice))
 }
+
+// TestLimitSeenWithoutIdleConnections guards against a limit that was in force while no
+// connection was idle and that callers still go by after the next change.
+func TestLimitSeenWithoutIdleConnections(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newTestServer(t, func(c *Config) { c.IdleLimitNotice = 2 * time.Second })
+	s.limits.Store(idleLimits(50 * time.Millisecond))
+	s.idle.Store(&idlePolicy{limit: 50 * time.Millisecond})
+	c := s.dial(t, g)
+	c.send(get("/a?wait=200"))
+	g.Eventually(s.startedPaths).Should(gomega.HaveLen(1))
+	for _, limit := range []time.Duration{time.Minute, 50 * time.Millisecond} {
+		s.limits.Store(idleLimits(limit))
+		s.LimitsChanged()
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.receive()
+	time.Sleep(200 * time.Millisecond)
+	c.send(get("/known"))
+	status, body, _ := c.receive()
+	g.Expect([]any{status, body}).To(gomega.Equal([]any{200, "/known "}))
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -93,6 +93,8 @@
 // LimitsChanged applies changed limits to open connections. A lowered idle limit takes
 // effect after IdleLimitNotice on connections that the previous one allows.
 func (s *Server) LimitsChanged() {
+	// Callers may go by a limit that no connection was idle under.
+	_ = s.idlePolicy()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
