Don't take an empty line for the head of a request

Found by the review: an empty line behind a request started the time limit of the next head. A request that came within the idle limit got 408, an idle caller got a response that it had not asked for, and the end of the server waited for the head. Empty lines are now removed while the connection waits for a request, up to the number that a head may follow.

Before: TestEmptyLineIsNoHead 408 in place of 200; TestShutdownIsNotHeldByAnEmptyLine 1.0 s of 1 s. Shutdown also decides that no connection is left and closes under one lock.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -82,6 +82,7 @@
 // there is none: the connection is closing, was idle for too long, or the caller left.
 func (c *conn) awaitRequest() bool {
 	var receivedBy time.Time
+	emptyLines := 0
 	for {
 		c.startWaiting()
 		_, err := c.reader.Peek(1)
@@ -89,6 +90,8 @@
 		switch {
 		case closing:
 			return false
+		case err == nil && emptyLines < maxEmptyLines && c.skipEmptyLine():
+			emptyLines++
 		case err == nil:
 			return true
 		case !errors.Is(err, os.ErrDeadlineExceeded):
@@ -115,6 +118,21 @@
 	}
 }
 
+// skipEmptyLine removes an empty line from the read buffer and reports whether there was
+// one. It may follow a request (RFC 9112, section 2.2) and begins no head.
+func (c *conn) skipEmptyLine() bool {
+	for _, line := range []string{"\n", "\r\n"} {
+		if c.reader.Buffered() < len(line) {
+			return false
+		}
+		if start, err := c.reader.Peek(len(line)); err == nil && string(start) == line {
+			_, err = c.reader.Discard(len(line))
+			return err == nil
+		}
+	}
+	return false
+}
+
 // isInTransit reports whether the caller has not received the last response, for the
 // write timeout at most. The first call for a response sets receivedBy.
 func (c *conn) isInTransit(receivedBy *time.Time) bool {
--- a/internal/ingress/end_test.go
+++ b/internal/ingress/end_test.go
@@ -144,6 +144,23 @@
 	g.Expect(total).To(gomega.BeNumerically("<", rounds*conns), "no request crossed the end")
 }
 
+// TestShutdownIsNotHeldByAnEmptyLine guards against a stop that waits for its time limit
+// because a caller sent an empty line.
+func TestShutdownIsNotHeldByAnEmptyLine(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newTestServer(t, nil)
+	c := s.dial(t, g)
+	c.send(post("/a", "body") + "\r\n")
+	c.receive()
+	time.Sleep(50 * time.Millisecond)
+	s.Drain()
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	s.Shutdown(ctx)
+	g.Expect(time.Since(started)).To(gomega.BeNumerically("<", 500*time.Millisecond))
+}
+
 // TestSlowReceiverGetsTheLastResponse guards against a close that destroys the part
 // of a response that is still on its way over a slow link, while bytes of the caller
 // are unread.
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -141,6 +141,12 @@
 	c.g.ExpectWithOffset(1, err).To(gomega.Equal(io.EOF))
 }
 
+func (s *testServer) openConns() int {
+	s.Server.mu.Lock()
+	defer s.Server.mu.Unlock()
+	return len(s.conns)
+}
+
 // counter returns the value of a counter of the server.
 func (s *testServer) counter(name string) int64 {
 	counter, ok := s.scope.Snapshot().Counters()["ingress."+name+"+"]
--- a/internal/ingress/limits_test.go
+++ b/internal/ingress/limits_test.go
@@ -40,6 +40,24 @@
 	c.expectEnd()
 }
 
+// TestEmptyLineIsNoHead guards against an empty line behind a request that starts the
+// time limit of the next head, and refuses a request that comes in time.
+func TestEmptyLineIsNoHead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newTestServer(t, nil)
+	s.limits.Store(&routing.Limits{HeaderBytes: 1 << 10, BodyBytes: 100, HeaderTimeout: 100 * time.Millisecond, IdleTimeout: time.Minute})
+	c := s.dial(t, g)
+	c.send(post("/a?wait=300", "body") + "\r\n")
+	c.receive()
+	c.send(get("/b"))
+	status, body, closes := c.receive()
+	g.Expect([]any{status, body, closes}).To(gomega.Equal([]any{200, "/b ", false}))
+	c.send("\r\n")
+	g.Expect(c.conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))).To(gomega.Succeed())
+	unasked, _ := c.reader.Peek(12)
+	g.Expect(string(unasked)).To(gomega.BeEmpty(), "a response with no request waiting")
+}
+
 // TestIdleConnectionsAreClosed guards against connections that callers leave open and
 // that hold memory for longer than the operators allow, and against closing one
 // with a request in flight.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -130,28 +130,30 @@
 		c.updateDeadline()
 	}
 	s.mu.Unlock()
-	for s.openConns() > 0 && ctx.Err() == nil {
+	for !s.closeUnless(func() bool { return len(s.conns) > 0 && ctx.Err() == nil }) {
 		select {
 		case <-s.removed:
 		case <-ctx.Done():
 		}
 	}
-	// Close reports no error.
-	_ = s.Close()
-}
-
-func (s *Server) openConns() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.conns)
 }
 
 // Close closes the listener and all connections. It always returns nil.
 func (s *Server) Close() error {
+	s.closeUnless(func() bool { return false })
+	return nil
+}
+
+// closeUnless closes the server unless a condition on its connections holds. It reports
+// whether the server is closed.
+func (s *Server) closeUnless(holds func() bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
-		return nil
+		return true
+	}
+	if holds() {
+		return false
 	}
 	s.closed = true
 	close(s.stop)
@@ -162,7 +164,7 @@
 		c.cancel()
 		c.net.Close()
 	}
-	return nil
+	return true
 }
 
 func (s *Server) add(c *conn) bool {
