Keep the time limit of the next head when a handler removes its own

Found by the review, and by the fuzzing of callers' bytes: the proxy removes the read deadline after it has buffered a body. The reader of the connection may have set the deadline of the next head by then, which left a caller with half a head without any limit. SetReadDeadline has no effect once the body is complete.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -32,8 +32,11 @@
 	allowed int64
 	// complete is set once the last byte was read.
 	complete atomic.Bool
-	done     chan struct{}
-	doneOnce sync.Once
+	// deadlineMu is held while the read deadline is set on behalf of the handler, and
+	// while complete is set. After that the deadline is that of the next request.
+	deadlineMu sync.Mutex
+	done       chan struct{}
+	doneOnce   sync.Once
 
 	mu    sync.Mutex
 	err   error
@@ -123,7 +126,9 @@
 // finish records that the body was read completely; b.mu is held.
 func (b *body) finish() error {
 	b.err = io.EOF
+	b.deadlineMu.Lock()
 	b.complete.Store(true)
+	b.deadlineMu.Unlock()
 	b.doneOnce.Do(func() { close(b.done) })
 	return io.EOF
 }
@@ -139,6 +144,16 @@
 	return err
 }
 
+// setReadDeadline bounds the reads of the body, unless it is complete.
+func (b *body) setReadDeadline(deadline time.Time) error {
+	b.deadlineMu.Lock()
+	defer b.deadlineMu.Unlock()
+	if b.isComplete() {
+		return nil
+	}
+	return b.exchange.conn.net.SetReadDeadline(deadline)
+}
+
 // isComplete reports whether the body was read completely.
 func (b *body) isComplete() bool { return b.complete.Load() }
 
--- a/internal/ingress/limits_test.go
+++ b/internal/ingress/limits_test.go
@@ -58,6 +58,27 @@
 	g.Expect(string(unasked)).To(gomega.BeEmpty(), "a response with no request waiting")
 }
 
+// TestYieldingHandlerKeepsHeadTimeout guards against a handler that removes the time limit
+// of the next head, because it removes the read deadline after the end of its body.
+func TestYieldingHandlerKeepsHeadTimeout(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newTestServer(t, func(c *Config) {
+		c.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			time.Sleep(time.Millisecond)
+			_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+			_, _ = io.WriteString(w, "x")
+		})
+	})
+	s.limits.Store(&routing.Limits{HeaderBytes: 1 << 10, BodyBytes: 100, HeaderTimeout: 100 * time.Millisecond, IdleTimeout: time.Minute})
+	c := s.dial(t, g)
+	c.send(post("/a", "body") + "GET / HT")
+	c.receive()
+	g.Expect(c.conn.SetReadDeadline(time.Now().Add(time.Second))).To(gomega.Succeed())
+	status, _, _ := c.receive()
+	g.Expect(status).To(gomega.Equal(http.StatusRequestTimeout))
+}
+
 // TestIdleConnectionsAreClosed guards against connections that callers leave open and
 // that hold memory for longer than the operators allow, and against closing one
 // with a request in flight.
--- a/internal/ingress/response_writer.go
+++ b/internal/ingress/response_writer.go
@@ -79,7 +79,10 @@
 // SetReadDeadline bounds the reads of the request body; http.ResponseController calls
 // it.
 func (w *responseWriter) SetReadDeadline(deadline time.Time) error {
-	return w.exchange.conn.net.SetReadDeadline(deadline)
+	if w.exchange.body == nil {
+		return nil
+	}
+	return w.exchange.body.setReadDeadline(deadline)
 }
 
 // SetWriteDeadline bounds the writes of the response in addition to the write timeout;
