--- a/cmd/rosemaryladder-sidecar/main.go
+++ b/cmd/rosemaryladder-sidecar/main.go
@@ -108,8 +108,8 @@
 		EntriesPrefix:       platform.EntriesPrefix,
 		WatchPrefix:         platform.WatchPrefix,
 		DecodeConfiguration: platform.DecodeConfiguration,
-		NewStore: func(address string, transport http.RoundTripper, scope tally.Scope) registry.Store {
-			return platform.NewStore(address, transport, scope)
+		NewStore: func(address string, transport http.RoundTripper, log *logrus.Entry, scope tally.Scope) registry.Store {
+			return platform.NewStore(address, transport, log, scope)
 		},
 		AnnouncementHandler: func(tracker *instance.Tracker, log *logrus.Entry, scope tally.Scope) http.Handler {
 			return platform.NewCheckInHandler(tracker, log, scope)
--- a/internal/claim/service_test.go
+++ b/internal/claim/service_test.go
@@ -20,6 +20,7 @@
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 	standin "rosemaryladder.dev/rosemaryladder/internal/standin/store"
 	"rosemaryladder.dev/rosemaryladder/internal/store"
+	"rosemaryladder.dev/rosemaryladder/internal/telemetry"
 	"rosemaryladder.dev/rosemaryladder/platform"
 )
 
@@ -65,7 +66,7 @@
 func (m *mesh) start(id, region string) *meshNode {
 	listener := m.listen(id, region)
 	node := &meshNode{mesh: m, id: id, server: grpc.NewServer(), scope: tally.NewTestScope("", nil)}
-	connection := platform.NewStore(m.address, store.NewTransport(dial.Dialer{}), tally.NoopScope)
+	connection := platform.NewStore(m.address, store.NewTransport(dial.Dialer{}), telemetry.DiscardLogger(), tally.NoopScope)
 	client, err := store.NewKeyed(store.Options{Timeout: time.Second}, connection, tally.NoopScope)
 	if err != nil {
 		m.t.Fatal(err)
--- a/internal/lease/keeper_test.go
+++ b/internal/lease/keeper_test.go
@@ -72,7 +72,7 @@
 	server := standin.NewServer(1)
 	listener := httptest.NewServer(server)
 	defer listener.Close()
-	connection := platform.NewStore(listener.Listener.Addr().String(), store.NewTransport(dial.Dialer{}), tally.NoopScope)
+	connection := platform.NewStore(listener.Listener.Addr().String(), store.NewTransport(dial.Dialer{}), telemetry.DiscardLogger(), tally.NoopScope)
 	client, err := store.NewKeyed(store.Options{Timeout: 200 * time.Millisecond}, connection, tally.NoopScope)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -47,7 +47,7 @@
 }
 
 func (n *Node) buildStore() (err error) {
-	connection := n.openStore(n.settings.Store.Address, store.NewTransport(n.dialer), n.metrics.Scope)
+	connection := n.openStore(n.settings.Store.Address, store.NewTransport(n.dialer), n.log, n.metrics.Scope)
 	client, err := store.NewKeyed(store.Options{Timeout: n.settings.Store.Timeout}, connection, n.metrics.Scope)
 	if err != nil {
 		return err
--- a/internal/sidecar/adapter.go
+++ b/internal/sidecar/adapter.go
@@ -23,7 +23,7 @@
 	// DecodeConfiguration decodes the operators' configuration.
 	DecodeConfiguration func([]byte) (*routing.Table, error)
 	// NewStore returns a client of the store at an address.
-	NewStore func(address string, transport http.RoundTripper, scope tally.Scope) registry.Store
+	NewStore func(address string, transport http.RoundTripper, log *logrus.Entry, scope tally.Scope) registry.Store
 	// AnnouncementHandler returns the handler for the announcements of the backend
 	// server.
 	AnnouncementHandler func(tracker *instance.Tracker, log *logrus.Entry, scope tally.Scope) http.Handler
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -102,7 +102,7 @@
 		Service: loaded.Node.Service, State: fleet.Absent, Incarnation: time.Now().UnixMilli(), LinkMbps: int(loaded.Node.LinkMbps),
 	}
 	s.registry, err = registry.New(config, registry.Deps{
-		Store:  s.adapter.NewStore(loaded.Store.Address, storeTransport(dialer), s.metrics.Scope),
+		Store:  s.adapter.NewStore(loaded.Store.Address, storeTransport(dialer), s.log, s.metrics.Scope),
 		Decode: s.adapter.DecodeConfiguration, Routes: s.routes, Fleet: s.fleet,
 		PeerClient: &http.Client{Transport: peerTransport(dialer)}, LeaderClient: &http.Client{Transport: leaderTransport(dialer)},
 		Log: s.log, Scope: s.metrics.Scope, Now: time.Now, Random: rand.Float64,
--- a/internal/standin/measure/baseline.go
+++ b/internal/standin/measure/baseline.go
@@ -10,6 +10,7 @@
 	"rosemaryladder.dev/rosemaryladder/internal/config"
 	"rosemaryladder.dev/rosemaryladder/internal/standin/fleet"
 	"rosemaryladder.dev/rosemaryladder/internal/store"
+	"rosemaryladder.dev/rosemaryladder/internal/telemetry"
 )
 
 // baselineChanges is the number of changes measured for the baseline.
@@ -29,7 +30,7 @@
 	watchers := make([]*watcher, len(m.fleet.Hosts))
 	for i, host := range m.fleet.Hosts {
 		watchers[i] = &watcher{receivedAt: make(map[uint64]time.Time)}
-		connection := m.options.OpenStore(m.fleet.StoreAddress(), store.NewTransport(m.fleet.Dialer(host)), tally.NoopScope)
+		connection := m.options.OpenStore(m.fleet.StoreAddress(), store.NewTransport(m.fleet.Dialer(host)), telemetry.DiscardLogger(), tally.NoopScope)
 		client, err := store.NewKeyed(store.Options{Timeout: time.Second}, connection, tally.NoopScope)
 		if err != nil {
 			return err
--- a/internal/standin/scenario/document_test.go
+++ b/internal/standin/scenario/document_test.go
@@ -12,13 +12,14 @@
 	"rosemaryladder.dev/rosemaryladder/internal/config"
 	"rosemaryladder.dev/rosemaryladder/internal/dial"
 	"rosemaryladder.dev/rosemaryladder/internal/store"
+	"rosemaryladder.dev/rosemaryladder/internal/telemetry"
 	"rosemaryladder.dev/rosemaryladder/platform"
 )
 
 // document: document unknown-field|dangling|garbage|good writes a document with
 // the next version to the store, bypassing the validation of the operators' tool.
 func (r *run) document(ts *testscript.TestScript, _ bool, args []string) {
-	connection := platform.NewStore(r.fleet.StoreAddress(), store.NewTransport(dial.Dialer{}), tally.NoopScope)
+	connection := platform.NewStore(r.fleet.StoreAddress(), store.NewTransport(dial.Dialer{}), telemetry.DiscardLogger(), tally.NoopScope)
 	client, err := store.NewKeyed(store.Options{Timeout: time.Second}, connection, tally.NoopScope)
 	ts.Check(err)
 	defer client.Close()
--- a/internal/standin/store/faults.go
+++ b/internal/standin/store/faults.go
@@ -20,6 +20,8 @@
 	// StaleReadsPercent is the percentage of reads that return the value before the
 	// latest write.
 	StaleReadsPercent int `json:"old_values_percent"`
+	// NoEra leaves the number of restores out of the responses, as an older store does.
+	NoEra bool `json:"no_era"`
 }
 
 // callDelay returns the delay of every call.
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -20,6 +20,8 @@
 	maxWait = 30 * time.Second
 	// maxBodyBytes is the maximum size of a request body in bytes: 32 values in base64.
 	maxBodyBytes = 64 << 20
+	// eraHeader is the response header with the number of restores.
+	eraHeader = "Store-Era"
 )
 
 // Server serves the store's protocol from a State.
@@ -75,6 +77,9 @@
 	if faults.Down {
 		panic(http.ErrAbortHandler)
 	}
+	if !faults.NoEra {
+		w.Header().Set(eraHeader, strconv.FormatUint(s.state.Era(), 10))
+	}
 	if faults.Unavailable {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -129,11 +134,12 @@
 	}
 	timeout := time.NewTimer(min(waitOf(r), maxWait))
 	defer timeout.Stop()
+	era := s.state.Era()
 	for {
 		events, at, changed, compacted := s.state.changesAfter(r.URL.Query().Get("prefix"), after)
 		faults, faultsChanged := s.faults.get()
 		switch {
-		case faults.Down || faults.Unavailable:
+		case faults.Down || faults.Unavailable || s.state.Era() != era:
 			panic(http.ErrAbortHandler)
 		case compacted:
 			w.WriteHeader(http.StatusGone)
--- a/internal/standin/store/state.go
+++ b/internal/standin/store/state.go
@@ -36,12 +36,14 @@
 	history  []item
 	// compactedRevision is the latest revision that was dropped from the history.
 	compactedRevision uint64
+	// era counts the restores.
+	era uint64
 }
 
 // NewState returns an empty state that expires leases according to the given clock.
 func NewState(now func() time.Time) *State {
 	return &State{
-		now: now, changed: make(chan struct{}), revision: 1,
+		now: now, changed: make(chan struct{}), revision: 1, era: firstEra,
 		items: make(map[string]item), previous: make(map[string]item), leases: make(map[uint64]lease),
 	}
 }
@@ -89,7 +91,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	if after < s.compactedRevision {
+	if after < s.compactedRevision || after > s.revision {
 		return nil, 0, nil, true
 	}
 	for _, i := range s.history {
