Do not compare revisions of two epochs of the store

After a restore the store gives out revisions a second time. A reader between two watches did not notice a short outage: it watched on after the revision that it held, which the store had reached again, got no 410, and never saw the changes in between. A confirmed version was not in force until the next list. A compare-and-swap whose expected revision had been given out again replaced a value that its writer had not read.

A watch that the outage cuts was never affected, because the reader lists again after every failed watch.

A Revision now holds its epoch in the upper bits, so a later epoch compares as newer everywhere, in the earlier daemon's readers and shards too.

--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -11,10 +11,18 @@
 	"time"
 )
 
-// Revision counts the changes of the store. The revision of a key is that of its
-// last change; a key that does not exist has revision 0.
+// Revision counts the changes of the store within an epoch; those of a later epoch are
+// higher. The revision of a key is that of its last change; a key that does not exist
+// has revision 0.
 type Revision uint64
 
+// Number returns the number of the revision in its epoch.
+func (r Revision) Number() uint64 { return uint64(r) & maxNumber }
+
+// In reports whether the revision can be compared with those of an epoch, as 0 always
+// can.
+func (r Revision) In(epoch Epoch) bool { return r == 0 || Epoch(r>>numberBits) == epoch }
+
 // LeaseID identifies a lease; 0 means no lease.
 type LeaseID uint64
 
--- a/internal/store/epoch.go
+++ b/internal/store/epoch.go
@@ -5,3 +5,20 @@
 // revisions and lease numbers are given out again, so those of two epochs have nothing
 // in common.
 type Epoch uint16
+
+// numberBits is the number of bits of a Revision that hold its number; the upper ones
+// hold its epoch. A revision of a later epoch is therefore above all of the earlier
+// ones.
+const numberBits = 48
+
+// maxNumber is the largest number of a revision.
+const maxNumber = 1<<numberBits - 1
+
+// Revision returns the revision with a number of the store in this epoch. Number 0, a
+// key that does not exist, is Revision 0 in all epochs.
+func (e Epoch) Revision(number uint64) Revision {
+	if number == 0 {
+		return 0
+	}
+	return Revision(uint64(e)<<numberBits | number&maxNumber)
+}
