Treat the leases of an earlier epoch of the store as expired

After a restore a node whose lease is in the copy renewed it and did not learn that its newer entry was gone: a server that left stood in the store as ready, for nodes that started then. A node whose lease was granted after the copy renewed the lease of another node that had got the same number, and was missing from the store; the others dropped it from their fleet 2.5 s later.

The store client now holds the epoch with each lease.

--- a/internal/registry/lease_loop.go
+++ b/internal/registry/lease_loop.go
@@ -29,7 +29,7 @@
 		case err == nil:
 			retry.reset()
 		case errors.Is(err, store.ErrLeaseExpired):
-			r.deps.Log.WithField("lease", uint64(lease)).Info("lease expired or was revoked; writing the local entry again")
+			r.deps.Log.WithField("lease", lease.Number()).Info("lease expired or was revoked; writing the local entry again")
 			lease = 0
 			r.clearStored()
 			continue
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -23,9 +23,15 @@
 // can.
 func (r Revision) In(epoch Epoch) bool { return r == 0 || Epoch(r>>numberBits) == epoch }
 
-// LeaseID identifies a lease; 0 means no lease.
+// LeaseID identifies a lease and the epoch in which it was granted; 0 means no lease.
 type LeaseID uint64
 
+// Number returns the number of the lease in its epoch.
+func (l LeaseID) Number() uint64 { return uint64(l) & maxNumber }
+
+// In reports whether the lease was granted in an epoch. No lease is in all of them.
+func (l LeaseID) In(epoch Epoch) bool { return l == 0 || Epoch(l>>numberBits) == epoch }
+
 // Value is the content of a key at a revision.
 type Value struct {
 	Data     []byte
