Keep departed nodes out of the fleet after a restore

A node that left between the copy and the restore is in the store again, as ready, until the lease of the copy ends.

Leases of the copy are void, so every live node writes its entry again, and the watch reports it. The first list of an epoch therefore does not take back a node that has left, or whose entry has lapsed, with an entry that is not newer than its last one. Entries that this list lacks are kept for the retention and OutageRetry, the time after which a follower has certainly called the store again. A node that wrote its entry before the list is taken by a second list, once the leases of the copy have ended: one more call of each reader for each restore. Followers get their fleet from the readers.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -35,10 +35,10 @@
 	position uint64
 }
 
-// removal is a node that was removed from the view, with the position at that
-// time.
+// removal is a node that was removed from the view, with its last entry and the
+// position at that time.
 type removal struct {
-	node     string
+	last     Entry
 	position uint64
 }
 
@@ -87,6 +87,48 @@
 	t.publish()
 }
 
+// SyncFromRestoredStore merges the list of a store that has come back from an earlier
+// copy, and returns the nodes that the store lists although they have left. Every live
+// node writes its entry again, which the watch reports, so that a listed entry does not
+// prove that its node is alive: a node that had left, or whose entry had lapsed, is not
+// taken back by the entry that it left with. Entries that the store lacks count as
+// lapsed after rewrite, the time that their nodes need to write them again.
+func (t *Table) SyncFromRestoredStore(entries []Entry, now time.Time, rewrite time.Duration) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listed := make(map[string]bool, len(entries))
+	var departed []string
+	for _, entry := range entries {
+		listed[entry.Node] = true
+		if t.hasDeparted(entry) {
+			departed = append(departed, entry.Node)
+			continue
+		}
+		t.merge(entry)
+	}
+	for node := range t.entries {
+		if !listed[node] {
+			t.lapse(node, now.Add(rewrite))
+		}
+	}
+	t.publish()
+	return departed
+}
+
+// hasDeparted reports whether the node of an entry has left, or its entry has lapsed,
+// with this entry or a newer one.
+func (t *Table) hasDeparted(entry Entry) bool {
+	if h, found := t.entries[entry.Node]; found {
+		return !h.lapsedAt.IsZero() && !entry.NewerThan(h.entry)
+	}
+	for _, r := range slices.Backward(t.removals) {
+		if r.last.Node == entry.Node {
+			return !entry.NewerThan(r.last)
+		}
+	}
+	return false
+}
+
 // SyncFromPeer merges the list of a node that follows the store: entries that it
 // lacks are removed, because that node has already kept them for the retention.
 // local is the entry of this node, which stays.
@@ -135,8 +177,8 @@
 		}
 	}
 	for _, r := range t.removals {
-		if _, rejoined := t.entries[r.node]; r.position > position && !rejoined {
-			changes.Removed = append(changes.Removed, r.node)
+		if _, rejoined := t.entries[r.last.Node]; r.position > position && !rejoined {
+			changes.Removed = append(changes.Removed, r.last.Node)
 		}
 	}
 	return changes, true
@@ -196,12 +238,13 @@
 }
 
 func (t *Table) remove(node string) {
-	if _, found := t.entries[node]; !found {
+	h, found := t.entries[node]
+	if !found {
 		return
 	}
 	delete(t.entries, node)
 	t.position++
-	t.removals = append(t.removals, removal{node: node, position: t.position})
+	t.removals = append(t.removals, removal{last: h.entry, position: t.position})
 	if excess := len(t.removals) - maxRemovals; excess > 0 {
 		t.trimmedPosition = t.removals[excess-1].position
 		t.removals = slices.Delete(t.removals, 0, excess)
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -143,3 +143,37 @@
 		t.Fatal("a position of another run, beyond that of the table, is reported as known")
 	}
 }
+
+// TestRestoredStoreKeepsTheFleet guards against a server that left and is in use again,
+// because a restored store lists the entry that it had before, and against a live one
+// that is dropped before its node had the time to write its entry again.
+func TestRestoredStoreKeepsTheFleet(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const retention, rewrite = 2 * time.Second, time.Second
+	now := time.Unix(100, 0)
+	table := NewTable(retention)
+	entry := func(node string, sequence int64) Entry {
+		return Entry{Node: node, Service: "s", State: Ready, Incarnation: 1, Sequence: sequence}
+	}
+	nodes := func() []string {
+		var names []string
+		for _, e := range table.View().Ready("s") {
+			names = append(names, e.Node)
+		}
+		return names
+	}
+	table.SyncFromStore([]Entry{entry("left", 3), entry("lapsed", 3), entry("lost", 3), entry("returned", 3)}, now)
+	table.Remove([]string{"left", "returned"})
+	table.MarkLapsed("lapsed", now)
+
+	// The copy is older than the removals and than the entry "lost".
+	departed := table.SyncFromRestoredStore([]Entry{entry("left", 2), entry("lapsed", 3), entry("returned", 4), entry("new", 1)}, now, rewrite)
+	g.Expect(departed).To(gomega.ConsistOf("left", "lapsed"))
+	g.Expect(nodes()).To(gomega.ConsistOf("lapsed", "lost", "new", "returned"))
+	g.Expect(table.Expire(now.Add(retention))).To(gomega.ConsistOf("lapsed"))
+	g.Expect(table.Expire(now.Add(retention + rewrite - 1))).To(gomega.BeEmpty())
+	g.Expect(nodes()).To(gomega.ConsistOf("lost", "new", "returned"))
+	table.Merge(entry("left", 2))
+	g.Expect(nodes()).To(gomega.ContainElement("left"), "an entry that is written again is taken")
+	g.Expect(table.Expire(now.Add(retention + rewrite))).To(gomega.ConsistOf("lost"))
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -11,6 +11,7 @@
 
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 	"rosemaryladder.dev/rosemaryladder/internal/routing"
+	"rosemaryladder.dev/rosemaryladder/internal/store"
 )
 
 // Registry runs the loops that keep a node and the store in sync. It is safe for
@@ -46,6 +47,11 @@
 	// awaitedFleet is set once the node has waited for the entries of others after its
 	// start. Only the watch loop uses it.
 	awaitedFleet bool
+	// listedEpoch is the epoch of the store in which the fleet was last listed, and
+	// relistAt, unless zero, when it is listed again because the first list of that
+	// epoch may have held entries of nodes that had left. Only the watch loop uses them.
+	listedEpoch store.Epoch
+	relistAt    time.Time
 	// confirmedAt is when the store was last asked whether it responds to this node,
 	// because it did not respond to the leader. Only the watch loop uses it.
 	confirmedAt time.Time
--- a/internal/registry/watch_loop.go
+++ b/internal/registry/watch_loop.go
@@ -78,7 +78,7 @@
 		}
 		entries = append(entries, entry)
 	}
-	r.deps.Fleet.SyncFromStore(append(entries, r.LocalEntry()), r.deps.Now())
+	r.syncFleet(append(entries, r.LocalEntry()), revision.Epoch())
 	r.updates.notify()
 	if !r.fleetKnown.Swap(true) {
 		r.deps.Log.WithField("entries", len(entries)).Info("fleet loaded from the store")
@@ -86,6 +86,29 @@
 	return revision, nil
 }
 
+// syncFleet merges the complete list of the entries in the store.
+func (r *Registry) syncFleet(entries []fleet.Entry, epoch store.Epoch) {
+	now := r.deps.Now()
+	if epoch != r.listedEpoch {
+		// A lease of the copy that nobody renews ends within its TTL.
+		r.listedEpoch, r.relistAt = epoch, now.Add(r.config.LeaseTTL+r.config.CallTimeout)
+	}
+	if r.relistAt.IsZero() || now.After(r.relistAt) {
+		r.relistAt = time.Time{}
+		r.deps.Fleet.SyncFromStore(entries, now)
+		return
+	}
+	if departed := r.deps.Fleet.SyncFromRestoredStore(entries, now, r.config.OutageRetry); len(departed) > 0 {
+		r.deps.Log.WithField("peers", departed).Info("entries of departed nodes in the restored store ignored")
+	}
+}
+
+// relistDue reports whether the leases of the copy from which the store was restored
+// have ended, so that what the store lists is in use.
+func (r *Registry) relistDue() bool {
+	return !r.relistAt.IsZero() && r.deps.Now().After(r.relistAt)
+}
+
 // awaitFleet waits for the entries of other nodes after a start with an empty fleet. It
 // returns the revision to watch from.
 func (r *Registry) awaitFleet(ctx context.Context, revision store.Revision) (store.Revision, error) {
@@ -138,6 +161,12 @@
 		if _, found := r.pickUpstream(); found {
 			return nil
 		}
+		if r.relistDue() {
+			// The watch goes on from the same revision: the list holds no configuration.
+			if _, err := r.loadFleet(ctx); err != nil {
+				return err
+			}
+		}
 		if len(events) > 0 && !pause(ctx, r.config.WatchPause) {
 			return ctx.Err()
 		}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -19,9 +19,12 @@
 // Number returns the number of the revision in its epoch.
 func (r Revision) Number() uint64 { return uint64(r) & maxNumber }
 
+// Epoch returns the epoch of the revision.
+func (r Revision) Epoch() Epoch { return Epoch(r >> numberBits) }
+
 // In reports whether the revision can be compared with those of an epoch, as 0 always
 // can.
-func (r Revision) In(epoch Epoch) bool { return r == 0 || Epoch(r>>numberBits) == epoch }
+func (r Revision) In(epoch Epoch) bool { return r == 0 || r.Epoch() == epoch }
 
 // LeaseID identifies a lease and the epoch in which it was granted; 0 means no lease.
 type LeaseID uint64
