Spread the writes of nodes that lose their leases together

Nodes that start together renew at the same phase, and a store that was away is reported to all followers by one response of their leader. Since a restore ends every lease, all of them granted a lease and wrote their entry at once: 390 writes at 195 nodes, with a store that takes 400 a second from all nodes combined.

A node now waits up to 5 ms for each node of the fleet, at most 0.5 s, before it replaces an expired lease. Together with the renewal interval that stays below the 2.5 s for which the others keep its entry. A change of the local entry is still written at once.

--- a/internal/registry/lease_loop.go
+++ b/internal/registry/lease_loop.go
@@ -31,8 +31,8 @@
 		case errors.Is(err, store.ErrLeaseExpired):
 			r.deps.Log.WithField("lease", lease.Number()).Info("lease expired or was revoked; writing the local entry again")
 			lease = 0
-			r.clearStored()
-			continue
+			r.setStored(fleet.Entry{})
+			wait = rewriteDelay(len(r.deps.Fleet.View().Entries()), r.deps.Random())
 		default:
 			r.recordStoreFailure("lease", err)
 			wait = retry.next()
@@ -46,6 +46,23 @@
 	}
 }
 
+const (
+	// rewriteSpread is the time for each node of the fleet over which the nodes spread
+	// the writes after a loss of all leases: two writes for each node at 400 writes a
+	// second.
+	rewriteSpread = 5 * time.Millisecond
+	// maxRewriteDelay and the longest renewal interval together are below the time for
+	// which the fleet keeps an entry that left the store.
+	maxRewriteDelay = 500 * time.Millisecond
+)
+
+// rewriteDelay returns how long a node of a fleet waits before it writes its entry
+// again under a new lease, so that nodes that have lost their leases together do not
+// exceed the write rate of the store. random is in [0, 1).
+func rewriteDelay(nodes int, random float64) time.Duration {
+	return time.Duration(random * float64(min(time.Duration(nodes)*rewriteSpread, maxRewriteDelay)))
+}
+
 // renewalInterval returns the time between two renewals of the lease.
 func (r *Registry) renewalInterval() time.Duration {
 	if r.following.Load() {
