Play a store that is restored twice with real processes

The scenario restored has versions and an acknowledged drain that the store loses, a node that starts before the operators have written again, and a restore whose revisions have passed those of before by the time the store responds.

--- a/internal/standin/platformscenario/scenario_test.go
+++ b/internal/standin/platformscenario/scenario_test.go
@@ -44,6 +44,8 @@
 type scenarioState struct {
 	deployment *Deployment
 	load       *Load
+	// copied is the copy of the store from which it is restored.
+	copied store.Snapshot
 }
 
 const stateKey = "state"
@@ -66,7 +68,7 @@
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"deploy": deploy, "configure": configure, "ready": ready, "load": load, "check": check,
-			"signal": signal, "node": node, "store": storeCommand, "app": appCommand, "pause": pause, "poison": poison,
+			"signal": signal, "node": node, "store": storeCommand, "app": appCommand, "pause": pause, "poison": poison, "route": routeCommand,
 		},
 	})
 }
@@ -177,8 +179,9 @@
 	ts.Check(d.WaitExit(n, 6*time.Second))
 }
 
-// storeCommand: store down|up|compact|revoke makes the store unavailable or available,
-// drops its history, or revokes all leases.
+// storeCommand: store down|up|compact|revoke|copy|restore makes the store unavailable
+// or available, drops its history, revokes all leases, copies it, or restores it from
+// the copy.
 func storeCommand(ts *testscript.TestScript, _ bool, args []string) {
 	server := stateOf(ts).deployment.Store
 	switch args[0] {
@@ -188,6 +191,10 @@
 		server.State().Compact()
 	case "revoke":
 		server.State().RevokeAll()
+	case "copy":
+		stateOf(ts).copied = server.State().Snapshot()
+	case "restore":
+		server.State().Restore(stateOf(ts).copied)
 	}
 }
 
