Ask a peer before a restarted node is ready

A node acknowledged that its server leaves, after the copy from which the store was restored, and was killed. Its next process found an older entry of itself in the store and did not know of the leaving: a late announcement of the server or its health check would have put it in use again. The peers still held the newer entry, but the first query of the restarted node carried its own new entry, which replaced that one before the peer responded; and a reader asked no peer at all.

The test failed before, for the four nodes of a domain, readers or not:

TestLeavingIsLearnedFromPeersAfterARestore/a, /b, /c: Expected <nil>: nil to equal server-a, server-b, server-c

The first exchange of a process that knows no server yet carries no entry. Entries of a response are merged before its configuration, with which the node becomes ready.

--- a/internal/registry/peer_loop.go
+++ b/internal/registry/peer_loop.go
@@ -101,8 +101,22 @@
 
 // pickPeer returns a random other node, or false when there is none.
 func (r *Registry) pickPeer() (fleet.Entry, bool) {
+	return r.pickPeerIn(func(fleet.Entry) bool { return true })
+}
+
+// pickNearPeer returns a random other node, if possible of the local failure domain.
+func (r *Registry) pickNearPeer() (fleet.Entry, bool) {
+	domain := r.LocalEntry().Domain
+	if peer, found := r.pickPeerIn(func(e fleet.Entry) bool { return e.Domain == domain }); found {
+		return peer, true
+	}
+	return r.pickPeer()
+}
+
+// pickPeerIn returns a random other node among those that are eligible.
+func (r *Registry) pickPeerIn(eligible func(fleet.Entry) bool) (fleet.Entry, bool) {
 	localNode := r.LocalEntry().Node
-	entries := slices.DeleteFunc(slices.Clone(r.deps.Fleet.View().Entries()), func(e fleet.Entry) bool { return e.Node == localNode })
+	entries := slices.DeleteFunc(slices.Clone(r.deps.Fleet.View().Entries()), func(e fleet.Entry) bool { return e.Node == localNode || !eligible(e) })
 	if len(entries) == 0 {
 		return fleet.Entry{}, false
 	}
@@ -117,7 +131,7 @@
 	r.peerRequests.Inc(1)
 	view := r.deps.Fleet.View()
 	query := peerState{
-		Version: uint64(r.deps.Routes.Version()), Digest: view.Digest(), Entries: []fleet.Entry{r.LocalEntry()},
+		Version: uint64(r.deps.Routes.Version()), Digest: view.Digest(), Entries: r.entriesToSend(),
 		SinceContactMs: r.sinceContact().Milliseconds(), FleetKnown: r.fleetKnown.Load(),
 	}
 	remote, err := r.exchangeState(ctx, r.deps.PeerClient, entry, query)
@@ -133,6 +147,17 @@
 	return true
 }
 
+// entriesToSend returns the entries that a query carries: the local one, except in the
+// first exchange of a process that knows no server yet. That entry would replace the
+// one of an earlier process at the peer, which may say that the server leaves.
+func (r *Registry) entriesToSend() []fleet.Entry {
+	local := r.LocalEntry()
+	if local.Server == "" && !r.exchanged.Load() {
+		return nil
+	}
+	return []fleet.Entry{local}
+}
+
 // exchangeState sends the local state to a node and returns that of the node.
 func (r *Registry) exchangeState(ctx context.Context, client *http.Client, entry fleet.Entry, local peerState) (peerState, error) {
 	encoded, err := json.Marshal(local)
@@ -151,7 +176,11 @@
 	if response.StatusCode != http.StatusOK {
 		return peerState{}, errors.Errorf("node %s responded with status %d, expected %d", entry.Node, response.StatusCode, http.StatusOK)
 	}
-	return decodeState(response.Body)
+	state, err := decodeState(response.Body)
+	if err == nil {
+		r.exchanged.Store(true)
+	}
+	return state, err
 }
 
 // stateFor returns the local state as the response to a node: with the configuration
@@ -184,9 +213,6 @@
 
 // mergeState merges the state of a peer into the local one.
 func (r *Registry) mergeState(remote peerState, source string) {
-	if len(remote.Configuration)+len(remote.Changes) > 0 && routing.Version(remote.Version) > r.deps.Routes.Version() {
-		r.applyPeerConfiguration(remote, source)
-	}
 	for _, entry := range remote.Entries {
 		if err := entry.Validate(); err != nil {
 			r.rejectedValues.Inc(1)
@@ -195,6 +221,11 @@
 		}
 		r.mergeEntry(entry, source)
 	}
+	// A node that starts is ready with its first configuration and must know by then
+	// whether its server leaves.
+	if len(remote.Configuration)+len(remote.Changes) > 0 && routing.Version(remote.Version) > r.deps.Routes.Version() {
+		r.applyPeerConfiguration(remote, source)
+	}
 	fleetComplete := remote.FleetKnown && (remote.Complete || remote.Digest == r.deps.Fleet.View().Digest())
 	if fleetComplete && !r.fleetKnown.Swap(true) {
 		r.deps.Log.WithField("entries", len(remote.Entries)).Info("fleet loaded from a peer")
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -37,6 +37,8 @@
 	// than the local one.
 	newestPeerVersion  atomic.Uint64
 	peerVersionOverdue bool
+	// exchanged is set once a peer has responded with its state.
+	exchanged atomic.Bool
 	// updates wakes the pending long polls of followers.
 	updates *notifier
 	// runID identifies this run of the process to followers.
@@ -52,6 +54,9 @@
 	// epoch may have held entries of nodes that had left. Only the watch loop uses them.
 	listedEpoch store.Epoch
 	relistAt    time.Time
+	// askedPeer is set once a node that starts as a reader has queried a peer. Only the
+	// watch loop uses it.
+	askedPeer bool
 	// confirmedAt is when the store was last asked whether it responds to this node,
 	// because it did not respond to the leader. Only the watch loop uses it.
 	confirmedAt time.Time
--- a/internal/registry/watch_loop.go
+++ b/internal/registry/watch_loop.go
@@ -29,6 +29,7 @@
 			continue
 		}
 		if err == nil {
+			r.askPeerOnce(ctx)
 			err = r.readConfiguration(ctx)
 		}
 		if err == nil {
@@ -124,6 +125,26 @@
 	return next, nil
 }
 
+// askPeerOnce has a node that starts as a reader query a peer before it is ready. A
+// store that was restored may hold neither the newest configuration nor the entry in
+// which an earlier process of this node acknowledged that its server leaves; peers do.
+// Other nodes learn both from their leader.
+func (r *Registry) askPeerOnce(ctx context.Context) {
+	if r.askedPeer {
+		return
+	}
+	r.askedPeer = true
+	peer, found := r.pickNearPeer()
+	if !found {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.config.PeerTimeout)
+	defer cancel()
+	if !r.queryPeer(ctx, peer) {
+		r.deps.Log.WithField("peer", peer.Node).Info("peer did not respond to the query at the start")
+	}
+}
+
 // firstWatchWait is the wait of the watch after StartPause, whose events have occurred
 // already. It delays a node without a fleet.
 const firstWatchWait = 100 * time.Millisecond
