Register a failure domain again when its seeds lose their lease

The earlier daemon lists its failure domain in the store once for each process. A restored store may lack the list, and nodes that start then find no seeds of the domain. Seeds whose lease has expired now register the domain again with the next write: one more read.

The test failed before:

TestSeedsAreRegisteredAgain: timed out after 10s waiting until the domain is registered again

--- a/internal/gossip/seed_store.go
+++ b/internal/gossip/seed_store.go
@@ -74,16 +74,16 @@
 // if they are unchanged. Without overwrite it only creates the key, and returns an
 // error that wraps store.ErrConflict if it exists.
 func (s *seedStore) publish(ctx context.Context, addresses []string, overwrite bool) error {
-	if s.registeredDomains == nil {
-		if err := s.register(ctx); err != nil {
-			return err
-		}
-	}
 	if s.lease != 0 && slices.Equal(s.lastWritten, addresses) {
 		if s.keepAlive(ctx) == nil {
 			return nil
 		}
 	}
+	if s.registeredDomains == nil {
+		if err := s.register(ctx); err != nil {
+			return err
+		}
+	}
 	err := s.write(ctx, addresses)
 	if err == nil || !overwrite || !errors.Is(err, store.ErrConflict) {
 		return err
@@ -101,6 +101,10 @@
 	if err != nil {
 		s.lease = 0
 	}
+	if errors.Is(err, store.ErrLeaseExpired) {
+		// A restored store may have lost the list of domains too.
+		s.registeredDomains = nil
+	}
 	return err
 }
 
--- a/internal/gossip/store_test.go
+++ b/internal/gossip/store_test.go
@@ -21,6 +21,8 @@
 	mu     sync.Mutex
 	values map[string]store.Value
 	leases store.LeaseID
+	// lostLeases is the last lease that no longer exists.
+	lostLeases store.LeaseID
 }
 
 func newMemoryStore() *memoryStore { return &memoryStore{values: make(map[string]store.Value)} }
@@ -65,7 +67,48 @@
 	return s.leases, nil
 }
 
-func (s *memoryStore) KeepAlive(context.Context, store.LeaseID) error { return s.countCall() }
+func (s *memoryStore) KeepAlive(_ context.Context, lease store.LeaseID) error {
+	if err := s.countCall(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if lease <= s.lostLeases {
+		return store.ErrLeaseExpired
+	}
+	return nil
+}
+
+// loseAll drops all keys and leases, as a restore from a copy without them.
+func (s *memoryStore) loseAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.values)
+	s.lostLeases = s.leases
+}
+
+func (s *memoryStore) hasKey(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.values[key].Revision > 0
+}
+
+// TestSeedsAreRegisteredAgain guards against a failure domain that no starting node
+// finds, because the store has lost the list of domains and the domain is registered
+// only once.
+func TestSeedsAreRegisteredAgain(t *testing.T) {
+	shared := newMemoryStore()
+	startNode(t, 0, nil, shared, func(config *gossip.Config) { config.RejoinInterval = 400 * time.Millisecond })
+	registered := func() bool { return shared.hasKey("seed-domains") }
+	await(t, 10*time.Second, "the domain is registered", registered)
+	await(t, 10*time.Second, "the seeds are written", func() bool {
+		shared.mu.Lock()
+		defer shared.mu.Unlock()
+		return shared.leases > 0
+	})
+	shared.loseAll()
+	await(t, 10*time.Second, "the domain is registered again", registered)
+}
 
 // TestJoinFromStore guards against nodes without configured seeds that start
 // together and do not find each other, within a domain or across domains, and
