--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -11,6 +11,7 @@
 
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 	"rosemaryladder.dev/rosemaryladder/internal/routing"
+	"rosemaryladder.dev/rosemaryladder/internal/store"
 )
 
 // Registry runs the loops that keep a node and the store in sync. It is safe for
@@ -36,6 +37,8 @@
 	// than the local one.
 	newestPeerVersion  atomic.Uint64
 	peerVersionOverdue bool
+	// exchanged is set once a peer has responded with its state.
+	exchanged atomic.Bool
 	// updates wakes the pending long polls of followers.
 	updates *notifier
 	// runID identifies this run of the process to followers.
@@ -46,6 +49,14 @@
 	// awaitedFleet is set once the node has waited for the entries of others after its
 	// start. Only the watch loop uses it.
 	awaitedFleet bool
+	// listedEpoch is the epoch of the store in which the fleet was last listed, and
+	// relistAt, unless zero, when it is listed again because the first list of that
+	// epoch may have held entries of nodes that had left. Only the watch loop uses them.
+	listedEpoch store.Epoch
+	relistAt    time.Time
+	// askedPeer is set once a node that starts as a reader has queried a peer. Only the
+	// watch loop uses it.
+	askedPeer bool
 	// confirmedAt is when the store was last asked whether it responds to this node,
 	// because it did not respond to the leader. Only the watch loop uses it.
 	confirmedAt time.Time
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -11,13 +11,30 @@
 	"time"
 )
 
-// Revision counts the changes of the store. The revision of a key is that of its
-// last change; a key that does not exist has revision 0.
+// Revision counts the changes of the store within an epoch; those of a later epoch are
+// higher. The revision of a key is that of its last change; a key that does not exist
+// has revision 0.
 type Revision uint64
 
-// LeaseID identifies a lease; 0 means no lease.
+// Number returns the number of the revision in its epoch.
+func (r Revision) Number() uint64 { return uint64(r) & maxNumber }
+
+// Epoch returns the epoch of the revision.
+func (r Revision) Epoch() Epoch { return Epoch(r >> numberBits) }
+
+// In reports whether the revision can be compared with those of an epoch, as 0 always
+// can.
+func (r Revision) In(epoch Epoch) bool { return r == 0 || r.Epoch() == epoch }
+
+// LeaseID identifies a lease and the epoch in which it was granted; 0 means no lease.
 type LeaseID uint64
 
+// Number returns the number of the lease in its epoch.
+func (l LeaseID) Number() uint64 { return uint64(l) & maxNumber }
+
+// In reports whether the lease was granted in an epoch. No lease is in all of them.
+func (l LeaseID) In(epoch Epoch) bool { return l == 0 || Epoch(l>>numberBits) == epoch }
+
 // Value is the content of a key at a revision.
 type Value struct {
 	Data     []byte
