Date the requests of a leaving stand-in server by the kernel

Cause: the stand-in, not the sidecar. app.ServeHTTP called time.Now when its handler started and compared it with the time at which the check-in goroutine had read the acknowledgement. Both goroutines become runnable within a millisecond, in any order, so that a request which had arrived first could be counted as late, and one which had arrived last could be missed.

By the kernel's timestamps all 34 requests had arrived 0.2 to 59 ms before the acknowledgement did; their handlers started up to 78 ms after the arrival.

Change: package arrival reads SO_TIMESTAMPNS of each read. On the loopback interface the kernel takes it while the sender writes. The stand-in dates requests and the acknowledgement by it, and compares them when it is asked for the count, so that a handler that runs before the acknowledgement is read isn't missed either. A read without a timestamp counts as received now, as before. The fault proxies, whose times the soak uses, date chunks in the same way.

The check is stricter than before.

--- a/internal/standin/app/app.go
+++ b/internal/standin/app/app.go
@@ -4,9 +4,7 @@
 package app
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -14,10 +12,9 @@
 	"sync"
 	"sync/atomic"
 	"time"
-)
 
-// checkInInterval is the time between two check-ins.
-const checkInInterval = 200 * time.Millisecond
+	"rosemaryladder.dev/rosemaryladder/internal/standin/arrival"
+)
 
 // Options configure one server.
 type Options struct {
@@ -31,7 +28,7 @@
 	ServiceTime time.Duration
 	// SentAt returns when the latest bytes of the connection from a remote address were
 	// sent, for a server behind a proxy that delays them. If it is nil, a request counts
-	// as sent when it is received.
+	// as sent when the kernel received its bytes.
 	SentAt func(remote string) time.Time
 	// PoisonPath is the path of requests that crash the server; empty for none.
 	PoisonPath string
@@ -46,26 +43,26 @@
 	startTime int64
 	sequence  atomic.Int64
 	draining  atomic.Bool
-	// ackedAt is when the drain was acknowledged; nil before.
+	// ackedAt is when the kernel received the acknowledgement of the drain; nil before.
 	ackedAt atomic.Pointer[time.Time]
 	crashed atomic.Bool
 	// silent is set once the server sends no further check-ins.
 	silent atomic.Bool
-	// lateRequests is the number of requests sent after the drain was acknowledged.
-	lateRequests atomic.Int64
-	cancel       context.CancelFunc
-	done         sync.WaitGroup
+	// sent holds when the requests were sent.
+	sent   sendTimes
+	cancel context.CancelFunc
+	done   sync.WaitGroup
 }
 
 // Start starts a server. The error is that of listening on its address.
 func Start(options Options) (*App, error) {
-	listener, err := net.Listen("tcp", options.Address)
+	listener, err := arrival.Listen(options.Address)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &App{options: options, startTime: time.Now().UnixMilli(), cancel: cancel}
-	a.server = &http.Server{Handler: a}
+	a.server = &http.Server{Handler: a, ConnContext: withConn}
 	a.done.Go(func() { _ = a.server.Serve(listener) })
 	a.done.Go(func() { a.checkInLoop(ctx) })
 	return a, nil
@@ -80,15 +77,20 @@
 // SendLateCheckIn sends a check-in that says that the server is ready, with the sequence
 // number of its first one, as if it had been delayed on the way.
 func (a *App) SendLateCheckIn() error {
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	if !a.checkIn(context.Background(), client, false, 1) {
+	if _, acknowledged := a.checkIn(context.Background(), false, 1); !acknowledged {
 		return fmt.Errorf("the late check-in of %s was not acknowledged", a.options.ID)
 	}
 	return nil
 }
 
 // LateRequests returns the number of requests sent after the drain was acknowledged.
-func (a *App) LateRequests() int64 { return a.lateRequests.Load() }
+func (a *App) LateRequests() int64 {
+	ackedAt := a.ackedAt.Load()
+	if ackedAt == nil {
+		return 0
+	}
+	return a.sent.after(*ackedAt)
+}
 
 // Acknowledged reports whether the node has acknowledged the drain.
 func (a *App) Acknowledged() bool { return a.ackedAt.Load() != nil }
@@ -116,9 +118,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if ackedAt := a.ackedAt.Load(); ackedAt != nil && a.sentAt(r).After(*ackedAt) {
-		a.lateRequests.Add(1)
-	}
+	a.sent.add(a.sentAt(r))
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -139,52 +139,21 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s", id, r.Header.Get("X-Rosemaryladder-Caller-Service"), body)
 }
 
-// sentAt returns when the local node sent a request.
+// sentAt returns when the local node sent a request. On a busy machine its handler starts
+// long after its bytes have arrived.
 func (a *App) sentAt(r *http.Request) time.Time {
-	if a.options.SentAt == nil {
-		return time.Now()
+	if a.options.SentAt != nil {
+		return a.options.SentAt(r.RemoteAddr)
 	}
-	return a.options.SentAt(r.RemoteAddr)
-}
-
-func (a *App) checkInLoop(ctx context.Context) {
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for ctx.Err() == nil {
-		draining := a.draining.Load()
-		if !a.silent.Load() && a.checkIn(ctx, client, draining, a.sequence.Add(1)) && draining && a.ackedAt.Load() == nil {
-			now := time.Now()
-			a.ackedAt.Store(&now)
-		}
-		select {
-		case <-time.After(checkInInterval):
-		case <-ctx.Done():
-		}
+	if conn, ok := r.Context().Value(connKey{}).(*arrival.Conn); ok {
+		return conn.LastReceived()
 	}
+	return time.Now()
 }
 
-func (a *App) checkIn(ctx context.Context, client *http.Client, draining bool, sequence int64) bool {
-	state := "ready"
-	if draining {
-		state = "draining"
-	}
-	body, err := json.Marshal(map[string]any{
-		"address": a.options.Address, "born": a.startTime,
-		"info":   map[string]any{"service": a.options.Service, "slots": a.options.Slots, "version": "v1", "zone": "z"},
-		"status": map[string]any{"state": state, "seq": sequence, "coldLeft": "0ms"},
-	})
-	if err != nil {
-		panic(err)
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+a.options.CheckInAddress+"/api/instances/"+a.options.ID, bytes.NewReader(body))
-	if err != nil {
-		panic(err)
-	}
-	request.Header.Set("Content-Type", "application/json")
-	response, err := client.Do(request)
-	if err != nil {
-		// The node is down; the check-in is retried after checkInInterval.
-		return false
-	}
-	response.Body.Close()
-	return response.StatusCode == http.StatusOK
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
 }
--- a/internal/standin/faultproxy/proxy.go
+++ b/internal/standin/faultproxy/proxy.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"rosemaryladder.dev/rosemaryladder/internal/standin/arrival"
 )
 
 // Fault is the fault that a proxy injects into its connections.
@@ -43,15 +45,15 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
-	// lastSent holds when the client's latest chunk was received, by the proxy's local
-	// address of the connection to the target.
+	// lastSent holds when the client's latest chunk arrived, by the proxy's local address
+	// of the connection to the target.
 	lastSent map[string]time.Time
 	closed   bool
 }
 
 // Start listens on an address and forwards its connections to the target.
 func Start(address, target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := arrival.Listen(address)
 	if err != nil {
 		return nil, err
 	}
@@ -64,8 +66,8 @@
 // Address returns the address that the proxy listens on.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
-// LastSent returns when the client's latest chunk was received on the connection whose
-// remote address, as observed by the target, is remote. For an unknown connection it
+// LastSent returns when the client's latest chunk arrived on the connection whose remote
+// address, as observed by the target, is remote. For an unknown connection it
 // returns the current time, so that the connection does not count as delayed.
 func (p *Proxy) LastSent(remote string) time.Time {
 	p.mu.Lock()
@@ -77,10 +79,10 @@
 	return at
 }
 
-func (p *Proxy) recordSent(server net.Conn) {
+func (p *Proxy) recordSent(client *arrival.Conn, server net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastSent[server.LocalAddr().String()] = time.Now()
+	p.lastSent[server.LocalAddr().String()] = client.LastReceived()
 }
 
 // Set changes the fault. Reset also resets the open connections.
@@ -137,7 +139,7 @@
 		n, err := from.Read(buffer)
 		if n > 0 {
 			if !isResponse {
-				p.recordSent(to)
+				p.recordSent(from.(*arrival.Conn), to)
 			}
 			p.applyFault(isResponse)
 			if _, err := to.Write(buffer[:n]); err != nil {
@@ -194,7 +196,7 @@
 
 // reset closes a connection with a TCP reset instead of a regular close.
 func reset(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = conn.Close()
--- a/internal/standin/faultproxy/proxy_test.go
+++ b/internal/standin/faultproxy/proxy_test.go
@@ -54,3 +54,30 @@
 	p.Set(Reset)
 	g.Expect(roundTrip(conn, 5*time.Second)).NotTo(gomega.Succeed())
 }
+
+// TestLastSentIsTheArrival guards against chunks that are dated when the proxy reads or
+// forwards them, so that a soak takes them for late ones.
+func TestLastSentIsTheArrival(t *testing.T) {
+	g := gomega.NewWithT(t)
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer target.Close()
+	p, err := Start("127.0.0.1:0", target.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer p.Close()
+	client, err := net.Dial("tcp", p.Address())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer client.Close()
+	server, err := target.Accept()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer server.Close()
+	p.Set(Delay)
+	g.Eventually(func() bool {
+		_, err = io.WriteString(client, "x")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		sentAt := time.Now().Round(0)
+		_, err = io.ReadFull(server, make([]byte, 1))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return !p.LastSent(server.RemoteAddr().String()).After(sentAt)
+	}).Should(gomega.BeTrue(), "every chunk is dated after it was sent")
+}
