Keep the leaving of a server while it is taken for absent

Tracker.ObserveHealthy asked Tracker.leaving, which only Leave sets; Announce reset it also for a draining check-in. While the server was absent, the entry of the node also lost the leaving run, which the next process of the node adopts.

Server.Leaving is now part of the server's state, set by a draining check-in and by Leave, and kept by MarkAbsent. A health check of the same run changes nothing while it is set, and the entry names the leaving run as long as it is set. A check-in of the run decides as before. Tracker.left keeps the rule that after Leave all check-ins of the run are stale.

TestAbsentLeavingServerIsNotMarkedReady fails without the change ("applied" in place of "stale"). Not shown: the whole course with real processes.

--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -8,6 +8,9 @@
 	ID    string
 	State fleet.State
 	Slots int
+	// Leaving is set once the run has announced that it shuts down. It stays set while the
+	// server is absent.
+	Leaving bool
 	// StartTime and Sequence order announcements.
 	StartTime int64
 	Sequence  int64
--- a/internal/instance/tracker.go
+++ b/internal/instance/tracker.go
@@ -29,8 +29,9 @@
 	current atomic.Pointer[Server]
 
 	mu sync.Mutex
-	// leaving is set once the current run has announced that it shuts down.
-	leaving   bool
+	// left is set once Leave was called for the current run. Its announcements are stale
+	// from then on.
+	left      bool
 	listeners []func(old, new Server)
 }
 
@@ -70,9 +71,9 @@
 	}
 	next := Server{ID: a.Server, State: fleet.Ready, Slots: a.Slots, StartTime: a.StartTime, Sequence: a.Sequence}
 	if a.Draining {
-		next.State = fleet.Draining
+		next.State, next.Leaving = fleet.Draining, true
 	}
-	t.leaving = false
+	t.left = false
 	return t.update(known, next), nil
 }
 
@@ -86,11 +87,11 @@
 		return Stale
 	}
 	next := known
-	next.ID, next.State = server, fleet.Draining
+	next.ID, next.State, next.Leaving = server, fleet.Draining, true
 	if startTime != 0 {
 		next.StartTime = startTime
 	}
-	t.leaving = true
+	t.left = true
 	return t.update(known, next)
 }
 
@@ -101,7 +102,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.Server()
-	if t.leaving && known.ID == server {
+	if known.Leaving && known.ID == server {
 		return Stale
 	}
 	if known.ID == server && known.State != fleet.Absent {
@@ -110,7 +111,7 @@
 	next := known
 	if known.ID != server {
 		next = Server{ID: server, Slots: slots}
-		t.leaving = false
+		t.left = false
 	}
 	next.State = fleet.Ready
 	if next.Slots == 0 {
@@ -142,7 +143,7 @@
 	if a.Server != known.ID {
 		return false
 	}
-	return t.leaving || a.Sequence <= known.Sequence
+	return t.left || a.Sequence <= known.Sequence
 }
 
 func (t *Tracker) update(old, next Server) Outcome {
--- a/internal/instance/tracker_test.go
+++ b/internal/instance/tracker_test.go
@@ -73,3 +73,23 @@
 	g.Expect(tracker.ObserveHealthy("i", 6)).To(gomega.Equal(Stale))
 	g.Expect(tracker.Server().State).To(gomega.Equal(fleet.Draining))
 }
+
+// TestAbsentLeavingServerIsNotMarkedReady guards against new requests to a server that
+// has announced its shutdown, when a failed connection marks it as absent and a health
+// check then finds it.
+func TestAbsentLeavingServerIsNotMarkedReady(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tracker := NewTracker("s")
+	leaving := Announcement{Server: "i", Service: "s", StartTime: 1, Sequence: 2, Slots: 4, Draining: true}
+	g.Expect(tracker.Announce(leaving)).To(gomega.Equal(Applied))
+	g.Expect(tracker.MarkAbsent("i")).To(gomega.BeTrue())
+	g.Expect(tracker.Server().Leaving).To(gomega.BeTrue(), "forgotten while the server is absent")
+	g.Expect(tracker.ObserveHealthy("i", 4)).To(gomega.Equal(Stale))
+	g.Expect(tracker.Server().State).To(gomega.Equal(fleet.Absent))
+	leaving.Sequence = 3
+	g.Expect(tracker.Announce(leaving)).To(gomega.Equal(Applied))
+	g.Expect(tracker.Server().State).To(gomega.Equal(fleet.Draining))
+	tracker.MarkAbsent("i")
+	g.Expect(tracker.ObserveHealthy("j", 6)).To(gomega.Equal(Applied))
+	g.Expect(tracker.Server()).To(gomega.Equal(Server{ID: "j", State: fleet.Ready, Slots: 6}))
+}
--- a/internal/sidecar/server_change.go
+++ b/internal/sidecar/server_change.go
@@ -32,7 +32,7 @@
 	s.registry.UpdateLocalEntry(func(entry *fleet.Entry) {
 		entry.Server, entry.Slots, entry.Crashes = next.ID, next.Slots, s.crashes.String()
 		entry.LeavingServer, entry.LeavingStart = "", 0
-		if next.State == fleet.Draining {
+		if next.Leaving {
 			entry.LeavingServer, entry.LeavingStart = next.ID, next.StartTime
 		}
 		if !s.stopping.Load() {
