Share the unchanged parts of the fleet between views

A change of one entry built the view anew: all nodes sorted, copied, grouped by service, their crash records parsed and, for the digest, all entries encoded.

The table now keeps the content of the next view in copy-on-write trees (tidwall/btree): nodes by name, and by service and failure domain the ready ones. Publishing copies the roots; a change copies its path. The digest is the sum of the hashes of the entries, so that a change needs two hashes; the blocklist is derived again only when a crash record changes; a list of nodes by the position of their last change gives ChangesSince what changed without a look at the rest. Publishing is left out when nothing changed.

Entries() still collects all entries, once a view; in the sidecar only registry asks for them.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -1,11 +1,15 @@
 package fleet
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/tidwall/btree"
+
+	"rosemaryladder.dev/rosemaryladder/internal/crash"
 )
 
 // Table merges entries and publishes views. It is safe for concurrent use; View
@@ -17,6 +21,10 @@
 
 	mu      sync.Mutex
 	entries map[string]tableEntry
+	// index is the content of the next view.
+	index index
+	// changed lists the nodes by the position of their last change.
+	changed btree.Map[uint64, string]
 	// position counts the changes of the view. removals lists the most recent
 	// removals of nodes, oldest first.
 	position uint64
@@ -28,7 +36,7 @@
 
 // tableEntry is an entry with its state in the store and in the table.
 type tableEntry struct {
-	entry Entry
+	entry *Entry
 	// lapsedAt is when the entry left the store; zero while it is there.
 	lapsedAt time.Time
 	// position is the table's position at the last change of the entry.
@@ -50,7 +58,8 @@
 // the store is kept, so that its node can write it again.
 func NewTable(lapsedRetention time.Duration) *Table {
 	table := &Table{lapsedRetention: lapsedRetention, entries: make(map[string]tableEntry)}
-	table.view.Store(newView(nil, 0))
+	table.index.crashes = make(map[string]crash.ParsedRecord)
+	table.view.Store(newView(&table.index, 0))
 	return table
 }
 
@@ -129,11 +138,11 @@
 		return Changes{}, false
 	}
 	changes := Changes{Position: t.position}
-	for _, node := range slices.Sorted(maps.Keys(t.entries)) {
-		if h := t.entries[node]; h.position > position {
-			changes.Entries = append(changes.Entries, h.entry)
-		}
-	}
+	t.changed.Ascend(position+1, func(_ uint64, node string) bool {
+		changes.Entries = append(changes.Entries, *t.entries[node].entry)
+		return true
+	})
+	slices.SortFunc(changes.Entries, func(a, b Entry) int { return cmp.Compare(a.Node, b.Node) })
 	for _, r := range t.removals {
 		if _, rejoined := t.entries[r.node]; r.position > position && !rejoined {
 			changes.Removed = append(changes.Removed, r.node)
@@ -171,7 +180,7 @@
 func (t *Table) Entries() []Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.sortedEntries()
+	return entriesOf(&t.index.nodes)
 }
 
 // Get returns the entry of a node; false when there is none.
@@ -179,28 +188,37 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h, found := t.entries[node]
-	return h.entry, found
+	if !found {
+		return Entry{}, false
+	}
+	return *h.entry, true
 }
 
 func (t *Table) merge(entry Entry) bool {
 	h, found := t.entries[entry.Node]
-	if found && !entry.NewerThan(h.entry) {
-		if entry == h.entry && !h.lapsedAt.IsZero() {
+	if found && !entry.NewerThan(*h.entry) {
+		if entry == *h.entry && !h.lapsedAt.IsZero() {
 			t.entries[entry.Node] = tableEntry{entry: h.entry, position: h.position}
 		}
 		return false
 	}
 	t.position++
-	t.entries[entry.Node] = tableEntry{entry: entry, position: t.position}
+	t.index.replace(h.entry, &entry)
+	t.changed.Delete(h.position)
+	t.changed.Set(t.position, entry.Node)
+	t.entries[entry.Node] = tableEntry{entry: &entry, position: t.position}
 	return true
 }
 
 func (t *Table) remove(node string) {
-	if _, found := t.entries[node]; !found {
+	h, found := t.entries[node]
+	if !found {
 		return
 	}
 	delete(t.entries, node)
 	t.position++
+	t.index.replace(h.entry, nil)
+	t.changed.Delete(h.position)
 	t.removals = append(t.removals, removal{node: node, position: t.position})
 	if excess := len(t.removals) - maxRemovals; excess > 0 {
 		t.trimmedPosition = t.removals[excess-1].position
@@ -215,12 +233,9 @@
 	}
 }
 
-func (t *Table) sortedEntries() []Entry {
-	entries := make([]Entry, 0, len(t.entries))
-	for _, node := range slices.Sorted(maps.Keys(t.entries)) {
-		entries = append(entries, t.entries[node].entry)
+// publish publishes a view of the entries unless the published one has the same.
+func (t *Table) publish() {
+	if t.view.Load().position != t.position {
+		t.view.Store(newView(&t.index, t.position))
 	}
-	return entries
 }
-
-func (t *Table) publish() { t.view.Store(newView(t.sortedEntries(), t.position)) }
