--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -57,7 +57,7 @@
 
 // testFleet is a number of nodes that share one fleet table.
 type testFleet struct {
-	t     *testing.T
+	t     testing.TB
 	nodes []*testNode
 	table *fleet.Table
 	// mu guards the sequence numbers of the nodes.
@@ -67,6 +67,8 @@
 	rawServer string
 	// dial opens the connections of the nodes; nil for the usual ones.
 	dial exchange.DialFunc
+	// random is the source of the nodes' random numbers; nil for 0.5 always.
+	random func() float64
 	// clockOffset is added to the time that the nodes read, in nanoseconds.
 	clockOffset atomic.Int64
 }
@@ -123,7 +125,7 @@
 }
 
 // newTestFleet starts nodes whose servers have slotCount slots each.
-func newTestFleet(t *testing.T, nodes, slotCount int) *testFleet {
+func newTestFleet(t testing.TB, nodes, slotCount int) *testFleet {
 	return startTestFleet(&testFleet{t: t}, nodes, slotCount)
 }
 
@@ -161,11 +163,15 @@
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
+	random := f.random
+	if random == nil {
+		random = func() float64 { return 0.5 }
+	}
 	n.proxy, err = New(config, Deps{
 		Headers: testHeaders, Routes: routes, View: f.table.View, Balancer: balancer,
 		Server: n.tracker, Slots: n.slots, Crashes: &n.crashes, CrashesChanged: func() { f.publish(n) }, Dial: dial, Scope: tally.NoopScope, Log: telemetry.DiscardLogger(),
 		NewerVersion: func(routing.Version) {}, Suspect: func(fleet.Entry) {}, ServerLost: func(id string) { n.tracker.MarkAbsent(id) },
-		Now: f.now, Random: func() float64 { return 0.5 },
+		Now: f.now, Random: random,
 	})
 	if err != nil {
 		f.t.Fatal(err)
