--- a/internal/registry/lease_loop.go
+++ b/internal/registry/lease_loop.go
@@ -32,7 +32,7 @@
 			r.deps.Log.WithField("lease", lease.Number()).Info("lease expired or was revoked; writing the local entry again")
 			lease = 0
 			r.setStored(fleet.Entry{})
-			wait = rewriteDelay(len(r.deps.Fleet.View().Entries()), r.deps.Random())
+			wait = rewriteDelay(r.deps.Fleet.View().Len(), r.deps.Random())
 		default:
 			r.recordStoreFailure("lease", err)
 			wait = retry.next()
