Refuse paths that a server may read as another route's

Callers saw GET /get/../post/a run as a request of /get/: routed as idempotent, repeated, and forwarded with the path as sent. A server that resolves dot segments runs an order under the retries of a lookup. The same held for encoded dots, an encoded slash or backslash behind dots, path parameters (..;a), a fragment, an encoded NUL and /%67et/a.

Cause: the outbound proxy of the sidecar matched the decoded path and forwarded the encoded one, without any check; the earlier daemon checked dot segments only.

Paths whose readings agree are forwarded unchanged, so that an encoded slash or an empty segment within one route is not refused.

--- a/internal/call/inbound_handler.go
+++ b/internal/call/inbound_handler.go
@@ -51,12 +51,16 @@
 // a short time after a change.
 func (in *inbound) accept(w http.ResponseWriter, r *http.Request, h hop) (*request, *refusal) {
 	call := &request{
-		id: h.id, service: serviceOf(r.Host), method: r.Method, uri: requestURI(r), header: r.Header,
+		id: h.id, service: serviceOf(r.Host), method: r.Method, uri: r.RequestURI, header: r.Header,
 		key: r.Header.Get(HeaderKey), atMostOnce: h.atMostOnce, priority: h.priority,
 		deadline: in.deps.Now().Add(h.remaining), objective: in.deps.Now().Add(h.objective), attempt: h.attempt, depth: h.depth,
 	}
 	if snapshot := in.deps.Snapshots.Load(); snapshot != nil {
-		if target, found := snapshot.Match(call.service, r.Method, r.URL.Path); found && !target.Idempotent {
+		_, target, err := matchTarget(snapshot, call.service, r)
+		if err != nil {
+			return nil, refuseError(err, result.BadRequest)
+		}
+		if target != nil && !target.Idempotent {
 			call.atMostOnce = true
 		}
 	}
--- a/internal/call/outbound_accept.go
+++ b/internal/call/outbound_accept.go
@@ -29,16 +29,16 @@
 		return nil, refuse(result.NodeNotReady, "the node does not hold a configuration yet")
 	}
 	service := serviceOf(r.Host)
-	if hasDotSegment(r.URL.Path) {
-		return nil, refuse(result.BadRequest, fmt.Sprintf("path %q contains dot segments, so that its target is ambiguous", r.URL.Path))
+	uri, target, err := matchTarget(call.snapshot, service, r)
+	if err != nil {
+		return nil, refuseError(err, result.BadRequest)
 	}
-	target, found := call.snapshot.Match(service, r.Method, r.URL.Path)
-	if !found {
+	if target == nil {
 		return nil, refuse(result.NoTarget, fmt.Sprintf("no target of service %q matches %s %s", service, r.Method, r.URL.Path))
 	}
 	call.target = target
 	call.request = &request{
-		id: id, service: service, method: r.Method, uri: requestURI(r), header: r.Header,
+		id: id, service: service, method: r.Method, uri: uri, header: r.Header,
 		key: r.Header.Get(HeaderKey), atMostOnce: !target.Idempotent, priority: target.Priority,
 	}
 	if refusal := o.checkHeaders(call, r, now); refusal != nil {
@@ -98,19 +98,3 @@
 	}
 	return host
 }
-
-// requestURI returns the path and query as the caller sent them.
-func requestURI(r *http.Request) string {
-	if strings.HasPrefix(r.RequestURI, "/") {
-		return r.RequestURI
-	}
-	return r.URL.RequestURI()
-}
-
-// hasDotSegment reports whether the path contains dot segments. A backend
-// server may normalize such a path and so handle a different one than the path
-// that was matched to a target.
-func hasDotSegment(path string) bool {
-	return strings.Contains(path, "/../") || strings.HasSuffix(path, "/..") ||
-		strings.Contains(path, "/./") || strings.HasSuffix(path, "/.")
-}
--- a/internal/proxy/outbound_accept.go
+++ b/internal/proxy/outbound_accept.go
@@ -19,16 +19,19 @@
 	waited := waitedInPipeline(r, now)
 	c := &call{started: now.Add(-waited), table: o.deps.Routes.Load(), request: &upstreamRequest{
 		id: r.Header.Get(o.deps.Headers.RequestID), caller: o.config.Service,
-		method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, receivedAt: sinceBoot() - waited,
+		method: r.Method, host: r.Host, header: r.Header, receivedAt: sinceBoot() - waited,
 	}}
 	if c.table == nil {
 		return c, newRefusal(result.NodeNotReady, "the node holds no configuration yet")
 	}
-	route, ok := c.table.Match(r.Host, r.URL.Path)
-	if !ok {
+	uri, route, err := matchRoute(c.table, r)
+	if err != nil {
+		return c, newRefusal(result.BadRequest, err.Error())
+	}
+	if route == nil {
 		return c, newRefusal(result.NoTarget, "no route matches host "+r.Host+" and the path of the request")
 	}
-	c.route = route
+	c.route, c.request.uri = route, uri
 	c.request.route, c.request.idempotent, c.request.priority = route.Name, route.Idempotent, route.Priority
 	c.request.service = o.splitter.Next(route, uint64(o.deps.Random()*rotationOffsets))
 	o.setTimes(c, r)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -70,14 +70,14 @@
 func (p *Proxy) Drain() { p.outbound.draining.Store(true) }
 
 // Idempotent reports whether a request of a caller may run beside others. One without
-// a route runs nowhere.
+// a route, or with an ambiguous path, runs nowhere.
 func (p *Proxy) Idempotent(r *http.Request) bool {
 	table := p.outbound.deps.Routes.Load()
 	if table == nil {
 		return true
 	}
-	route, found := table.Match(r.Host, r.URL.Path)
-	return !found || route.Idempotent
+	_, route, err := matchRoute(table, r)
+	return err != nil || route == nil || route.Idempotent
 }
 
 // Reject responds to a request of a caller that can't be read.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -35,7 +35,7 @@
 	{Draining, "draining", "The node or its backend server is leaving and takes no new work.", "Retry; another node will take the call."},
 	{BodyTooLarge, "body-too-large", "The request exceeds a size limit.", "Reduce the request."},
 	{ServerRefused, "server-refused", "The backend server refused the call without running it.", "Retry later with backoff."},
-	{BadRequest, "bad-request", "The request is malformed.", "Correct the named header."},
+	{BadRequest, "bad-request", "The request is malformed.", "Correct the named header or path."},
 	{KeyReused, "key-reused", "The Idempotency-Key was used before for another request.", "Use a new key for each different order."},
 	{ServerGone, "server-gone", "The backend server refused the connection.", "Retry; another backend server will take the call."},
 	{RequestTimeout, "request-timeout", "The request was not received completely within the time limit.", "Send the complete request within the limit."},
