Refuse header lines that another parser reads as other fields

Callers could send "Content-Length : 5" or "Transfer-Encoding : chunked", and the request ran with status 200. http.ReadRequest accepts a space before the colon, keeps "Content-Length " as a field without effect on the framing, and the proxy forwards it; net/http's server checks the names after that call, which ingress did not. A parser that drops the space reads a body where the next request begins (RFC 9112, section 5.1). Folded lines were joined into one field, which another parser reads as fields of their own (section 5.2).

Not seen at a backend server: the inbound proxy's port is served by net/http, which refuses such names.

--- a/internal/ingress/head.go
+++ b/internal/ingress/head.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 
+	"golang.org/x/net/http/httpguts"
+
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
@@ -90,17 +92,17 @@
 	}
 }
 
-// framing counts the header fields that decide where a request ends and which host it
-// is for.
+// framing holds what decides where a request ends and which host it is for.
 type framing struct {
 	hosts, lengths, encodings int
 	chunked                   bool
 }
 
-// checkLines rejects bytes that another parser could read as the end of a line and
+// checkLines rejects lines that another parser could read as other fields and
 // unsupported encodings, and returns the fields that net/http does not keep.
 func (p *headParser) checkLines() (framing, error) {
 	var f framing
+	isRequestLine := true
 	for line := range bytes.Lines(p.head) {
 		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
 		for _, b := range line {
@@ -108,16 +110,12 @@
 				return f, reject(http.StatusBadRequest, result.BadRequest, "the head of the request holds the control character %#02x", b)
 			}
 		}
-		name, value, _ := bytes.Cut(line, []byte(":"))
-		switch {
-		case bytes.EqualFold(name, []byte("Host")):
-			f.hosts++
-		case bytes.EqualFold(name, []byte("Content-Length")):
-			f.lengths++
-		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
-			f.encodings++
-			f.chunked = bytes.EqualFold(bytes.TrimSpace(value), []byte("chunked"))
+		if !isRequestLine && len(line) > 0 {
+			if err := f.addField(line); err != nil {
+				return f, err
+			}
 		}
+		isRequestLine = false
 	}
 	if f.encodings > 1 || (f.encodings == 1 && !f.chunked) {
 		return f, reject(http.StatusNotImplemented, result.BadRequest, "the only supported Transfer-Encoding is chunked")
@@ -125,6 +123,29 @@
 	return f, nil
 }
 
+// addField counts a field. It rejects names that are no tokens: http.ReadRequest accepts
+// a space before the colon and keeps "Content-Length " as a field without effect, while
+// another parser drops the space (RFC 9112, section 5.1). It rejects folded lines, which
+// another parser could read as fields of their own (section 5.2).
+func (f *framing) addField(line []byte) error {
+	if line[0] == ' ' || line[0] == '\t' {
+		return reject(http.StatusBadRequest, result.BadRequest, "a header line of the request begins with a space")
+	}
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch {
+	case !httpguts.ValidHeaderFieldName(string(name)):
+		return reject(http.StatusBadRequest, result.BadRequest, "the header name %q is no token", name)
+	case bytes.EqualFold(name, []byte("Host")):
+		f.hosts++
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		f.lengths++
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		f.encodings++
+		f.chunked = bytes.EqualFold(bytes.TrimSpace(value), []byte("chunked"))
+	}
+	return nil
+}
+
 // check rejects requests whose end or host is ambiguous (RFC 9112, sections 3.2 and
 // 6.1): a server could read them as other requests than the proxy.
 func (f framing) check(request *http.Request) error {
