Refuse a Host field that differs from the request target

Callers could send GET http://other/a with Host: h. The request was routed and forwarded as one to the host "other" (net/http prefers the target and drops the field), while another parser in front of it or behind it reads the host "h". A Host field with a slash, a space or user information was taken as a host name, which other parsers cut.

RFC 9112, section 3.2, requires a client to send the authority of the target as the Host field, so that no proper request differs. ingress refuses both with 400, code 60, where the head is read: net/http does not keep the field.

TestAmbiguousHeadsAreRefused failed before with status 200 in the five rows that name a host.

--- a/internal/ingress/head.go
+++ b/internal/ingress/head.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"net/http"
+	"strings"
 	"sync"
 
 	"golang.org/x/net/http/httpguts"
@@ -96,6 +97,8 @@
 type framing struct {
 	hosts, lengths, encodings int
 	chunked                   bool
+	// host is the value of the Host field.
+	host string
 }
 
 // checkLines rejects lines that another parser could read as other fields and
@@ -137,6 +140,7 @@
 		return reject(http.StatusBadRequest, result.BadRequest, "the header name %q is no token", name)
 	case bytes.EqualFold(name, []byte("Host")):
 		f.hosts++
+		f.host = string(bytes.TrimSpace(value))
 	case bytes.EqualFold(name, []byte("Content-Length")):
 		f.lengths++
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
@@ -152,6 +156,10 @@
 	switch {
 	case f.hosts > 1 || (f.hosts == 0 && request.ProtoMinor > 0):
 		return reject(http.StatusBadRequest, result.BadRequest, "the request has %d Host fields, want 1", f.hosts)
+	case !isHost(f.host):
+		return reject(http.StatusBadRequest, result.BadRequest, "the Host field %q is no host with an optional port", f.host)
+	case f.hosts > 0 && !strings.EqualFold(f.host, request.Host):
+		return reject(http.StatusBadRequest, result.BadRequest, "the Host field %q differs from the host %q of the request target", f.host, request.Host)
 	case f.encodings > 0 && f.lengths > 0:
 		return reject(http.StatusBadRequest, result.BadRequest, "the request has both Content-Length and Transfer-Encoding")
 	case f.encodings > 0 && request.ProtoMinor == 0:
@@ -162,3 +170,9 @@
 		return nil
 	}
 }
+
+// isHost reports whether a Host field has none of the characters that separate a host
+// from other parts of a URL.
+func isHost(host string) bool {
+	return httpguts.ValidHostHeader(host) && !strings.ContainsAny(host, `/?#@\" <>,`)
+}
--- a/internal/ingress/head_test.go
+++ b/internal/ingress/head_test.go
@@ -19,8 +19,13 @@
 		"no colon":                             "GET /a HTTP/1.1\r\nHost: h\r\nContent-Length\r\n\r\n",
 		"folded line":                          "GET /a HTTP/1.1\r\nHost: h\r\nX-A: b\r\n Content-Length: 5\r\n\r\n",
 		"folded length":                        "GET /a HTTP/1.1\r\nHost: h\r\nContent-Length:\r\n\t5\r\n\r\nhello",
+		"other host in the target":             "GET http://other/a HTTP/1.1\r\nHost: h\r\n\r\n",
+		"host with a port only in the target":  "GET http://h:80/a HTTP/1.1\r\nHost: h\r\n\r\n",
 		"signed length":                        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: +5\r\n\r\nhello",
 		"list of lengths":                      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5, 5\r\n\r\nhello",
+		"host with a slash":                    "GET /a HTTP/1.1\r\nHost: h/x\r\n\r\n",
+		"host with a space":                    "GET /a HTTP/1.1\r\nHost: h x\r\n\r\n",
+		"host with user information":           "GET /a HTTP/1.1\r\nHost: u@h\r\n\r\n",
 		"carriage return inside a line":        "GET /a HTTP/1.1\r\nHost: h\r\nX-A: b\rContent-Length: 5\r\n\r\n",
 		"carriage return before the line feed": "GET /a HTTP/1.1\r\nHost: h\r\r\n\r\n",
 	} {
