--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -52,12 +52,13 @@
 	// sequence is the sequence number of the node's entry.
 	sequence  int64
 	name      string
+	service   string
 	slotCount int
 }
 
 // testFleet is a number of nodes that share one fleet table.
 type testFleet struct {
-	t     *testing.T
+	t     testing.TB
 	nodes []*testNode
 	table *fleet.Table
 	// mu guards the sequence numbers of the nodes.
@@ -65,6 +66,11 @@
 	// rawServer is the address of the backend server of all nodes; empty for one
 	// HTTP server a node.
 	rawServer string
+	// services and rawServers are the services of the nodes and the addresses of their
+	// servers, where they differ from testService and rawServer.
+	services, rawServers map[string]string
+	// routes are the routes in force; nil for testRoutes.
+	routes *routing.Holder
 	// dial opens the connections of the nodes; nil for the usual ones.
 	dial exchange.DialFunc
 	// clockOffset is added to the time that the nodes read, in nanoseconds.
@@ -123,13 +129,16 @@
 }
 
 // newTestFleet starts nodes whose servers have slotCount slots each.
-func newTestFleet(t *testing.T, nodes, slotCount int) *testFleet {
+func newTestFleet(t testing.TB, nodes, slotCount int) *testFleet {
 	return startTestFleet(&testFleet{t: t}, nodes, slotCount)
 }
 
 func startTestFleet(f *testFleet, nodes, slotCount int) *testFleet {
 	f.table = fleet.NewTable(time.Second)
-	routes := testRoutes()
+	routes := f.routes
+	if routes == nil {
+		routes = testRoutes()
+	}
 	for i := range nodes {
 		f.nodes = append(f.nodes, f.newNode(string(rune('a'+i)), slotCount, routes))
 	}
@@ -137,11 +146,14 @@
 }
 
 func (f *testFleet) newNode(name string, slotCount int, routes *routing.Holder) *testNode {
-	n := &testNode{name: name, backend: &testBackend{runs: make(map[string]int)}}
+	n := &testNode{name: name, service: testService, backend: &testBackend{runs: make(map[string]int)}}
+	if service := f.services[name]; service != "" {
+		n.service = service
+	}
 	n.server = httptest.NewServer(n.backend)
 	f.t.Cleanup(n.server.Close)
-	n.tracker = instance.NewTracker(testService)
-	_, err := n.tracker.Announce(instance.Announcement{Server: "server-" + name, Service: testService, Slots: slotCount, StartTime: 1})
+	n.tracker = instance.NewTracker(n.service)
+	_, err := n.tracker.Announce(instance.Announcement{Server: "server-" + name, Service: n.service, Slots: slotCount, StartTime: 1})
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -152,10 +164,13 @@
 		f.t.Fatal(err)
 	}
 	config := DefaultConfig()
-	config.Service, config.Node, config.Server = testService, name, strings.TrimPrefix(n.server.URL, "http://")
+	config.Service, config.Node, config.Server = n.service, name, strings.TrimPrefix(n.server.URL, "http://")
 	if f.rawServer != "" {
 		config.Server = f.rawServer
 	}
+	if server := f.rawServers[name]; server != "" {
+		config.Server = server
+	}
 	config.BudgetSlack = 1000
 	dial := f.dial
 	if dial == nil {
@@ -210,7 +225,7 @@
 	defer f.mu.Unlock()
 	n.sequence++
 	f.table.Merge(fleet.Entry{
-		Node: n.name, InboundAddress: n.inboundAddress, Domain: "d", Service: testService,
+		Node: n.name, InboundAddress: n.inboundAddress, Domain: "d", Service: n.service,
 		Server: "server-" + n.name, State: n.state, Slots: n.slotCount, Incarnation: 1, Sequence: n.sequence,
 		Crashes: n.crashes.String(),
 	})
