Refuse requests with two IDs

A caller that sent two X-Rosemaryladder-Request-Id fields got 504 although the request had run, when the server took the last one: the proxy took the first, and held the response for one to an earlier request.

The outbound proxy now refuses such a request with 400, code 60, before it matches a route. TestTwoRequestIDsAreRefused failed before with status 504.

--- a/internal/proxy/outbound_accept.go
+++ b/internal/proxy/outbound_accept.go
@@ -24,6 +24,9 @@
 	if c.table == nil {
 		return c, newRefusal(result.NodeNotReady, "the node holds no configuration yet")
 	}
+	if ids := r.Header[o.deps.Headers.RequestID]; len(ids) > 1 {
+		return c, newRefusal(result.BadRequest, fmt.Sprintf("the request has %d %s fields, so that a server may know it by another ID", len(ids), o.deps.Headers.RequestID))
+	}
 	uri, route, err := matchRoute(c.table, r)
 	if err != nil {
 		return c, newRefusal(result.BadRequest, err.Error())
