Refuse two carriage returns in the empty line before a request

A caller could send "\r\r\n" before a request line. ingress dropped it as an empty line, because it cut all carriage returns at the end of a line, while the check of control characters sees only the lines behind it. Another parser reads the bare carriage return as a line or as a part of the method.

--- a/internal/ingress/head.go
+++ b/internal/ingress/head.go
@@ -78,7 +78,7 @@
 		if err != nil {
 			return err
 		}
-		line := bytes.TrimRight(p.head[lineStart:], "\r\n")
+		line := trimLineEnd(p.head[lineStart:])
 		switch {
 		case len(line) > 0:
 			lineStart = len(p.head)
@@ -93,6 +93,12 @@
 	}
 }
 
+// trimLineEnd removes a line feed and a carriage return before it. A further carriage
+// return belongs to the line, which is then invalid.
+func trimLineEnd(line []byte) []byte {
+	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+}
+
 // framing holds what decides where a request ends and which host it is for.
 type framing struct {
 	hosts, lengths, encodings int
@@ -107,7 +113,7 @@
 	var f framing
 	isRequestLine := true
 	for line := range bytes.Lines(p.head) {
-		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+		line = trimLineEnd(line)
 		for _, b := range line {
 			if (b < ' ' && b != '\t') || b == 0x7f {
 				return f, reject(http.StatusBadRequest, result.BadRequest, "the head of the request holds the control character %#02x", b)
