--- a/internal/ingress/head.go
+++ b/internal/ingress/head.go
@@ -5,8 +5,11 @@
 	"bytes"
 	"errors"
 	"net/http"
+	"strings"
 	"sync"
 
+	"golang.org/x/net/http/httpguts"
+
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
@@ -75,7 +78,7 @@
 		if err != nil {
 			return err
 		}
-		line := bytes.TrimRight(p.head[lineStart:], "\r\n")
+		line := trimLineEnd(p.head[lineStart:])
 		switch {
 		case len(line) > 0:
 			lineStart = len(p.head)
@@ -90,34 +93,38 @@
 	}
 }
 
-// framing counts the header fields that decide where a request ends and which host it
-// is for.
+// trimLineEnd removes a line feed and a carriage return before it. A further carriage
+// return belongs to the line, which is then invalid.
+func trimLineEnd(line []byte) []byte {
+	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+}
+
+// framing holds what decides where a request ends and which host it is for.
 type framing struct {
 	hosts, lengths, encodings int
 	chunked                   bool
+	// host is the value of the Host field.
+	host string
 }
 
-// checkLines rejects bytes that another parser could read as the end of a line and
+// checkLines rejects lines that another parser could read as other fields and
 // unsupported encodings, and returns the fields that net/http does not keep.
 func (p *headParser) checkLines() (framing, error) {
 	var f framing
+	isRequestLine := true
 	for line := range bytes.Lines(p.head) {
-		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+		line = trimLineEnd(line)
 		for _, b := range line {
 			if (b < ' ' && b != '\t') || b == 0x7f {
 				return f, reject(http.StatusBadRequest, result.BadRequest, "the head of the request holds the control character %#02x", b)
 			}
 		}
-		name, value, _ := bytes.Cut(line, []byte(":"))
-		switch {
-		case bytes.EqualFold(name, []byte("Host")):
-			f.hosts++
-		case bytes.EqualFold(name, []byte("Content-Length")):
-			f.lengths++
-		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
-			f.encodings++
-			f.chunked = bytes.EqualFold(bytes.TrimSpace(value), []byte("chunked"))
+		if !isRequestLine && len(line) > 0 {
+			if err := f.addField(line); err != nil {
+				return f, err
+			}
 		}
+		isRequestLine = false
 	}
 	if f.encodings > 1 || (f.encodings == 1 && !f.chunked) {
 		return f, reject(http.StatusNotImplemented, result.BadRequest, "the only supported Transfer-Encoding is chunked")
@@ -125,12 +132,40 @@
 	return f, nil
 }
 
+// addField counts a field. It rejects names that are no tokens: http.ReadRequest accepts
+// a space before the colon and keeps "Content-Length " as a field without effect, while
+// another parser drops the space (RFC 9112, section 5.1). It rejects folded lines, which
+// another parser could read as fields of their own (section 5.2).
+func (f *framing) addField(line []byte) error {
+	if line[0] == ' ' || line[0] == '\t' {
+		return reject(http.StatusBadRequest, result.BadRequest, "a header line of the request begins with a space")
+	}
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch {
+	case !httpguts.ValidHeaderFieldName(string(name)):
+		return reject(http.StatusBadRequest, result.BadRequest, "the header name %q is no token", name)
+	case bytes.EqualFold(name, []byte("Host")):
+		f.hosts++
+		f.host = string(bytes.TrimSpace(value))
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		f.lengths++
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		f.encodings++
+		f.chunked = bytes.EqualFold(bytes.TrimSpace(value), []byte("chunked"))
+	}
+	return nil
+}
+
 // check rejects requests whose end or host is ambiguous (RFC 9112, sections 3.2 and
 // 6.1): a server could read them as other requests than the proxy.
 func (f framing) check(request *http.Request) error {
 	switch {
 	case f.hosts > 1 || (f.hosts == 0 && request.ProtoMinor > 0):
 		return reject(http.StatusBadRequest, result.BadRequest, "the request has %d Host fields, want 1", f.hosts)
+	case !isHost(f.host):
+		return reject(http.StatusBadRequest, result.BadRequest, "the Host field %q is no host with an optional port", f.host)
+	case f.hosts > 0 && !strings.EqualFold(f.host, request.Host):
+		return reject(http.StatusBadRequest, result.BadRequest, "the Host field %q differs from the host %q of the request target", f.host, request.Host)
 	case f.encodings > 0 && f.lengths > 0:
 		return reject(http.StatusBadRequest, result.BadRequest, "the request has both Content-Length and Transfer-Encoding")
 	case f.encodings > 0 && request.ProtoMinor == 0:
@@ -141,3 +176,9 @@
 		return nil
 	}
 }
+
+// isHost reports whether a Host field has none of the characters that separate a host
+// from other parts of a URL.
+func isHost(host string) bool {
+	return httpguts.ValidHostHeader(host) && !strings.ContainsAny(host, `/?#@\" <>,`)
+}
--- a/internal/registry/watch_loop.go
+++ b/internal/registry/watch_loop.go
@@ -20,7 +20,7 @@
 			continue
 		}
 		revision, err := r.loadFleet(ctx)
-		if err == nil && !r.awaitedFleet && len(r.deps.Fleet.View().Entries()) <= 1 {
+		if err == nil && !r.awaitedFleet && r.deps.Fleet.View().Len() <= 1 {
 			r.awaitedFleet = true
 			revision, err = r.awaitFleet(ctx, revision)
 		}
