Bound the open connections of callers

Callers saw: nothing yet; 3,000 connections with half a request line stayed open until the header time-out, each with a descriptor and about 14 KB.

A front now holds up to [callers] max_connections connections (2048). Beyond it the connections whose callers have been silent for longest are ended to make room: closed unread when nothing of a request has arrived, with 408 when a head is incomplete; one whose request has arrived is answered first and then closed. A sixteenth is ended at once, so that the search is made once for many connections. When none is silent the new connection is closed unread.

TestSilentConnectionsLeaveRoom opens 5,000 connections, every other one with half a request line.

--- /dev/null
+++ b/internal/ingress/capacity.go
@@ -0,0 +1,77 @@
+package ingress
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// expiryShare is the inverse of the share of MaxConns that makeRoom expires at
+	// once, so that its search is made once for many connections.
+	expiryShare = 16
+	// overflowShare is the inverse of the share of MaxConns by which connections that
+	// are about to end may exceed it.
+	overflowShare = 8
+)
+
+// silentConn is a connection on which no request runs.
+type silentConn struct {
+	conn  *conn
+	since time.Time
+}
+
+// makeRoom reports whether another connection can be accepted. With MaxConns open, it
+// expires those whose callers have been silent for longest, requests whose head is
+// incomplete included.
+func (s *Server) makeRoom() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := s.config.MaxConns
+	if len(s.conns)-s.expiring < limit {
+		return len(s.conns) < limit+limit/overflowShare
+	}
+	var silent []silentConn
+	for c := range s.conns {
+		if since, ok := c.silentSince(); ok {
+			silent = append(silent, silentConn{c, since})
+		}
+	}
+	slices.SortFunc(silent, func(a, b silentConn) int { return cmp.Compare(a.since.UnixNano(), b.since.UnixNano()) })
+	expired := 0
+	for _, candidate := range silent[:min(len(silent), 1+limit/expiryShare)] {
+		if candidate.conn.expire() {
+			expired++
+		}
+	}
+	s.expiring += expired
+	s.metrics.expired.Inc(int64(expired))
+	return expired > 0 && len(s.conns) < limit+limit/overflowShare
+}
+
+// silentSince returns since when no request runs on the connection; false when one
+// does, or when the connection is ending.
+func (c *conn) silentSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleSince, !c.idleSince.IsZero() && !c.closing && !c.expiring
+}
+
+// expire ends a silent connection: at once when nothing of a request has arrived,
+// otherwise after a response. It reports whether the connection was silent.
+func (c *conn) expire() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idleSince.IsZero() || c.closing || c.expiring {
+		return false
+	}
+	c.expiring = true
+	c.setReadDeadline(pastDeadline)
+	return true
+}
+
+func (c *conn) isExpiring() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.expiring
+}
--- /dev/null
+++ b/internal/ingress/capacity_test.go
@@ -0,0 +1,97 @@
+package ingress
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// TestSilentConnectionsLeaveRoom guards against callers that open connections, send half
+// a request line or nothing and so take memory and time from the requests of others.
+func TestSilentConnectionsLeaveRoom(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const (
+		silent, requests = 5000, 200
+		// maxGrowth is the memory that a front may hold for such connections.
+		maxGrowth = 64 << 20
+		// maxLatency is the bound of the latency of others' requests, at the 99th percentile.
+		maxLatency = 200 * time.Millisecond
+	)
+	s := newTestServer(t, nil)
+	before := inUse()
+	for i := range silent {
+		// The server may close connections while others are opened.
+		conn, err := net.Dial("tcp", s.address)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer conn.Close()
+		if i%2 == 0 {
+			_, _ = io.WriteString(conn, "GET /half")
+		}
+	}
+	limit := s.config.MaxConns + s.config.MaxConns/overflowShare
+	g.Expect(s.openConns()).To(gomega.BeNumerically("<=", limit))
+	g.Expect(inUse()-before).To(gomega.BeNumerically("<", maxGrowth), "bytes of heap and stacks")
+	var latencies []time.Duration
+	for range requests {
+		c := s.dial(t, g)
+		startedAt := time.Now()
+		c.send(get("/other"))
+		status, body, _ := c.receive()
+		latencies = append(latencies, time.Since(startedAt))
+		g.Expect([]any{status, body}).To(gomega.Equal([]any{200, "/other "}))
+	}
+	slices.Sort(latencies)
+	p99 := latencies[len(latencies)*99/100]
+	t.Logf("%d connections open, %d KB, p99 of others' requests %s", s.openConns(), (inUse()-before)>>10, p99)
+	g.Expect(p99).To(gomega.BeNumerically("<", maxLatency))
+}
+
+// inUse returns the bytes of the live heap and of all stacks.
+func inUse() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapInuse + stats.StackInuse)
+}
+
+// TestRoomIsMadeByTheLongestSilent guards against a connection that is ended to make room
+// while its request runs, while callers that have been silent for longer stay, and
+// against a request that arrived and gets no response because its connection ends.
+func TestRoomIsMadeByTheLongestSilent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const conns = 32
+	s := newTestServer(t, func(c *Config) { c.MaxConns = conns })
+	busy := s.dial(t, g)
+	busy.send(get("/busy?wait=600"))
+	half := s.dial(t, g)
+	half.send("GET /half")
+	time.Sleep(5 * time.Millisecond)
+	kept := make([]*client, conns-2)
+	for i := range kept {
+		kept[i] = s.dial(t, g)
+		kept[i].send(get("/kept"))
+		kept[i].receive()
+		time.Sleep(time.Millisecond)
+	}
+	for range 2 {
+		c := s.dial(t, g)
+		c.send(get("/new"))
+		status, _, _ := c.receive()
+		g.Expect(status).To(gomega.Equal(http.StatusOK))
+	}
+	status, _, closes := half.receive()
+	g.Expect([]any{status, closes}).To(gomega.Equal([]any{http.StatusRequestTimeout, true}), "the oldest incomplete head")
+	kept[0].expectEnd()
+	last := kept[len(kept)-1]
+	last.send(get("/last"))
+	_, body, closes := last.receive()
+	g.Expect([]any{body, closes}).To(gomega.Equal([]any{"/last ", false}))
+	_, body, _ = busy.receive()
+	g.Expect(body).To(gomega.Equal("/busy "))
+}
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -22,6 +22,9 @@
 	Idempotent func(*http.Request) bool
 	// Limits returns the limits in force; nil before the first configuration.
 	Limits func() *routing.Limits
+	// MaxConns is the number of open connections from which those whose callers have
+	// been silent for longest are ended to make room for new ones.
+	MaxConns int
 	// MaxPipelined is the number of requests of a connection that run side by side.
 	MaxPipelined int
 	// MaxBufferedBytes bounds the responses of a connection that wait in memory for
@@ -44,6 +47,7 @@
 // DefaultConfig returns the defaults. The caller sets the functions, Log and Scope.
 func DefaultConfig() Config {
 	return Config{
+		MaxConns:         2048,
 		MaxPipelined:     8,
 		MaxBufferedBytes: 1 << 20,
 		WriteTimeout:     15 * time.Second,
@@ -62,6 +66,7 @@
 		key   string
 		value int64
 	}{
+		{"MaxConns", int64(c.MaxConns)},
 		{"MaxPipelined", int64(c.MaxPipelined)},
 		{"MaxBufferedBytes", int64(c.MaxBufferedBytes)},
 		{"WriteTimeout", int64(c.WriteTimeout)},
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -38,6 +38,9 @@
 	finished chan struct{}
 	// expired is set by the reader when the connection was idle for too long.
 	expired bool
+	// headExpired is set by the reader when the head of a request was incomplete as the
+	// connection was ended to make room. It does not linger.
+	headExpired bool
 
 	mu sync.Mutex
 	// running holds the started exchanges that have not ended, oldest first.
@@ -47,8 +50,10 @@
 	// waiting is set while the reader waits for the first byte of a request or for the
 	// end of the connection.
 	waiting bool
-	// idleSince is when the connection became idle; zero while it is not idle.
+	// idleSince is when the last exchange ended; zero while one runs.
 	idleSince time.Time
+	// expiring is set when the connection makes room for others.
+	expiring bool
 }
 
 func newConn(s *Server, netConn net.Conn) *conn {
@@ -73,7 +78,7 @@
 	}
 	// An expired connection is closed at once: nothing that is read from it now can be
 	// answered, and a request that the server does not read may be repeated.
-	if !c.expired && c.awaitEnd() {
+	if !c.expired && c.awaitEnd() && !c.headExpired {
 		c.linger()
 	}
 }
@@ -103,9 +108,7 @@
 			}
 			return true
 		default:
-			if !c.server.ending.Load() {
-				c.server.metrics.idleClosed.Inc(1)
-			}
+			c.server.metrics.idleClosed.Inc(1)
 			c.expired = true
 			return false
 		}
@@ -166,7 +169,7 @@
 
 // idleDeadline returns when the idle connection is closed.
 func (c *conn) idleDeadline() time.Time {
-	if c.server.ending.Load() {
+	if c.expiring || c.server.ending.Load() {
 		return pastDeadline
 	}
 	return c.server.idlePolicy().deadline(c.idleSince)
@@ -219,7 +222,8 @@
 		return e, false
 	case errors.As(err, &rejection):
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		rejection = reject(http.StatusRequestTimeout, result.RequestTimeout, "the head of the request was not complete within %s", limits.HeaderTimeout)
+		c.headExpired = c.isExpiring()
+		rejection = reject(http.StatusRequestTimeout, result.RequestTimeout, "the head of the request was not complete within %s, or when room was needed for other connections", limits.HeaderTimeout)
 	default:
 		c.leave()
 		return nil, true
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -137,7 +137,7 @@
 	defer c.mu.Unlock()
 	e.headDecided = true
 	last := c.running[len(c.running)-1] == e
-	closes = last && (handlerCloses || bodyUnread || e.rejection != nil || e.request.Close || c.server.draining.Load())
+	closes = last && (handlerCloses || bodyUnread || e.rejection != nil || e.request.Close || c.expiring || c.server.draining.Load())
 	if closes {
 		c.closing = true
 	}
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -5,8 +5,12 @@
 // metrics counts connections and requests.
 type metrics struct {
 	requests, pipelined, rejected, left, aborted, panics tally.Counter
-	// idleClosed counts the connections that the server closed as idle.
+	// idleClosed counts the connections that the server closed without a request, as
+	// idle or at its end.
 	idleClosed tally.Counter
+	// expired counts the connections that were ended to make room for others, and
+	// refusedConns those that found no room.
+	expired, refusedConns tally.Counter
 	// discardedBytes counts the bytes that arrived behind the last response of a
 	// connection and were read without being handled.
 	discardedBytes tally.Counter
@@ -22,6 +26,8 @@
 		panics:    scope.Counter("panics"),
 
 		idleClosed:     scope.Counter("idle_closed"),
+		expired:        scope.Counter("expired_connections"),
+		refusedConns:   scope.Counter("refused_connections"),
 		discardedBytes: scope.Counter("discarded_bytes"),
 	}
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -35,8 +35,11 @@
 	// active is the number of started exchanges that have not ended.
 	active atomic.Int64
 
-	mu       sync.Mutex
-	conns    map[*conn]struct{}
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	// expiring is the number of connections that makeRoom has expired and that have
+	// not ended.
+	expiring int
 	listener net.Listener
 	closed   bool
 }
@@ -67,11 +70,7 @@
 	for {
 		netConn, err := listener.Accept()
 		if err == nil {
-			if c := newConn(s, netConn); s.add(c) {
-				go c.serve()
-			} else {
-				netConn.Close()
-			}
+			s.accept(netConn)
 			continue
 		}
 		if s.isClosed() || errors.Is(err, net.ErrClosed) {
@@ -82,6 +81,20 @@
 	}
 }
 
+// accept serves a connection, or closes it when there is no room for it.
+func (s *Server) accept(netConn net.Conn) {
+	if !s.makeRoom() {
+		s.metrics.refusedConns.Inc(1)
+		netConn.Close()
+		return
+	}
+	if c := newConn(s, netConn); s.add(c) {
+		go c.serve()
+		return
+	}
+	netConn.Close()
+}
+
 // Drain closes each connection after the response to the last request that was passed
 // to the handler. Idle connections stay open until Close: a caller may be sending a
 // request on one.
@@ -177,6 +190,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	if c.isExpiring() {
+		s.expiring--
+	}
 	select {
 	case s.removed <- struct{}{}:
 	default:
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -51,6 +51,9 @@
 type SidecarCallers struct {
 	// MaxPipelined is the number of requests of a connection that run side by side.
 	MaxPipelined int `ini:"max_pipelined"`
+	// MaxConnections is the number of open connections from which those that have been
+	// silent for longest are ended to make room for new ones.
+	MaxConnections int `ini:"max_connections"`
 	// IdleLimitNotice is how long callers may still go by the previous idle limit after
 	// the operators have lowered it.
 	IdleLimitNotice time.Duration `ini:"idle_limit_notice"`
@@ -95,7 +98,7 @@
 func DefaultSidecar() Sidecar {
 	return Sidecar{
 		Listen:  SidecarListen{Metrics: 9464},
-		Callers: SidecarCallers{MaxPipelined: 8, IdleLimitNotice: 3 * time.Second},
+		Callers: SidecarCallers{MaxPipelined: 8, MaxConnections: 2048, IdleLimitNotice: 3 * time.Second},
 		Store:   SidecarStore{MinLease: time.Second},
 		Bounds:  SidecarBounds{Settle: 3 * time.Second, Grace: 6 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second},
 		Costs:   SidecarCosts{CrossDomainPerMB: 8, CrossRegionPerMB: 31},
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -139,7 +139,8 @@
 		limits := table.Limits()
 		return &limits
 	}
-	config.MaxPipelined, config.IdleLimitNotice = loaded.Callers.MaxPipelined, loaded.Callers.IdleLimitNotice
+	config.MaxConns, config.MaxPipelined = loaded.Callers.MaxConnections, loaded.Callers.MaxPipelined
+	config.IdleLimitNotice = loaded.Callers.IdleLimitNotice
 	config.Log, config.Scope = s.log, s.metrics.Scope
 	var err error
 	if s.callers, err = ingress.NewServer(config); err != nil {
