--- a/internal/ingress/end_property_test.go
+++ b/internal/ingress/end_property_test.go
@@ -78,5 +78,6 @@
 		}
 		answered, unanswered = answered+responses.Load(), unanswered+failures.Load()
 	})
+	gomega.NewWithT(t).Expect(unanswered).NotTo(gomega.BeZero(), "no request crossed the end of its connection")
 	t.Logf("%d requests were answered, %d were sent and stayed unread", answered, unanswered)
 }
