Move the sidecar's HTTP server into a package of its own

The call port of the earlier daemon needs the same end of its connections as the sidecar's inbound proxy: each connection is refused or its request is handled. The code moves unchanged to internal/httpserver; its time limits and the timeout of Close become options, which the sidecar sets to its previous values. The package imports the standard library only.

The sidecar's tests are unchanged: go test -race ./internal/sidecar ./internal passes.

--- a/internal/sidecar/http_conn.go
+++ b/internal/httpserver/conn.go
@@ -1,4 +1,4 @@
-package sidecar
+package httpserver
 
 import (
 	"net"
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// httpConn is a connection to an httpServer. Whether a request has begun is decided in
+// conn is a connection to a Server. Whether a request has begun is decided in
 // one place with the arrival of its bytes, so that each request is either handled or
 // refused.
-type httpConn struct {
+type conn struct {
 	*net.TCPConn
 
 	mu sync.Mutex
@@ -20,7 +20,7 @@
 }
 
 // Read implements net.Conn.
-func (c *httpConn) Read(b []byte) (int, error) {
+func (c *conn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.TCPConn.Read(b)
 		if err != nil || !c.isRefused(n) {
@@ -31,7 +31,7 @@
 
 // isRefused reports whether received bytes are discarded. Otherwise a request has
 // begun.
-func (c *httpConn) isRefused(received int) bool {
+func (c *conn) isRefused(received int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = c.busy || (received > 0 && !c.refused)
@@ -40,7 +40,7 @@
 
 // setIdle marks the response as complete. net/http may have read one byte of the next
 // request by then, which is no complete request.
-func (c *httpConn) setIdle() {
+func (c *conn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = false
@@ -48,7 +48,7 @@
 
 // refuse sends a refusal and ends the stream to the peer, unless a request has begun.
 // The connection ends when the peer closes it, or after closeLinger.
-func (c *httpConn) refuse(refusal []byte) {
+func (c *conn) refuse(refusal []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.busy || c.refused {
@@ -64,7 +64,7 @@
 }
 
 // SetReadDeadline implements net.Conn. The deadline of a refused connection stays.
-func (c *httpConn) SetReadDeadline(deadline time.Time) error {
+func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.refused {
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"rosemaryladder.dev/rosemaryladder/internal/httpserver"
 	"rosemaryladder.dev/rosemaryladder/internal/settings"
 )
 
@@ -18,7 +19,9 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds the size of a request header.
 	maxHeaderBytes = 64 << 10
-	metricsPath    = "/metrics"
+	// closeTimeout bounds the wait for the connections to end.
+	closeTimeout = 150 * time.Millisecond
+	metricsPath  = "/metrics"
 )
 
 // server serves the connections of a socket until Close.
@@ -61,6 +64,15 @@
 	return nil
 }
 
+// newHTTPServer returns a server for the peers of the node, its backend server or its
+// operators, and the response, or nil, that refuses requests while it closes.
+func newHTTPServer(handler http.Handler, refusal []byte) *httpserver.Server {
+	return httpserver.New(httpserver.Options{
+		Handler: handler, Refusal: refusal, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, CloseTimeout: closeTimeout,
+	})
+}
+
 func (s *Sidecar) addListener(name, address string, server server) error {
 	socket, err := net.Listen("tcp", address)
 	if err != nil {
