Refuse calls that cross the shutdown of the call port

Cause: the earlier daemon's call port ended with http.Server.Shutdown, which closes a kept connection whose next call is in the socket and not read yet. The other node can't know that the call did not run and reports its outcome as unknown; an order is then not tried elsewhere. go-zero's rest server opens its listener itself, so that its connections can't be wrapped.

The call port is now served by internal/httpserver, like the sidecar's ports. Shutdown decides on each connection under the lock that sees its bytes arrive: it sends a refusal (code 57, not-run) or lets the call run. It goes on accepting for one poll interval, closes the socket and waits for the calls in flight until its context ends. go-zero's rest server leaves the call port, where nothing else of it was in use; its shutdown on SIGTERM is put off by the operator port, which keeps it. A call port that stops serving now stops the daemon; before, the error was dropped, and a stop before the start panicked. The sending side already takes a refusal with code 57 for not run.

The tests of httpserver and of the server's limits fail without the mechanism that each guards.

Open: a new connection that the kernel has accepted and the server has not is reset when the socket closes.

--- a/internal/call/refusal.go
+++ b/internal/call/refusal.go
@@ -1,10 +1,13 @@
 package call
 
 import (
+	"bytes"
+	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 
-	"encoding/json"
+	"github.com/pkg/errors"
 
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 	"rosemaryladder.dev/rosemaryladder/internal/route"
@@ -81,21 +84,50 @@
 
 // write sends the refusal as an HTTP response.
 func (r *refusal) write(w http.ResponseWriter, callID string) {
-	entry := result.Describe(r.code)
-	body, err := json.Marshal(refusalBody{Code: r.code, Name: entry.Name, Run: r.run, Message: r.message, Next: entry.Next, CallID: callID})
+	body, err := r.body(callID)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	header := w.Header()
-	header.Set("Content-Type", "application/json")
+	r.setHeader(header)
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	header[HeaderCallID] = []string{callID}
+	w.WriteHeader(r.status())
+	// A write fails only when the peer has disconnected.
+	_, _ = w.Write(body)
+}
+
+// encode returns the refusal as an HTTP response that is sent before any call is
+// read. It has no call ID, and its connection ends.
+func (r *refusal) encode() ([]byte, error) {
+	body, err := r.body("")
+	if err != nil {
+		return nil, err
+	}
+	response := http.Response{
+		StatusCode: r.status(), ProtoMajor: 1, ProtoMinor: 1, Header: make(http.Header),
+		Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)), Close: true,
+	}
+	r.setHeader(response.Header)
+	var encoded bytes.Buffer
+	if err := response.Write(&encoded); err != nil {
+		return nil, errors.Wrap(err, "encode a refusal")
+	}
+	return encoded.Bytes(), nil
+}
+
+func (r *refusal) body(callID string) ([]byte, error) {
+	entry := result.Describe(r.code)
+	body, err := json.Marshal(refusalBody{Code: r.code, Name: entry.Name, Run: r.run, Message: r.message, Next: entry.Next, CallID: callID})
+	return body, errors.Wrap(err, "encode the body of a refusal")
+}
+
+// setHeader sets the headers that do not depend on the call.
+func (r *refusal) setHeader(header http.Header) {
+	header.Set("Content-Type", "application/json")
 	header[HeaderResult] = []string{strconv.Itoa(int(r.code))}
 	header[HeaderRun] = []string{string(r.run)}
 	if r.claimedBy != "" {
 		header[headerClaimed] = []string{r.claimedBy + " " + strconv.FormatUint(r.fingerprint, 16)}
 	}
-	w.WriteHeader(r.status())
-	// A write fails only when the peer has disconnected.
-	_, _ = w.Write(body)
 }
--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -2,39 +2,20 @@
 
 import (
 	"context"
-	"io"
-	"log"
 	"net"
 	"net/http"
-	"sync"
-	"time"
+	"strconv"
 
 	"github.com/pkg/errors"
-	"github.com/zeromicro/go-zero/core/logx"
-	"github.com/zeromicro/go-zero/core/proc"
-	"github.com/zeromicro/go-zero/rest"
-)
-
-// processLifetime exceeds the lifetime of any process. With its defaults
-// go-zero would close the server 1 s after SIGTERM and repeat the signal after
-// 5.5 s, but the daemon itself decides when the calls in flight are done.
-const processLifetime = 10 * 365 * 24 * time.Hour
 
-var disableGoZeroDefaults = sync.OnceFunc(func() {
-	proc.Setup(proc.ShutdownConf{WrapUpTime: processLifetime, WaitTime: processLifetime})
-	logx.Disable()
-	logx.DisableStat()
-})
+	"rosemaryladder.dev/rosemaryladder/internal/httpserver"
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
 
-// Server serves the call port. It is a go-zero REST server without middleware,
-// whose router passes every request to one handler.
+// Server serves the call port.
 type Server struct {
-	rest    *rest.Server
-	handler http.Handler
-	config  Config
-	address net.Addr
-	http    *http.Server
-	started chan struct{}
+	address string
+	http    *httpserver.Server
 	failed  chan error
 }
 
@@ -44,57 +25,42 @@
 	if err := config.Validate(); err != nil {
 		return nil, err
 	}
-	disableGoZeroDefaults()
-	server := &Server{handler: handler, config: config, started: make(chan struct{}), failed: make(chan error, 1)}
-	conf := rest.RestConf{Host: ip, Port: port}
-	restServer, err := rest.NewServer(conf, rest.WithRouter(passRouter{handler}))
+	closing, err := refuse(result.Draining, "the node at "+ip+" is leaving").encode()
 	if err != nil {
-		return nil, errors.Wrap(err, "create the server of the call port")
+		return nil, err
 	}
-	server.rest = restServer
-	return server, nil
+	return &Server{
+		address: net.JoinHostPort(ip, strconv.Itoa(port)),
+		http: httpserver.New(httpserver.Options{
+			Handler: handler, Refusal: closing,
+			ReadHeaderTimeout: config.ReadHeaderTimeout, IdleTimeout: config.ServerIdleTimeout,
+			// The handler enforces the limit and counts refusals; this is a second,
+			// hard limit.
+			MaxHeaderBytes: 2 * config.HeaderBytes,
+		}),
+		failed: make(chan error, 1),
+	}, nil
 }
 
 // Start starts to listen and returns the address.
 func (s *Server) Start() (net.Addr, error) {
-	go s.run()
-	select {
-	case <-s.started:
-		return s.address, nil
-	case err := <-s.failed:
+	socket, err := net.Listen("tcp", s.address)
+	if err != nil {
 		return nil, errors.Wrap(err, "listen on the call port")
 	}
-}
-
-// Shutdown stops listening and waits until no call is in flight or the context
-// ends.
-func (s *Server) Shutdown(ctx context.Context) error {
-	return errors.Wrap(s.http.Shutdown(ctx), "stop the server of the call port")
-}
-
-// run serves until Shutdown. go-zero panics when it cannot listen.
-func (s *Server) run() {
-	defer func() {
-		if panicValue := recover(); panicValue != nil {
-			s.failed <- errors.Errorf("%v", panicValue)
+	go func() {
+		if err := s.http.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+			s.failed <- errors.Wrap(err, "serve the call port")
 		}
 	}()
-	s.rest.StartWithOpts(s.configure)
+	return socket.Addr(), nil
 }
 
-// configure sets what go-zero leaves to its user. The base context is created
-// after the listener, so it provides the port that the system chose.
-func (s *Server) configure(server *http.Server) {
-	s.http = server
-	// The handler enforces the limit and counts refusals; this is a second,
-	// hard limit.
-	server.MaxHeaderBytes = 2 * s.config.HeaderBytes
-	server.ReadHeaderTimeout = s.config.ReadHeaderTimeout
-	server.IdleTimeout = s.config.ServerIdleTimeout
-	server.ErrorLog = log.New(io.Discard, "", 0)
-	server.BaseContext = func(listener net.Listener) context.Context {
-		s.address = listener.Addr()
-		close(s.started)
-		return context.Background()
-	}
+// Failed delivers the error when the server stops without Shutdown.
+func (s *Server) Failed() <-chan error { return s.failed }
+
+// Shutdown refuses the connections without a call, stops listening and waits
+// until no call is in flight or the context ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return errors.Wrap(s.http.Shutdown(ctx), "stop the server of the call port")
 }
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -1,11 +1,23 @@
 package httpserver
 
-import "net"
+import (
+	"net"
+	"sync"
+)
 
 // listener adds its connections to a server.
 type listener struct {
 	net.Listener
-	server *Server
+	server    *Server
+	closeOnce sync.Once
+	closeErr  error
+}
+
+// Close implements net.Listener. It may be called again, because net/http closes the
+// listener too.
+func (l *listener) Close() error {
+	l.closeOnce.Do(func() { l.closeErr = l.Listener.Close() })
+	return l.closeErr
 }
 
 // Accept implements net.Listener.
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -19,21 +21,24 @@
 	closePollInterval = 5 * time.Millisecond
 )
 
-// Server serves the connections of sockets. Close refuses each connection on which no
-// request has begun, so that a request that crosses the close has a response, and lets
-// requests that have begun end.
+// Server serves the connections of sockets. Close and Shutdown refuse each connection on
+// which no request has begun, so that a request that crosses the close has a response,
+// and let requests that have begun end.
 type Server struct {
 	http    *http.Server
 	options Options
 
 	mu      sync.Mutex
 	closing bool
-	conns   map[*conn]struct{}
+	// stopped is set once no socket is listened on any more.
+	stopped   bool
+	listeners map[*listener]struct{}
+	conns     map[*conn]struct{}
 }
 
 // New returns a server that Serve starts.
 func New(options Options) *Server {
-	s := &Server{options: options, conns: make(map[*conn]struct{})}
+	s := &Server{options: options, listeners: make(map[*listener]struct{}), conns: make(map[*conn]struct{})}
 	s.http = &http.Server{
 		Handler: options.Handler, ReadHeaderTimeout: options.ReadHeaderTimeout, IdleTimeout: options.IdleTimeout,
 		MaxHeaderBytes: options.MaxHeaderBytes, ConnState: s.connStateChanged,
@@ -46,7 +51,17 @@
 // Serve serves the connections of a socket until the server is closed. It then returns
 // http.ErrServerClosed.
 func (s *Server) Serve(socket net.Listener) error {
-	return s.http.Serve(&listener{Listener: socket, server: s})
+	l := &listener{Listener: socket, server: s}
+	if !s.addListener(l) {
+		_ = l.Close()
+		return http.ErrServerClosed
+	}
+	defer s.removeListener(l)
+	err := s.http.Serve(l)
+	if errors.Is(err, net.ErrClosed) && s.isStopped() {
+		return http.ErrServerClosed
+	}
+	return err
 }
 
 // Close refuses the connections without a request, waits for the others for
@@ -55,7 +70,21 @@
 	s.refuseConns()
 	ctx, cancel := context.WithTimeout(context.Background(), s.options.CloseTimeout)
 	defer cancel()
-	s.awaitConns(ctx)
+	s.await(ctx, func() bool { return s.openConns() == 0 })
+	return s.http.Close()
+}
+
+// Shutdown refuses the connections without a request, stops listening and waits until
+// the others have ended. When the context ends first it returns the context's error and
+// leaves them open.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.refuseConns()
+	// The kernel resets connections that Serve has not accepted when it stops listening.
+	s.await(ctx, func() bool { return true })
+	s.stopListening()
+	if !s.await(ctx, s.hasEnded) {
+		return ctx.Err()
+	}
 	return s.http.Close()
 }
 
@@ -74,19 +103,19 @@
 	}
 }
 
-// awaitConns waits until no connection is open or the context ends. It first waits for
-// those that the kernel has accepted and Serve has not.
-func (s *Server) awaitConns(ctx context.Context) {
+// await waits until a condition holds and reports false when the context ends first. It
+// first waits for connections that the kernel has accepted and Serve has not.
+func (s *Server) await(ctx context.Context, condition func() bool) bool {
 	ticker := time.NewTicker(closePollInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return
+			return false
 		}
-		if s.openConns() == 0 {
-			return
+		if condition() {
+			return true
 		}
 	}
 }
@@ -97,6 +126,47 @@
 	return len(s.conns)
 }
 
+// hasEnded reports whether no call of Serve is running and no connection is open.
+func (s *Server) hasEnded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.listeners) == 0 && len(s.conns) == 0
+}
+
+// stopListening closes the sockets.
+func (s *Server) stopListening() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	for l := range s.listeners {
+		// An error means that the socket is closed already.
+		_ = l.Close()
+	}
+}
+
+func (s *Server) isStopped() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopped
+}
+
+// addListener reports false when the server does not listen any more.
+func (s *Server) addListener(l *listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return false
+	}
+	s.listeners[l] = struct{}{}
+	return true
+}
+
+func (s *Server) removeListener(l *listener) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.listeners, l)
+}
+
 // add takes a new connection, which is refused when the server closes.
 func (s *Server) add(c *conn) {
 	s.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -129,8 +129,12 @@
 	if _, err := n.callServer.Start(); err != nil {
 		return err
 	}
-	<-ctx.Done()
-	return nil
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-n.callServer.Failed():
+		return err
+	}
 }
 
 // propagateVersions starts an exchange with the neighbours on each new version.
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -39,6 +39,7 @@
 // NewServer returns a server of the operator port at the IP and port. Start
 // serves it.
 func NewServer(ip string, port int, deps Dependencies) (*Server, error) {
+	disableGoZeroDefaults()
 	conf := rest.RestConf{
 		Host:        ip,
 		Port:        port,
