Decide whether a pipelined request runs under its connection's lock

Cause: internal/httpserver took a request for begun when its bytes arrived. net/http may have read them together with the request before it; after that request's response the connection counted as idle although the next one was in net/http's buffer. At the close such a request was refused while it ran, so that its response was lost and the caller was told that it had not run; or it was refused and ran afterwards. Nodes do not pipeline between each other, callers of the call port may.

The handler now marks the request as begun, under the lock under which its connection is refused. A request of a refused connection does not run; the connection stays open until the peer has read the refusal.

--- a/internal/call/fleet_test.go
+++ b/internal/call/fleet_test.go
@@ -117,7 +117,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = server.http.Close() })
+	t.Cleanup(func() {
+		// net/http logs a refusal that arrives on an idle connection.
+		testClient.CloseIdleConnections()
+		_ = server.http.Close()
+	})
 	f.addresses = append(f.addresses, address.String())
 	return address.(*net.TCPAddr).Port
 }
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -1,11 +1,22 @@
 package httpserver
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
 )
 
+// connKey is the key of the connection in the context of its requests.
+type connKey struct{}
+
+func withConn(ctx context.Context, netConn net.Conn) context.Context {
+	if c, ok := netConn.(*conn); ok {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	return ctx
+}
+
 // conn is a connection to a Server. Whether a request has begun is decided in
 // one place with the arrival of its bytes, so that each request is either handled or
 // refused.
@@ -38,8 +49,25 @@
 	return c.refused
 }
 
-// setIdle marks the response as complete. net/http may have read one byte of the next
-// request by then, which is no complete request.
+// begin marks a request as begun, because net/http may have read it together with the one
+// before it. It returns false when the connection is refused.
+func (c *conn) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = !c.refused
+	return c.busy
+}
+
+// awaitEnd waits until a refused connection ends. Closing it with unread bytes would reset
+// it before the peer has read the refusal.
+func (c *conn) awaitEnd() {
+	var discarded [1]byte
+	// Read discards all bytes and returns only an error.
+	_, _ = c.Read(discarded[:])
+}
+
+// setIdle marks the response as complete. net/http may have read bytes of the next request
+// by then; begin decides whether that request runs.
 func (c *conn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -40,7 +40,7 @@
 func New(options Options) *Server {
 	s := &Server{options: options, listeners: make(map[*listener]struct{}), conns: make(map[*conn]struct{})}
 	s.http = &http.Server{
-		Handler: options.Handler, ReadHeaderTimeout: options.ReadHeaderTimeout, IdleTimeout: options.IdleTimeout,
+		Handler: http.HandlerFunc(s.serve), ConnContext: withConn, ReadHeaderTimeout: options.ReadHeaderTimeout, IdleTimeout: options.IdleTimeout,
 		MaxHeaderBytes: options.MaxHeaderBytes, ConnState: s.connStateChanged,
 		// net/http would log broken client connections, which the handlers count.
 		ErrorLog: log.New(io.Discard, "", 0),
@@ -64,6 +64,16 @@
 	return err
 }
 
+// serve handles a request, unless its connection was refused after the request was read
+// together with the one before it.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok && !c.begin() {
+		c.awaitEnd()
+		panic(http.ErrAbortHandler)
+	}
+	s.options.Handler.ServeHTTP(w, r)
+}
+
 // Close refuses the connections without a request, waits for the others for
 // Options.CloseTimeout and closes what is left. New connections are refused meanwhile.
 func (s *Server) Close() error {
