Let operators' requests in flight end when a node stops

Cause: the operator port closed its server at the stop. A change in flight was cut off, and one that crossed the close of a kept connection got no response; the tool then reports that its outcome is unknown, although it was accepted or had not begun.

The port is served by internal/httpserver. At the stop it waits up to 2 s for requests in flight and sends a response with code 43 on each connection without one, which the client takes for "not run". Its status is 408, which net/http's clients drop on idle connections without a log line. go-zero keeps the routes and the recover middleware.

The new specs "responds to a change that is in flight when the node stops" and "refuses each connection without a request when the node stops" failed before (no complete response: EOF); 6 of 6 runs of the suite pass with -race. Two specs cover what stays: the limit of connections, and a stop that ends in time although a change does not. Scenarios planned-stop, sigterm, paths and order-faults pass (37.9 s).

--- a/internal/call/refusal.go
+++ b/internal/call/refusal.go
@@ -1,14 +1,13 @@
 package call
 
 import (
-	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/pkg/errors"
 
+	"rosemaryladder.dev/rosemaryladder/internal/httpserver"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 	"rosemaryladder.dev/rosemaryladder/internal/route"
 )
@@ -104,16 +103,9 @@
 	if err != nil {
 		return nil, err
 	}
-	response := http.Response{
-		StatusCode: r.status(), ProtoMajor: 1, ProtoMinor: 1, Header: make(http.Header),
-		Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)), Close: true,
-	}
-	r.setHeader(response.Header)
-	var encoded bytes.Buffer
-	if err := response.Write(&encoded); err != nil {
-		return nil, errors.Wrap(err, "encode a refusal")
-	}
-	return encoded.Bytes(), nil
+	header := make(http.Header)
+	r.setHeader(header)
+	return httpserver.EncodeRefusal(r.status(), header, body)
 }
 
 func (r *refusal) body(callID string) ([]byte, error) {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -40,8 +40,9 @@
 func New(options Options) *Server {
 	s := &Server{options: options, listeners: make(map[*listener]struct{}), conns: make(map[*conn]struct{})}
 	s.http = &http.Server{
-		Handler: http.HandlerFunc(s.serve), ConnContext: withConn, ReadHeaderTimeout: options.ReadHeaderTimeout, IdleTimeout: options.IdleTimeout,
-		MaxHeaderBytes: options.MaxHeaderBytes, ConnState: s.connStateChanged,
+		Handler: http.HandlerFunc(s.serve), ConnContext: withConn,
+		ReadHeaderTimeout: options.ReadHeaderTimeout, ReadTimeout: options.ReadTimeout,
+		WriteTimeout: options.WriteTimeout, IdleTimeout: options.IdleTimeout, MaxHeaderBytes: options.MaxHeaderBytes, ConnState: s.connStateChanged,
 		// net/http would log broken client connections, which the handlers count.
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
@@ -189,10 +190,15 @@
 }
 
 func (s *Server) connStateChanged(netConn net.Conn, state http.ConnState) {
-	c, ok := netConn.(*conn)
-	if !ok {
-		return
+	if c, ok := netConn.(*conn); ok {
+		s.updateConn(c, state)
 	}
+	if s.options.ConnState != nil {
+		s.options.ConnState(netConn, state)
+	}
+}
+
+func (s *Server) updateConn(c *conn, state http.ConnState) {
 	switch state {
 	case http.StateIdle:
 		c.setIdle()
--- a/internal/operator/export_test.go
+++ b/internal/operator/export_test.go
@@ -13,6 +13,8 @@
 const (
 	MaxRequests     = maxRequests
 	MaxRequestBytes = maxRequestBytes
+	MaxConnections  = maxConnections
+	CloseTimeout    = closeTimeout
 )
 
 // Handler returns a handler of all routes without a listening server.
--- a/internal/operator/fakes_test.go
+++ b/internal/operator/fakes_test.go
@@ -72,6 +72,7 @@
 	client  *operator.Client
 	server  *httptest.Server
 	report  operator.HostReport
+	deps    operator.Dependencies
 	handler http.Handler
 	// intercept replaces the handler when it is set.
 	intercept http.HandlerFunc
@@ -101,12 +102,13 @@
 	number, _ := strconv.Atoi(port)
 	node.record = member.Record{ID: host, IP: ip, OperatorPort: number, Region: region, FailureDomain: region + "-1", State: member.Alive}
 	node.report = operator.HostReport{Host: host}
-	node.handler = operator.Handler(operator.Dependencies{
+	node.deps = operator.Dependencies{
 		Editor: node.editor, Fleet: fakeFleet{}, StoreRegion: "near",
 		Snapshot: func() *config.Snapshot { return c.snapshot }, OnAccepted: func(*config.Snapshot) {},
 		View: func() *member.View { return c.view(node) }, HostReport: func() operator.HostReport { return node.report },
 		Events: node.events, Metrics: http.NotFoundHandler(), Scope: node.scope,
-	})
+	}
+	node.handler = operator.Handler(node.deps)
 	node.client = operator.NewClient(node.server.Listener.Addr().String())
 	c.nodes = append(c.nodes, node)
 	return node
--- a/internal/operator/go_zero.go
+++ b/internal/operator/go_zero.go
@@ -9,8 +9,8 @@
 )
 
 // processLifetime exceeds the lifetime of any process. With its defaults
-// go-zero would close the server 1 s after SIGTERM and repeat the signal after
-// 5.5 s, but the daemon itself decides when its work is done.
+// go-zero would repeat SIGTERM after 5.5 s, but the daemon itself decides when
+// its work is done.
 const processLifetime = 10 * 365 * 24 * time.Hour
 
 var disableGoZeroDefaults = sync.OnceFunc(func() {
--- a/internal/operator/problem.go
+++ b/internal/operator/problem.go
@@ -4,6 +4,9 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/pkg/errors"
+
+	"rosemaryladder.dev/rosemaryladder/internal/httpserver"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
@@ -26,13 +29,29 @@
 
 // writeProblem writes the error response of a failed request.
 func writeProblem(w http.ResponseWriter, err error) {
-	code := result.CodeOf(err)
-	status, found := statuses[code]
+	status, found := statuses[result.CodeOf(err)]
 	if !found {
 		status = http.StatusInternalServerError
 	}
+	writeJSON(w, status, problemOf(err))
+}
+
+func problemOf(err error) Problem {
+	code := result.CodeOf(err)
 	entry := result.Describe(code)
-	writeJSON(w, status, Problem{Code: code, Name: entry.Name, Message: err.Error(), Next: entry.Next})
+	return Problem{Code: code, Name: entry.Name, Message: err.Error(), Next: entry.Next}
+}
+
+// closingResponse returns the response that is sent on each connection without a request
+// when the node stops. net/http's clients drop a response 408 on an idle connection
+// without a log line (RFC 9110, section 15.5.9).
+func closingResponse(message string) ([]byte, error) {
+	body, err := json.Marshal(problemOf(result.Errorf(result.NodeUnreachable, "%s", message)))
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the closing response of the operator port")
+	}
+	header := http.Header{"Content-Type": {"application/json"}}
+	return httpserver.EncodeRefusal(http.StatusRequestTimeout, header, body)
 }
 
 // writeJSON writes a response. It ignores the error of the write, which fails
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/zeromicro/go-zero/rest"
+
+	"rosemaryladder.dev/rosemaryladder/internal/httpserver"
 )
 
 const (
@@ -27,70 +31,59 @@
 	readTimeout = 10 * time.Second
 	// writeTimeout is the timeout for handling a request and sending its response.
 	writeTimeout = 20 * time.Second
+	// closeTimeout bounds the wait for requests in flight when the node stops.
+	closeTimeout = 2 * time.Second
 )
 
-// Server serves the operator port with a go-zero rest server.
+// Server serves the operator port. The routes are those of a go-zero rest server.
 type Server struct {
-	rest  *rest.Server
-	conns *connLimit
-	http  chan *http.Server
+	address string
+	http    *httpserver.Server
 }
 
 // NewServer returns a server of the operator port at the IP and port. Start
 // serves it.
 func NewServer(ip string, port int, deps Dependencies) (*Server, error) {
 	disableGoZeroDefaults()
-	conf := rest.RestConf{
-		Host:        ip,
-		Port:        port,
-		Middlewares: rest.MiddlewaresConf{Recover: true},
-	}
-	restServer, err := rest.NewServer(conf)
+	restServer, err := rest.NewServer(rest.RestConf{Middlewares: rest.MiddlewaresConf{Recover: true}})
 	if err != nil {
 		return nil, errors.Wrap(err, "create the server of the operator port")
 	}
 	api := newAPI(deps)
 	restServer.AddRoutes(api.routes())
+	handler, err := rest.NewServerless(restServer)
+	if err != nil {
+		return nil, errors.Wrap(err, "build the routes of the operator port")
+	}
+	closing, err := closingResponse("the node at " + ip + " is stopping")
+	if err != nil {
+		return nil, err
+	}
 	conns := &connLimit{limit: maxConnections, refused: api.counters.limitConns}
-	return &Server{rest: restServer, conns: conns, http: make(chan *http.Server, 1)}, nil
+	return &Server{
+		address: net.JoinHostPort(ip, strconv.Itoa(port)),
+		http: httpserver.New(httpserver.Options{
+			Handler: http.HandlerFunc(handler.Serve), Refusal: closing,
+			ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
+			MaxHeaderBytes: maxHeaderBytes, CloseTimeout: closeTimeout, ConnState: conns.onStateChange,
+		}),
+	}, nil
 }
 
-// Start listens and serves until the context ends. It returns an error when it
-// cannot listen on the port or cannot close the server.
+// Start listens and serves until the context ends. It then refuses new requests and waits
+// for those in flight, at most for closeTimeout. It returns an error when it cannot listen
+// on the port or cannot close the server.
 func (s *Server) Start(ctx context.Context) error {
-	failed := make(chan error, 1)
-	go func() {
-		defer func() {
-			if panicValue := recover(); panicValue != nil {
-				failed <- errors.Errorf("listen on the operator port: %v", panicValue)
-			}
-		}()
-		s.rest.StartWithOpts(func(server *http.Server) {
-			s.applyLimits(server)
-			s.http <- server
-		})
-	}()
-	// The server is known before it listens, so that one that is still starting is
-	// closed too.
-	var server *http.Server
-	select {
-	case err := <-failed:
-		return err
-	case server = <-s.http:
+	socket, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return errors.Wrap(err, "listen on the operator port")
 	}
+	failed := make(chan error, 1)
+	go func() { failed <- s.http.Serve(socket) }()
 	select {
 	case err := <-failed:
-		return err
+		return errors.Wrap(err, "serve the operator port")
 	case <-ctx.Done():
-		return errors.Wrap(server.Close(), "close the operator port")
+		return errors.Wrap(s.http.Close(), "close the operator port")
 	}
 }
-
-// applyLimits sets the limits of the HTTP server and of its connections.
-func (s *Server) applyLimits(server *http.Server) {
-	server.ReadHeaderTimeout = readHeaderTimeout
-	server.ReadTimeout = readTimeout
-	server.WriteTimeout = writeTimeout
-	server.MaxHeaderBytes = maxHeaderBytes
-	server.ConnState = s.conns.onStateChange
-}
