Stop the control port of a node gracefully

Cause: at the stop the control port ended with grpc's Stop, which cuts off the requests of other nodes. Most are sent elsewhere; a request for a retained response is not, and the caller of a repeated order is told that its outcome is unknown.

The control port now stops gracefully, for 1 s at most. Subscriptions of children would last for that whole time, so they end when the relay's Run ends, with the code Unavailable; children then choose another parent, as they did after Stop.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -22,6 +22,8 @@
 	// maxControlMessageBytes is the maximum size of a received control message; a
 	// complete document has at most 1 MB.
 	maxControlMessageBytes = 2 << 20
+	// controlCloseTimeout bounds the wait for requests in flight when the node stops.
+	controlCloseTimeout = time.Second
 )
 
 // grpcService is a gRPC service of the control port.
@@ -52,9 +54,19 @@
 	return &controlServer{grpc: server, listener: listener}, nil
 }
 
-// run serves the control port until the context ends.
+// run serves the control port until the context ends. It then refuses new requests and
+// waits for those in flight, at most for controlCloseTimeout.
 func (s *controlServer) run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, s.grpc.Stop)
-	defer stop()
-	return errors.Wrap(s.grpc.Serve(s.listener), "serve the control port")
+	failed := make(chan error, 1)
+	go func() { failed <- s.grpc.Serve(s.listener) }()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve the control port")
+	case <-ctx.Done():
+	}
+	// Stop ends a GracefulStop that waits.
+	timeout := time.AfterFunc(controlCloseTimeout, s.grpc.Stop)
+	defer timeout.Stop()
+	s.grpc.GracefulStop()
+	return nil
 }
--- a/internal/relay/child_session.go
+++ b/internal/relay/child_session.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"rosemaryladder.dev/rosemaryladder/internal/config"
 	"rosemaryladder.dev/rosemaryladder/internal/controlpb"
 	"rosemaryladder.dev/rosemaryladder/internal/member"
@@ -22,7 +25,7 @@
 	resend chan struct{}
 }
 
-// run sends updates and heartbeats until the child leaves.
+// run sends updates and heartbeats until the child leaves or the node stops.
 func (s *childSession) run() error {
 	receiveFailed := make(chan error, 1)
 	go func() { receiveFailed <- s.receive() }()
@@ -42,6 +45,8 @@
 			return err
 		case <-s.child.replaced:
 			return nil
+		case <-s.relay.stopping:
+			return status.Error(codes.Unavailable, "the node is stopping")
 		case <-s.stream.Context().Done():
 			return s.stream.Context().Err()
 		case <-changed:
--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -47,14 +47,15 @@
 
 // testNode is one node. It holds the reader lease when its record says so.
 type testNode struct {
-	cluster *cluster
-	id      string
-	relay   *Relay
-	holder  *config.Holder
-	scope   tally.TestScope
-	changed chan struct{}
-	stop    func()
-	stopped atomic.Bool
+	cluster   *cluster
+	id        string
+	relay     *Relay
+	holder    *config.Holder
+	scope     tally.TestScope
+	changed   chan struct{}
+	stop      func()
+	stopRelay func()
+	stopped   atomic.Bool
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -104,6 +105,7 @@
 	n.relay.Register(server)
 	go server.Serve(listener)
 	ctx, cancel := context.WithCancel(context.Background())
+	n.stopRelay = cancel
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/relay/parent_test.go
+++ b/internal/relay/parent_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"rosemaryladder.dev/rosemaryladder/internal/controlpb"
 	"rosemaryladder.dev/rosemaryladder/internal/member"
@@ -60,6 +62,37 @@
 	return message
 }
 
+// TestStopEndsSubscriptions guards against a stop of the control port that waits for the
+// subscriptions of children, which end by themselves only with the node.
+func TestStopEndsSubscriptions(t *testing.T) {
+	c := newCluster(t)
+	parent, other := c.start("north-0-00", "north", "north-0"), c.start("north-0-01", "north", "north-0")
+	c.eventually(2*inForceLimit, "all serve", c.allServing)
+	conn, err := other.relay.connections.shared(parent.id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 4*heartbeatInterval)
+	defer cancel()
+	stream, err := controlpb.NewDistributionClient(conn).Subscribe(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := stream.Send(&controlpb.ChildMessage{Node: "child", Held: &controlpb.Digest{}}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := stream.Recv(); err != nil {
+		t.Fatal(err)
+	}
+	parent.stopRelay()
+	for err == nil {
+		_, err = stream.Recv()
+	}
+	if status.Code(err) != codes.Unavailable {
+		t.Errorf("the subscription ended with %v, want the code Unavailable", err)
+	}
+}
+
 // TestUnresponsiveReader guards invariant I9 while a reader is frozen but not
 // suspected yet: the reader of the other region reads the store after 1 s
 // without a message.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -39,6 +39,8 @@
 	fleetClient      *fleetClient
 	statisticsClient *fleetClient
 	lastMismatch     atomic.Pointer[mismatch]
+	// stopping is closed when Run ends, which ends the subscriptions of children.
+	stopping chan struct{}
 }
 
 // mismatch is a pair of different digests of one version.
@@ -50,7 +52,7 @@
 	if err := options.Validate(); err != nil {
 		return nil, err
 	}
-	r := &Relay{options: options, children: newSubscriberTable()}
+	r := &Relay{options: options, children: newSubscriberTable(), stopping: make(chan struct{})}
 	r.metrics = newMetrics(options.Scope.SubScope("relay"))
 	r.encoder = newUpdateEncoder(options.Holder)
 	r.connections = newConnPool(options.Dialer, options.View, options.Traffic)
@@ -71,10 +73,11 @@
 	controlpb.RegisterDistributionServer(registrar, r.server)
 }
 
-// Run distributes configuration until the context ends.
+// Run distributes configuration until the context ends. It is called once.
 func (r *Relay) Run(ctx context.Context) error {
 	defer r.connections.close()
 	group, ctx := errgroup.WithContext(ctx)
+	context.AfterFunc(ctx, func() { close(r.stopping) })
 	for _, run := range []func(context.Context){r.subscription.run, r.storeReader.run, r.repairer.run, r.readiness.run} {
 		group.Go(func() error {
 			run(ctx)
