Keep dropped control connections open while a request uses them

Cause: the pools of connections to the control ports of other nodes close one when they are full, whether or not a request uses it. A claim in flight then ends with Canceled, which is final: the order fails although its owner may record the claim. A report counts the nodes of a region as unreachable.

dial.Shared counts the users of a pooled connection. A dropped connection is closed after the last one. At the end of the node the pools still close everything at once.

--- a/internal/claim/conn_pool.go
+++ b/internal/claim/conn_pool.go
@@ -30,7 +30,7 @@
 
 // pooledConn is a connection with the times of its last use and acknowledgement.
 type pooledConn struct {
-	conn     *grpc.ClientConn
+	conn     *dial.Shared[*grpc.ClientConn]
 	lastUsed time.Time
 	// lastAck is when the peer last acknowledged a request.
 	lastAck time.Time
@@ -42,26 +42,26 @@
 	return &connPool{dialer: dialer, now: now, conns: make(map[string]*pooledConn)}
 }
 
-// get returns a connection to an address. It returns errOwnerUnavailable while the
-// address is marked as unresponsive.
-func (p *connPool) get(address string) (*grpc.ClientConn, error) {
+// get returns a connection to an address and a function that ends its use. It returns
+// errOwnerUnavailable while the address is marked as unresponsive.
+func (p *connPool) get(address string) (conn *grpc.ClientConn, release func(), err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pooled := p.conns[address]
 	if pooled == nil {
 		conn, err := p.connect(address)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		p.evict()
-		pooled = &pooledConn{conn: conn}
+		pooled = &pooledConn{conn: dial.NewShared(conn)}
 		p.conns[address] = pooled
 	}
 	if p.now().Before(pooled.unresponsiveUntil) {
-		return nil, errOwnerUnavailable
+		return nil, nil, errOwnerUnavailable
 	}
 	pooled.lastUsed = p.now()
-	return pooled.conn, nil
+	return pooled.conn.Acquire(), pooled.conn.Release, nil
 }
 
 func (p *connPool) connect(address string) (*grpc.ClientConn, error) {
@@ -105,7 +105,8 @@
 	}
 }
 
-// evict closes the least recently used connection when the pool is full.
+// evict drops the least recently used connection when the pool is full. It is closed once
+// no request uses it.
 func (p *connPool) evict() {
 	if len(p.conns) < maxConns {
 		return
@@ -116,7 +117,7 @@
 			oldest = address
 		}
 	}
-	p.conns[oldest].conn.Close()
+	p.conns[oldest].conn.Retire()
 	delete(p.conns, oldest)
 }
 
--- a/internal/claim/owner_client.go
+++ b/internal/claim/owner_client.go
@@ -49,10 +49,11 @@
 // call makes a unary call as a stream, because only a stream exposes the headers
 // by which the owner acknowledges the request before it responds.
 func (c *ownerClient) call(ctx context.Context, address, method string, message, reply proto.Message) error {
-	conn, err := c.conns.get(address)
+	conn, release, err := c.conns.get(address)
 	if err != nil {
 		return err
 	}
+	defer release()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	ackTimer := c.startAckTimer(address, func() { cancel(errOwnerUnavailable) })
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -134,10 +134,11 @@
 	if !found || record.Incarnation != holder.Incarnation {
 		return Response{}
 	}
-	conn, err := s.owners.conns.get(record.ControlAddress())
+	conn, release, err := s.owners.conns.get(record.ControlAddress())
 	if err != nil {
 		return Response{}
 	}
+	defer release()
 	ctx, cancel := context.WithTimeout(ctx, retainedResponseTimeout)
 	defer cancel()
 	message := &controlpb.KeptAnswerRequest{Service: holder.Service, Key: holder.Key}
--- a/internal/relay/conn_pool.go
+++ b/internal/relay/conn_pool.go
@@ -41,13 +41,13 @@
 	traffic stats.Handler
 
 	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
+	conns map[string]*dial.Shared[*grpc.ClientConn]
 	// openOrder holds the addresses of conns, oldest connection first.
 	openOrder []string
 }
 
 func newConnPool(dialer dial.Dialer, view func() *member.View, traffic stats.Handler) *connPool {
-	return &connPool{dialer: dialer, view: view, traffic: traffic, conns: make(map[string]*grpc.ClientConn)}
+	return &connPool{dialer: dialer, view: view, traffic: traffic, conns: make(map[string]*dial.Shared[*grpc.ClientConn])}
 }
 
 // dial returns a new connection to the node. The caller closes it.
@@ -59,26 +59,27 @@
 	return c.dialAddress(address)
 }
 
-// shared returns the pooled connection to the node and opens it when there is
-// none.
-func (c *connPool) shared(node string) (*grpc.ClientConn, error) {
+// shared returns the pooled connection to the node, which it opens when there is none, and
+// a function that ends its use.
+func (c *connPool) shared(node string) (conn *grpc.ClientConn, release func(), err error) {
 	address, err := c.address(node)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if conn, found := c.conns[address]; found {
-		return conn, nil
-	}
-	conn, err := c.dialAddress(address)
-	if err != nil {
-		return nil, err
+	pooled, found := c.conns[address]
+	if !found {
+		conn, err := c.dialAddress(address)
+		if err != nil {
+			return nil, nil, err
+		}
+		c.evictOldest()
+		pooled = dial.NewShared(conn)
+		c.conns[address] = pooled
+		c.openOrder = append(c.openOrder, address)
 	}
-	c.evictOldest()
-	c.conns[address] = conn
-	c.openOrder = append(c.openOrder, address)
-	return conn, nil
+	return pooled.Acquire(), pooled.Release, nil
 }
 
 // close closes the pooled connections.
@@ -92,12 +93,13 @@
 	c.openOrder = nil
 }
 
-// evictOldest closes the oldest pooled connection when the pool is full.
+// evictOldest drops the oldest pooled connection when the pool is full. It is closed once
+// no request uses it.
 func (c *connPool) evictOldest() {
 	if len(c.openOrder) < maxConnections {
 		return
 	}
-	c.conns[c.openOrder[0]].Close()
+	c.conns[c.openOrder[0]].Retire()
 	delete(c.conns, c.openOrder[0])
 	c.openOrder = c.openOrder[1:]
 }
--- a/internal/relay/fleet_client.go
+++ b/internal/relay/fleet_client.go
@@ -141,10 +141,11 @@
 	if f.statistics {
 		ctx = metadata.AppendToOutgoingContext(ctx, contentHeader, contentStatistics)
 	}
-	conn, err := f.relay.connections.shared(node)
+	conn, release, err := f.relay.connections.shared(node)
 	if err != nil {
 		return nil, err
 	}
+	defer release()
 	report, err := controlpb.NewDistributionClient(conn).FleetStatus(ctx, &controlpb.FleetStatusRequest{})
 	if err != nil {
 		return nil, result.Wrap(err, result.NodeUnreachable, "request the fleet status from reader %q", node)
--- a/internal/relay/parent_test.go
+++ b/internal/relay/parent_test.go
@@ -44,10 +44,11 @@
 // subscribe subscribes a child that confirms no version and returns the first
 // message of the parent.
 func (n *testNode) subscribe(ctx context.Context, child string) *controlpb.ParentMessage {
-	conn, err := n.relay.connections.shared(n.id)
+	conn, release, err := n.relay.connections.shared(n.id)
 	if err != nil {
 		n.cluster.t.Fatal(err)
 	}
+	defer release()
 	stream, err := controlpb.NewDistributionClient(conn).Subscribe(ctx)
 	if err != nil {
 		n.cluster.t.Fatal(err)
@@ -68,10 +69,11 @@
 	c := newCluster(t)
 	parent, other := c.start("north-0-00", "north", "north-0"), c.start("north-0-01", "north", "north-0")
 	c.eventually(2*inForceLimit, "all serve", c.allServing)
-	conn, err := other.relay.connections.shared(parent.id)
+	conn, release, err := other.relay.connections.shared(parent.id)
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer release()
 	ctx, cancel := context.WithTimeout(t.Context(), 4*heartbeatInterval)
 	defer cancel()
 	stream, err := controlpb.NewDistributionClient(conn).Subscribe(ctx)
--- a/internal/relay/repairer.go
+++ b/internal/relay/repairer.go
@@ -113,10 +113,11 @@
 }
 
 func (r *repairer) fetch(ctx context.Context, node string) error {
-	conn, err := r.relay.connections.shared(node)
+	conn, release, err := r.relay.connections.shared(node)
 	if err != nil {
 		return err
 	}
+	defer release()
 	return r.relay.fetch(ctx, controlpb.NewDistributionClient(conn), node, false)
 }
 
