Ask for the complete configuration when a peer's changes do not apply

Two nodes may hold the same version with other bytes: the operators write a version again that the store has lost, and a part of the nodes has seen it before. The changes to the next version that a leader sends are made from its own bytes. They failed at the checksum of a follower with other bytes, which rejected them, asked again with the same version every 100 ms and got the same changes: it stayed at the old version for as long as it followed that leader.

The next query after changes that did not apply states version 0, once, which a peer answers with the complete configuration.

--- a/internal/registry/follow_loop.go
+++ b/internal/registry/follow_loop.go
@@ -84,7 +84,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+timeout)
 	defer cancel()
 	query := peerState{
-		Version: uint64(r.deps.Routes.Version()), Entries: r.entriesToSend(), Digest: r.deps.Fleet.View().Digest(),
+		Version: r.versionToSend(), Entries: r.entriesToSend(), Digest: r.deps.Fleet.View().Digest(),
 		RunID: cursor.runID, Position: cursor.position, WaitMs: wait.Milliseconds(),
 	}
 	remote, err := r.exchangeState(ctx, r.deps.LeaderClient, leader, query)
--- a/internal/registry/peer_loop.go
+++ b/internal/registry/peer_loop.go
@@ -131,7 +131,7 @@
 	r.peerRequests.Inc(1)
 	view := r.deps.Fleet.View()
 	query := peerState{
-		Version: uint64(r.deps.Routes.Version()), Digest: view.Digest(), Entries: r.entriesToSend(),
+		Version: r.versionToSend(), Digest: view.Digest(), Entries: r.entriesToSend(),
 		SinceContactMs: r.sinceContact().Milliseconds(), FleetKnown: r.fleetKnown.Load(),
 	}
 	remote, err := r.exchangeState(ctx, r.deps.PeerClient, entry, query)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -37,6 +37,9 @@
 	// than the local one.
 	newestPeerVersion  atomic.Uint64
 	peerVersionOverdue bool
+	// changesFailed is set when the changes that a peer sent did not apply, so that the
+	// next query asks for the complete configuration.
+	changesFailed atomic.Bool
 	// exchanged is set once a peer has responded with its state.
 	exchanged atomic.Bool
 	// updates wakes the pending long polls of followers.
@@ -195,12 +198,25 @@
 	return r.configuration
 }
 
+// versionToSend returns the version that a query states. Version 0 asks for the complete
+// configuration. It is sent once after changes that did not apply: a peer may hold the
+// local version with other bytes, because a restored store was given it again, and none
+// of its changes applies then.
+func (r *Registry) versionToSend() uint64 {
+	if r.changesFailed.Swap(false) {
+		return 0
+	}
+	return uint64(r.deps.Routes.Version())
+}
+
 // applyPeerConfiguration puts the configuration of a peer in force.
 func (r *Registry) applyPeerConfiguration(remote peerState, source string) {
 	var raw []byte
 	var err error
 	if len(remote.Changes) > 0 {
 		raw, err = r.retainedConfiguration().applyChanges(remote.Changes)
+		// Another peer may have sent the version meanwhile.
+		r.changesFailed.Store(err != nil && routing.Version(remote.Version) > r.deps.Routes.Version())
 	} else {
 		raw, err = decompress(remote.Configuration)
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -34,9 +34,11 @@
 	inbound *httptest.Server
 }
 
-// decodeTest decodes a configuration that consists only of a version number.
+// decodeTest decodes a configuration that consists of a version number, which a space and
+// any text may follow.
 func decodeTest(data []byte) (*routing.Table, error) {
-	version, err := strconv.ParseUint(string(data), 10, 64)
+	text, _, _ := strings.Cut(string(data), " ")
+	version, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
 		return nil, errors.Wrap(err, "not a version")
 	}
