Don't take an empty line for a head when the idle limit passes

The check of the socket after the idle limit took any byte for the head of a request. A caller that ended its request with an empty line of its own, as the limit passed, got a 408 with no request waiting, and its connection stayed open for the time limit of a head.

After that check the wait begins again and finds the bytes in the read buffer, so that both ways treat them alike.

--- a/internal/ingress/conn_wait.go
+++ b/internal/ingress/conn_wait.go
@@ -28,12 +28,12 @@
 		case !overdue:
 			// The limit was raised, or the connection was not idle any more.
 		case hasInput(c.net):
-			// The request arrived as the limit passed, before the connection closes.
+			// Bytes arrived as the limit passed, before the connection closes. The next wait
+			// finds them in the read buffer.
 			if _, err := c.reader.Peek(1); err != nil {
 				c.leave()
 				return false
 			}
-			return true
 		case c.isInTransit(&receivedBy):
 			c.awaitReceived()
 		default:
--- a/internal/ingress/idle_close_test.go
+++ b/internal/ingress/idle_close_test.go
@@ -141,3 +141,35 @@
 	status, body, _ := c.receive()
 	g.Expect([]any{status, body}).To(gomega.Equal([]any{200, "/known "}))
 }
+
+// TestEmptyLineAtTheIdleLimitIsNoHead guards against an empty line that arrives as the
+// idle limit passes, is taken for the head of a request, and gets a response.
+func TestEmptyLineAtTheIdleLimitIsNoHead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const rounds, conns = 10, 200
+	unasked := 0
+	for range rounds {
+		s := newTestServer(t, func(c *Config) { c.IdleLimitNotice = time.Nanosecond })
+		clients := make([]*client, conns)
+		for i := range clients {
+			clients[i] = s.dial(t, g)
+			clients[i].send(get("/warm"))
+			clients[i].receive()
+		}
+		for _, c := range clients {
+			c.send("\r\n")
+		}
+		limits := idleLimits(time.Nanosecond)
+		limits.HeaderTimeout = 20 * time.Millisecond
+		s.limits.Store(limits)
+		s.LimitsChanged()
+		for _, c := range clients {
+			if _, err := c.reader.Peek(12); err == nil {
+				unasked++
+			}
+			c.conn.Close()
+		}
+		g.Expect(s.Close()).To(gomega.Succeed())
+	}
+	g.Expect(unasked).To(gomega.BeZero(), "responses with no request waiting")
+}
