Respond with status 502 to a request whose handling panics

A response that has not begun is now dropped and replaced by status 502, which says that the request may have run. The requests behind it are answered. A response that has begun is broken off as before.

--- a/internal/ingress/end_test.go
+++ b/internal/ingress/end_test.go
@@ -251,3 +251,37 @@
 	g.Expect([]any{len(body), closes}).To(gomega.Equal([]any{len(large), true}))
 	c.expectEnd()
 }
+
+// TestPanicBeforeTheHeadIsAnswered guards against an unexpected error of one request that
+// ends its connection without a response, and cancels the requests behind it.
+func TestPanicBeforeTheHeadIsAnswered(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newTestServer(t, func(c *Config) {
+		handler := c.Handler
+		c.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/panic" {
+				w.Header().Set("X-Server", "x")
+				w.WriteHeader(http.StatusOK)
+				_, _ = io.WriteString(w, "held")
+				panic("unexpected")
+			}
+			handler.ServeHTTP(w, r)
+		})
+	})
+	c := s.dial(t, g)
+	c.send(get("/panic") + get("/behind?wait=50"))
+	response, err := http.ReadResponse(c.reader, nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	body, err := io.ReadAll(response.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(response.StatusCode).To(gomega.Equal(http.StatusBadGateway))
+	g.Expect(response.Header.Get("X-Server") + string(body)).NotTo(gomega.ContainSubstring("held"))
+	g.Expect(response.Header).NotTo(gomega.HaveKey("X-Server"))
+	_, behind, _ := c.receive()
+	g.Expect(behind).To(gomega.Equal("/behind "))
+	g.Expect(s.counter("panics")).To(gomega.Equal(int64(1)))
+	c.send(post("/panic", "a body that is not read"))
+	status, _, closes := c.receive()
+	g.Expect([]any{status, closes}).To(gomega.Equal([]any{http.StatusBadGateway, true}))
+	c.expectEnd()
+}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -77,7 +77,11 @@
 // run handles the request and writes the response.
 func (e *exchange) run() {
 	w := &responseWriter{exchange: e, header: make(http.Header), length: unknownLength}
-	completed := e.handle(w) && w.finish() == nil
+	returned, panicked := e.recoverFrom(func() { e.handle(w) })
+	if panicked && w.discard() {
+		returned, _ = e.recoverFrom(func() { e.rejectAfterPanic(w) })
+	}
+	completed := returned && w.finish() == nil
 	if !completed {
 		e.awaitTurn()
 		e.conn.abort(e)
@@ -92,26 +96,38 @@
 	e.conn.end(e)
 }
 
-// handle calls the handler and reports whether it returned.
-func (e *exchange) handle(w http.ResponseWriter) (returned bool) {
+// recoverFrom calls a function and reports whether it returned and whether it panicked
+// other than by http.ErrAbortHandler.
+func (e *exchange) recoverFrom(handle func()) (returned, panicked bool) {
 	defer func() {
 		cause := recover()
 		if cause == nil || cause == http.ErrAbortHandler {
 			return
 		}
+		panicked = true
 		e.conn.server.metrics.panics.Inc(1)
-		e.conn.server.config.Log.WithField("cause", cause).WithField("stack", string(debug.Stack())).Error("panic while handling a request; its connection is closed")
+		e.conn.server.config.Log.WithField("cause", cause).WithField("stack", string(debug.Stack())).Error("panic while handling a request; it gets status 502, or its connection is closed when the response has begun")
 	}()
+	handle()
+	return true, false
+}
+
+// handle calls the handler.
+func (e *exchange) handle(w http.ResponseWriter) {
 	if e.rejection != nil {
 		e.conn.server.config.Reject(w, e.rejection.status, e.rejection.code, e.rejection.message)
-		return true
+		return
 	}
 	if expect := e.request.Header.Get("Expect"); expect != "" && !expectsContinue(e.request) {
 		e.conn.server.config.Reject(w, http.StatusExpectationFailed, result.BadRequest, "the expectation "+expect+" is not supported")
-		return true
+		return
 	}
 	e.conn.server.config.Handler.ServeHTTP(w, e.request)
-	return true
+}
+
+// rejectAfterPanic responds to a request whose handling panicked: it may have run.
+func (e *exchange) rejectAfterPanic(w http.ResponseWriter) {
+	e.conn.server.config.Reject(w, http.StatusBadGateway, result.OutcomeUnknown, "an unexpected error ended the handling of the request, which may have run")
 }
 
 // awaitTurn waits until the earlier responses are written. It returns false when the
--- a/internal/ingress/response_writer.go
+++ b/internal/ingress/response_writer.go
@@ -184,6 +184,16 @@
 	return n, err
 }
 
+// discard drops a response that has not begun. It returns false when it has, or when it
+// can't be written.
+func (w *responseWriter) discard() bool {
+	if w.out != nil || w.err != nil {
+		return false
+	}
+	w.header, w.status, w.held = make(http.Header), 0, nil
+	return true
+}
+
 // finish completes the response.
 func (w *responseWriter) finish() error {
 	w.WriteHeader(http.StatusOK)
