Don't pass requests on behind a response that may break off

When a response that is streamed breaks off, those behind it are cancelled without a response, although sound servers have run them.

A route of which a response was too large to buffer is now known as streamed. Its requests run alone on their connection: they could not be answered before the ones ahead anyway. The cost is that the service time of requests behind a download no longer overlaps with it; one whose time passes meanwhile is refused. The first large response of a route is not known to be one.

--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -21,6 +21,7 @@
 	splitter       *routing.Splitter
 	retryBudgets   *retryBudgets
 	callerTimeouts *callerTimeouts
+	streamed       streamedRoutes
 	// clockID identifies the clock of the timestamps in hop headers.
 	clockID string
 	// draining is set once the node stops.
--- a/internal/proxy/outbound_attempts.go
+++ b/internal/proxy/outbound_attempts.go
@@ -163,7 +163,11 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	buffered, refusal := bufferResponse(response, ingress.BufferLimit(ctx, o.config.MaxBufferedBytes), o.inbound.buffers)
+	limit := ingress.BufferLimit(ctx, o.config.MaxBufferedBytes)
+	buffered, refusal := bufferResponse(response, limit, o.inbound.buffers)
+	if refusal == nil && !buffered.buffered && (buffered.length < 0 || buffered.length > int64(limit)) {
+		o.streamed.add(c.request.route)
+	}
 	if refusal == nil && entry.Node != o.config.Node {
 		readAt := o.deps.Now()
 		o.deps.Balancer.ObserveTransfer(readAt, entry.Node, buffered.length, readAt.Sub(now))
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -45,6 +45,7 @@
 		MaxHeadBytes: config.HeadBytes, Now: deps.Now,
 	})
 	deps.Routes.OnPublish(out.splitter.Retain)
+	deps.Routes.OnPublish(out.streamed.retain)
 	return &Proxy{outbound: out, inbound: in}, nil
 }
 
@@ -70,14 +71,15 @@
 func (p *Proxy) Drain() { p.outbound.draining.Store(true) }
 
 // Idempotent reports whether a request of a caller may run beside others. One without
-// a route, or with an ambiguous path, runs nowhere.
+// a route, or with an ambiguous path, runs nowhere. One whose response may be streamed
+// runs alone: if it breaks off, those behind it can't be answered.
 func (p *Proxy) Idempotent(r *http.Request) bool {
 	table := p.outbound.deps.Routes.Load()
 	if table == nil {
 		return true
 	}
 	_, route, err := matchRoute(table, r)
-	return err != nil || route == nil || route.Idempotent
+	return err != nil || route == nil || (route.Idempotent && !p.outbound.streamed.contains(route.Name))
 }
 
 // Reject responds to a request of a caller that can't be read.
--- a/internal/routing/splitter.go
+++ b/internal/routing/splitter.go
@@ -47,12 +47,7 @@
 
 // Retain drops the state of the routes that are not in table.
 func (s *Splitter) Retain(table *Table) {
-	names := make(map[string]bool, table.routeCount)
-	for _, routes := range table.routesByHost {
-		for _, route := range routes {
-			names[route.Name] = true
-		}
-	}
+	names := table.RouteNames()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for name := range s.rotations {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -69,6 +69,17 @@
 // RouteCount returns the number of routes of all hosts.
 func (t *Table) RouteCount() int { return t.routeCount }
 
+// RouteNames returns the names of the routes of all hosts.
+func (t *Table) RouteNames() map[string]bool {
+	names := make(map[string]bool, t.routeCount)
+	for _, routes := range t.routesByHost {
+		for _, route := range routes {
+			names[route.Name] = true
+		}
+	}
+	return names
+}
+
 // Service returns the service with the given name; false when there is none.
 func (t *Table) Service(name string) (Service, bool) {
 	service, found := t.services[name]
