Fetch a newer version that a peer states and does not send

Found by a trial of restores in quick succession: a node restarted within a millisecond of the newest version and was ready with the one before. A peer states the version that it has put in force a moment before it serves it, and a large configuration is compressed in between. A follower asks again at once. A reader asks one peer once; if the store has lost the version, it stayed at the older one until the operators wrote again, unless the response to a request that it sent to another node told it.

A version that a peer states and that is not in force after its response now counts like one in such a response: peers are queried until it is.

--- a/internal/registry/peer_loop.go
+++ b/internal/registry/peer_loop.go
@@ -226,6 +226,10 @@
 	if len(remote.Configuration)+len(remote.Changes) > 0 && routing.Version(remote.Version) > r.deps.Routes.Version() {
 		r.applyPeerConfiguration(remote, source)
 	}
+	// The peer may have sent an older configuration, or changes that did not apply.
+	if version := routing.Version(remote.Version); version > r.deps.Routes.Version() {
+		r.ReportNewerVersion(version)
+	}
 	fleetComplete := remote.FleetKnown && (remote.Complete || remote.Digest == r.deps.Fleet.View().Digest())
 	if fleetComplete && !r.fleetKnown.Swap(true) {
 		r.deps.Log.WithField("entries", len(remote.Entries)).Info("fleet loaded from a peer")
