--- a/internal/registry/peer_loop.go
+++ b/internal/registry/peer_loop.go
@@ -131,7 +131,7 @@
 	r.peerRequests.Inc(1)
 	view := r.deps.Fleet.View()
 	query := peerState{
-		Version: uint64(r.deps.Routes.Version()), Digest: view.Digest(), Entries: r.entriesToSend(),
+		Version: r.versionToSend(), Digest: view.Digest(), Entries: r.entriesToSend(),
 		SinceContactMs: r.sinceContact().Milliseconds(), FleetKnown: r.fleetKnown.Load(),
 	}
 	remote, err := r.exchangeState(ctx, r.deps.PeerClient, entry, query)
@@ -226,6 +226,10 @@
 	if len(remote.Configuration)+len(remote.Changes) > 0 && routing.Version(remote.Version) > r.deps.Routes.Version() {
 		r.applyPeerConfiguration(remote, source)
 	}
+	// The peer may have sent an older configuration, or changes that did not apply.
+	if version := routing.Version(remote.Version); version > r.deps.Routes.Version() {
+		r.ReportNewerVersion(version)
+	}
 	fleetComplete := remote.FleetKnown && (remote.Complete || remote.Digest == r.deps.Fleet.View().Digest())
 	if fleetComplete && !r.fleetKnown.Swap(true) {
 		r.deps.Log.WithField("entries", len(remote.Entries)).Info("fleet loaded from a peer")
