Write claims again that a restored store has lost

After the store came back from a copy, the owner of a shard took the restored head for a newer one and forgot what it had recorded: each key claimed since the copy was granted a second time, so that an order could run twice. When the copy held no head of the shard, GetNewer reported the missing key as unchanged, each write expected a revision of the earlier epoch, and no key of the shard could be claimed.

A Value of the store now holds the epoch of its response, so that a key is known to be missing in a later epoch. A shard log compares each head that it reads with the records that it knows to be recorded: those of its head, and of the segments that it sealed or read within the age allowed for a copy. It writes the missing ones again, in chunks that the usual seal handles, before it grants anything. Records count once, by claim id and kind, so that several owners may merge in any order. A segment that the head names and the store lacks is written again under its name. Keys of a segment of which only the index is known are refused as unreadable (claim-unavailable) until it has expired.

Two claims of one key can be in force since: one of the earlier epoch and one that an owner without its record has granted. The first in the log is the holder.

A log was dropped after 10 min idle, and wrote nothing before its next request. It is now checked when idle, after 5, 10, 20, 40 and 70 s, and dropped only when the store has responded maxCopyAge (a minute) after its last record. That is one read without data per check and shard.

--- a/internal/claim/at_most_once_test.go
+++ b/internal/claim/at_most_once_test.go
@@ -24,6 +24,10 @@
 	// busy holds the owners that are in the middle of a commit, such as a frozen one.
 	busy map[int]bool
 	next int
+	// copied is the latest copy of the store; nil when it is older than maxCopyAge.
+	copied *standin.Snapshot
+	// merging is set while an owner writes what a restored store has lost.
+	merging bool
 	// retryable holds the attempts whose claim may still be retried at another owner.
 	retryable []Claim
 	// running holds the granted claim of each key until it is released.
@@ -71,19 +75,28 @@
 
 // interleave runs requests at other owners while a write is in transit.
 func (s *simulation) interleave() {
+	if s.merging {
+		return
+	}
 	for range rapid.IntRange(1, 3).Draw(s.t, "concurrent requests") {
 		s.batch()
 	}
 }
 
 // step runs one event: a batch of requests, the delivery of a delayed write, the
-// passage of time or the restart of an owner.
+// passage of time, the restart of an owner, a copy of the store or its restore.
 func (s *simulation) step() {
-	switch rapid.IntRange(0, 9).Draw(s.t, "step") {
+	switch rapid.IntRange(0, 11).Draw(s.t, "step") {
+	case 10:
+		copied := s.store.state.Snapshot()
+		s.copied = &copied
+	case 11:
+		s.restore()
 	case 0:
 		s.store.applyDelayedWrite()
 	case 1:
 		s.now = s.now.Add(time.Duration(rapid.IntRange(1, 30).Draw(s.t, "hours")) * time.Hour)
+		s.copied = nil
 		s.expire()
 	case 2:
 		owner := rapid.IntRange(0, len(s.logs)-1).Draw(s.t, "restarted owner")
@@ -93,6 +106,35 @@
 	}
 }
 
+// restore brings the store back from the latest copy. One owner that knows all records
+// survives and is the first to reach the store; the others survive with what they know
+// or restart.
+func (s *simulation) restore() {
+	if s.copied == nil {
+		return
+	}
+	survivor := rapid.IntRange(0, len(s.logs)-1).Draw(s.t, "surviving owner")
+	s.store.faults = false
+	if err := s.logs[survivor].check(context.Background()); err != nil {
+		s.t.Fatalf("check without store faults: %v", err)
+	}
+	s.store.faults = true
+	s.store.restore(*s.copied)
+	for owner := range s.logs {
+		if owner != survivor && rapid.Bool().Draw(s.t, "restarts") {
+			s.logs[owner] = s.newLog()
+		}
+	}
+	s.merging = true
+	defer func() { s.merging = false }()
+	for range 100 {
+		if s.logs[survivor].check(context.Background()) == nil {
+			return
+		}
+	}
+	s.t.Fatal("the surviving owner did not write the lost records again in 100 attempts")
+}
+
 // expire removes the attempts whose retention has elapsed.
 func (s *simulation) expire() {
 	for key, claim := range s.running {
@@ -264,8 +306,8 @@
 
 // TestAtMostOnce guards against a key that is granted to two attempts, and against
 // a granted claim that a later attempt does not get, with several concurrent
-// owners, frozen owners, lost and late writes, stale reads, restarts, releases and
-// expired segments.
+// owners, frozen owners, lost and late writes, stale reads, restarts, releases,
+// expired segments and restores of the store from a copy.
 func TestAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t)
--- a/internal/claim/config.go
+++ b/internal/claim/config.go
@@ -48,7 +48,8 @@
 	SealBytes   int
 	// AckTimeout is how long an owner may take to acknowledge a request.
 	AckTimeout time.Duration
-	// IdleTimeout is how long an unused shard stays in memory.
+	// IdleTimeout is how long an unused shard stays in memory; it stays longer while
+	// the store may lose some of its records.
 	IdleTimeout time.Duration
 	// Random returns the random numbers by which sealed segments are named.
 	Random func() uint64
--- a/internal/claim/faulty_store_test.go
+++ b/internal/claim/faulty_store_test.go
@@ -18,6 +18,8 @@
 	state        *standin.State
 	faults       bool
 	history      map[string][]store.Value
+	// epoch counts the restores; a revision of an earlier epoch matches none.
+	epoch store.Epoch
 	// delayedWrites holds the writes that timed out and have not taken effect yet.
 	delayedWrites []func()
 	// interleave runs other owners while the write of a frozen owner is in transit.
@@ -36,27 +38,47 @@
 	case "unavailable":
 		return store.Value{}, store.ErrUnavailable
 	case "stale":
-		stale := append([]store.Value{{}}, s.history[key]...)
+		stale := append([]store.Value{{Epoch: s.epoch}}, s.history[key]...)
 		return stale[rapid.IntRange(0, len(stale)-1).Draw(s.t, "age")], nil
 	}
-	return s.state.Get(key), nil
+	return s.current(key), nil
+}
+
+// current returns the value of a key with its epoch.
+func (s *faultyStore) current(key string) store.Value {
+	value := s.state.Get(key)
+	value.Revision, value.Epoch = s.epoch.Revision(uint64(value.Revision)), s.epoch
+	return value
+}
+
+// restore brings the store back from a copy. Writes in transit are lost with the
+// connections.
+func (s *faultyStore) restore(from standin.Snapshot) {
+	s.state.Restore(from)
+	s.epoch++
+	clear(s.history)
+	s.delayedWrites = nil
 }
 
 func (s *faultyStore) GetNewer(ctx context.Context, key string, known store.Revision) (store.Value, error) {
 	value, err := s.Get(ctx, key)
-	if err == nil && value.Revision <= known {
-		return store.Value{Revision: known}, nil
+	lost := value.Revision == 0 && value.Epoch > known.Epoch()
+	if err == nil && value.Revision <= known && !lost {
+		return store.Value{Revision: known, Epoch: known.Epoch()}, nil
 	}
 	return value, err
 }
 
 func (s *faultyStore) CompareAndSwap(_ context.Context, key string, expected store.Revision, data []byte, lease store.LeaseID) (store.Revision, error) {
 	apply := func() (store.Revision, error) {
-		revision, err := s.state.CompareAndSwap(key, expected, data, lease)
+		if !expected.In(s.epoch) {
+			return 0, store.ErrConflict
+		}
+		revision, err := s.state.CompareAndSwap(key, store.Revision(expected.Number()), data, lease)
 		if err == nil {
-			s.history[key] = append(s.history[key], s.state.Get(key))
+			s.history[key] = append(s.history[key], s.current(key))
 		}
-		return revision, err
+		return s.epoch.Revision(uint64(revision)), err
 	}
 	switch s.draw("write", "not sent", "lost request", "lost response", "late", "frozen", "frozen") {
 	case "not sent":
--- a/internal/claim/metrics.go
+++ b/internal/claim/metrics.go
@@ -10,10 +10,14 @@
 	headWrites tally.Counter
 	// failedWrites counts batches whose write failed; their requests wait for the next.
 	failedWrites tally.Counter
+	// failedChecks counts checks of idle shards that failed and are repeated.
+	failedChecks tally.Counter
 	conflicts    tally.Counter
 	// readBacks counts writes without a response, whose outcome must be read back.
 	readBacks tally.Counter
 	sealed    tally.Counter
+	// lostRecords counts records that the store has lost and that are written again.
+	lostRecords tally.Counter
 	// shardFull counts writes that failed because a shard reached its size limit.
 	shardFull tally.Counter
 	// queueFull counts requests refused because too many waited for a write.
@@ -39,9 +43,11 @@
 		recorded:           scope.Counter("recorded"),
 		headWrites:         scope.Counter("head_writes"),
 		failedWrites:       scope.Counter("failed_writes"),
+		failedChecks:       scope.Counter("failed_checks"),
 		conflicts:          scope.Counter("conflicts"),
 		readBacks:          scope.Counter("read_backs"),
 		sealed:             scope.Counter("sealed"),
+		lostRecords:        scope.Counter("lost_records"),
 		shardFull:          scope.Counter("shard_full"),
 		queueFull:          scope.Counter("queue_full"),
 		unresponsiveOwners: scope.Counter("silent_owners"),
--- a/internal/claim/shard_log.go
+++ b/internal/claim/shard_log.go
@@ -44,13 +44,30 @@
 	acquire func(ctx context.Context) error
 
 	state *shardState
-	// readIndexes holds the indexes that a failed refresh had read before it failed.
+	// epoch is the epoch of the store to which the state belongs.
+	epoch store.Epoch
+	// recent holds the records of the segments that a copy of the store may lack.
+	recent recentSegments
+	// unmerged holds the records that the store has lost. Nothing is granted until they
+	// are written again.
+	unmerged []record
+	// lost holds the indexes of the segments that the store has lost and whose records
+	// are not known. The keys that they match are refused.
+	lost []segmentIndex
+	// changedAt is when the log last learned of records, and confirmedAt the time of
+	// the last call to which the store responded in the epoch of the state.
+	changedAt, confirmedAt time.Time
+	// readIndexes holds the indexes that a failed refresh had read in readEpoch before
+	// it failed.
 	readIndexes []segmentIndex
+	readEpoch   store.Epoch
 	// stale is set while the store may hold a newer revision.
 	stale bool
 	// maybeStored is set when a write of the last commit may have taken effect
 	// although the commit failed.
 	maybeStored bool
+	// permitted is set while acquire has been called for the next write.
+	permitted bool
 }
 
 func newShardLog(shard int, client store.Client, config Config, now func() time.Time, metrics *metrics, acquire func(context.Context) error) *shardLog {
@@ -71,15 +88,22 @@
 // nothing is granted, and maybeStored tells whether records may be stored
 // nevertheless. The caller has called acquire for the first write.
 func (l *shardLog) commit(ctx context.Context, batch []request) ([]outcome, error) {
-	l.maybeStored = false
+	l.maybeStored, l.permitted = false, true
 	confirmed := false
-	for attempt := range maxCommitAttempts {
+	for range maxCommitAttempts {
 		if l.stale {
 			if err := l.refresh(ctx); err != nil {
 				return nil, err
 			}
 			confirmed = true
 		}
+		merged, err := l.merge(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if !merged {
+			continue
+		}
 		sealed, err := l.sealedRecords(ctx, batch)
 		if err != nil {
 			return nil, err
@@ -88,11 +112,11 @@
 		if len(appended) == 0 && confirmed {
 			return outcomes, nil
 		}
-		l.stale = true
 		if len(appended) == 0 {
+			l.stale = true
 			continue
 		}
-		done, err := l.tryWrite(ctx, attempt, appended)
+		done, err := l.tryWrite(ctx, appended)
 		if err != nil {
 			return nil, err
 		}
@@ -106,12 +130,14 @@
 // tryWrite appends records; false without an error means that the shard must be
 // read again. After a lost response the records read back tell whether the write
 // took effect, because every attempt has its own id.
-func (l *shardLog) tryWrite(ctx context.Context, attempt int, appended []record) (bool, error) {
-	if attempt > 0 {
+func (l *shardLog) tryWrite(ctx context.Context, appended []record) (bool, error) {
+	l.stale = true
+	if !l.permitted {
 		if err := l.acquire(ctx); err != nil {
 			return false, err
 		}
 	}
+	l.permitted = false
 	err := l.write(ctx, appended)
 	switch {
 	case err == nil:
@@ -150,33 +176,45 @@
 		l.metrics.shardFull.Inc(1)
 		return errShardFull
 	}
+	asked := l.now()
 	revision, err := l.client.CompareAndSwap(ctx, headKey(l.shard), base.revision, data, 0)
 	if err != nil {
 		return err
 	}
+	l.changedAt = l.now()
+	if base != l.state {
+		name := base.value.segments[len(base.value.segments)-1]
+		l.recent = l.recent.with(recentSegment{name: name, records: l.state.value.records, learnedAt: l.changedAt})
+	}
 	base.append(revision, appended, encoded)
 	l.state = base
+	// The first write of a shard succeeds in a later epoch as well.
+	l.epoch = revision.Epoch()
+	l.confirm(asked)
 	l.metrics.headWrites.Inc(1)
 	l.metrics.recorded.Inc(int64(len(appended)))
 	return nil
 }
 
 // refresh reads the newest head. A stale read is ignored by its revision; a write
-// based on the older state then conflicts.
+// based on the older state then conflicts. The head of a later epoch, which may be
+// missing, always replaces the state.
 func (l *shardLog) refresh(ctx context.Context) error {
+	asked := l.now()
 	stored, err := l.client.GetNewer(ctx, headKey(l.shard), l.state.revision)
 	if err != nil {
 		return err
 	}
-	if stored.Revision <= l.state.revision {
+	if stored.Epoch <= l.epoch && stored.Revision <= l.state.revision {
 		l.stale = false
+		l.confirm(asked)
 		return nil
 	}
 	value, err := decodeShard(stored.Data)
 	if err != nil {
 		return err
 	}
-	indexes, err := l.indexSegments(ctx, value.segments)
+	indexes, err := l.indexSegments(ctx, value.segments, stored.Epoch)
 	if err != nil {
 		return err
 	}
@@ -184,7 +222,13 @@
 	if err != nil {
 		return err
 	}
-	l.state = fresh
+	if err := l.adopt(ctx, fresh, stored.Epoch); err != nil {
+		return err
+	}
 	l.stale = false
+	if stored.Revision > 0 {
+		l.changedAt = l.now()
+	}
+	l.confirm(asked)
 	return nil
 }
--- a/internal/claim/writer.go
+++ b/internal/claim/writer.go
@@ -22,6 +22,11 @@
 	// minBackoff and maxBackoff limit the pause after a failed commit.
 	minBackoff = 20 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
+	// minCheckPause is the pause before an idle shard is first checked for records that
+	// the store has lost. Each further pause is as long as the shard has been idle, up
+	// to maxCheckPause: after 5, 10, 20, 40 and 70 s.
+	minCheckPause = 5 * time.Second
+	maxCheckPause = maxCopyAge / 2
 )
 
 var (
@@ -45,8 +50,11 @@
 	queue   []*pendingRequest
 	running bool
 	log     *shardLog
-	// idleTimer drops the log after Config.IdleTimeout without a request.
+	// idleTimer checks an idle log and drops it after Config.IdleTimeout without a
+	// request.
 	idleTimer *time.Timer
+	// usedAt is the time of the last request.
+	usedAt time.Time
 }
 
 func newWriter(base context.Context, shard int, client store.Client, config Config, now func() time.Time, metrics *metrics) *writer {
@@ -107,6 +115,7 @@
 		return errStopped
 	}
 	w.queue = append(w.queue, p)
+	w.usedAt = time.Now()
 	if w.running {
 		return nil
 	}
@@ -137,7 +146,7 @@
 			sleep(w.base, backoff/2+rand.N(backoff/2))
 			backoff = min(2*backoff, maxBackoff)
 		}
-		if w.finishIfIdle() {
+		if w.finishIfIdle(log) {
 			return
 		}
 	}
@@ -199,23 +208,52 @@
 }
 
 // finishIfIdle ends the run and starts the idle timer when the queue is empty.
-func (w *writer) finishIfIdle() bool {
+func (w *writer) finishIfIdle(log *shardLog) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.queue) > 0 {
 		return false
 	}
 	w.running = false
-	w.idleTimer = time.AfterFunc(w.config.IdleTimeout, w.dropLog)
+	w.idleTimer = time.AfterFunc(w.idlePause(log), w.endIdle)
 	return true
 }
 
-// dropLog frees the memory of an idle shard.
-func (w *writer) dropLog() {
+// idlePause returns the time until the log must be checked or can be dropped.
+func (w *writer) idlePause(log *shardLog) time.Duration {
+	idle := time.Since(w.usedAt)
+	if log.settled() {
+		return max(0, w.config.IdleTimeout-idle)
+	}
+	return min(max(minCheckPause, idle), maxCheckPause)
+}
+
+// endIdle frees the memory of an idle shard, or checks the shard while the store may
+// come back from a copy that lacks some of its records.
+func (w *writer) endIdle() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.running {
+	switch {
+	case w.running || w.log == nil || w.base.Err() != nil:
+	case w.log.settled():
 		w.log = nil
+	default:
+		w.running = true
+		go w.checkLog(w.log)
+	}
+}
+
+// checkLog checks the log and then records the requests that have arrived meanwhile.
+func (w *writer) checkLog(log *shardLog) {
+	if w.limiter.Wait(w.base) != nil {
+		w.failQueued()
+		return
+	}
+	if err := log.check(w.base); err != nil {
+		w.metrics.failedChecks.Inc(1)
+	}
+	if !w.finishIfIdle(log) {
+		w.run(log)
 	}
 }
 
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -39,6 +39,9 @@
 type Value struct {
 	Data     []byte
 	Revision Revision
+	// Epoch is that of the response. It dates the value of a missing key, whose
+	// revision is 0 in all epochs.
+	Epoch Epoch
 }
 
 // MaxValueBytes is the size of the largest value that the store accepts.
@@ -48,10 +51,12 @@
 // as one call against the rate limits of the store. All methods are safe for
 // concurrent use.
 type Client interface {
-	// Get returns the value of a key; the zero Value when it does not exist.
+	// Get returns the value of a key; one without data and with revision 0 when it
+	// does not exist.
 	Get(ctx context.Context, key string) (Value, error)
 	// GetNewer returns the value only when its revision is above known; otherwise
-	// it returns the known revision without data.
+	// it returns the known revision without data. When the key is missing in a later
+	// epoch than that of known, it returns what Get returns.
 	GetNewer(ctx context.Context, key string, known Revision) (Value, error)
 	// CompareAndSwap writes data if the key is at the expected revision (0: the key
 	// does not exist) and returns the new revision; otherwise it returns
--- a/internal/store/connection.go
+++ b/internal/store/connection.go
@@ -8,7 +8,8 @@
 // Connection makes single calls to a store. Each method is one call, which only the
 // context limits in time. All methods are safe for concurrent use.
 type Connection interface {
-	// Read returns the value of a key; the zero Value when it does not exist.
+	// Read returns the value of a key; one without data and with revision 0 when it
+	// does not exist.
 	Read(ctx context.Context, key string) (Value, error)
 	// Watch returns the changes under a prefix after a revision, as soon as there are
 	// any, and the revision to continue from. It returns no changes when the wait
--- a/internal/store/keyed.go
+++ b/internal/store/keyed.go
@@ -137,7 +137,7 @@
 func latestValue(events []Event, key string) Value {
 	for _, event := range slices.Backward(events) {
 		if event.Key == key && !event.Removed {
-			return Value{Data: event.Value, Revision: event.Revision}
+			return Value{Data: event.Value, Revision: event.Revision, Epoch: event.Revision.Epoch()}
 		}
 		if event.Key == key {
 			break
@@ -147,8 +147,9 @@
 }
 
 func newerThan(known Revision, value Value) Value {
-	if value.Revision <= known {
-		return Value{Revision: known}
+	lost := value.Revision == 0 && value.Epoch > known.Epoch()
+	if value.Revision <= known && !lost {
+		return Value{Revision: known, Epoch: known.Epoch()}
 	}
 	return value
 }
