Call refused callers back while their objective can be met

An order that is refused for the requests ahead was told to return after 250 ms; with the 60 ms of the refusal and 180 ms at the server it could only be late then, and took a slot that could have served another in time. Now such a refusal says 50 ms while the objective can still be met afterwards, and 250 ms otherwise (internal/retry After). Simulation (TestSoonReturnServesMoreInTime, the five patterns with returning callers together): on time 28,304 before, 28,757 after, served 29,542 and 29,872. "A server that turns slow" gains nothing.

--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"rosemaryladder.dev/rosemaryladder/internal/retry"
 	"rosemaryladder.dev/rosemaryladder/internal/uplink"
 )
 
@@ -49,8 +50,8 @@
 	// MaxRefusals is the number of nodes that may refuse a request without running
 	// it. When the last of them refuses it, the caller receives that refusal.
 	MaxRefusals int
-	// RetryAfter is the value of the Retry-After header of a refusal.
-	RetryAfter time.Duration
+	// RetryAfter is the value of the Retry-After header of refusals.
+	RetryAfter retry.After
 	// BudgetRatio, BudgetWindow and BudgetSlack bound the retries of a service's
 	// requests by all nodes: a ratio of the requests in a sliding window, plus a
 	// number of retries per window.
@@ -75,7 +76,7 @@
 		AckTimeout:            200 * time.Millisecond,
 		ResponseGrace:         40 * time.Millisecond,
 		MaxRefusals:           4,
-		RetryAfter:            250 * time.Millisecond,
+		RetryAfter:            retry.After{OnTime: 50 * time.Millisecond, Default: 250 * time.Millisecond},
 		BudgetRatio:           0.2,
 		BudgetWindow:          10 * time.Second,
 		BudgetSlack:           0,
@@ -103,7 +104,8 @@
 		{"AckTimeout", int64(c.AckTimeout)},
 		{"ResponseGrace", int64(c.ResponseGrace)},
 		{"MaxRefusals", int64(c.MaxRefusals)},
-		{"RetryAfter", int64(c.RetryAfter)},
+		{"RetryAfter.OnTime", int64(c.RetryAfter.OnTime)},
+		{"RetryAfter.Default", int64(c.RetryAfter.Default)},
 		{"BudgetWindow", int64(c.BudgetWindow)},
 	}
 	for _, field := range positive {
--- a/internal/proxy/outbound_refuse.go
+++ b/internal/proxy/outbound_refuse.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
@@ -20,7 +21,7 @@
 	header.Set(HeaderResult, strconv.Itoa(int(refusal.code)))
 	status := statusOf(refusal)
 	if status == http.StatusServiceUnavailable {
-		header.Set("Retry-After", strconv.FormatFloat(o.config.RetryAfter.Seconds(), 'f', -1, 64))
+		header.Set("Retry-After", strconv.FormatFloat(o.retryAfter(c, refusal).Seconds(), 'f', -1, 64))
 	}
 	if c.request.id != "" {
 		header.Set(o.deps.Headers.RequestID, c.request.id)
@@ -28,6 +29,16 @@
 	http.Error(w, refusal.message, status)
 }
 
+// retryAfter returns the time after which the caller should send a refused request
+// again.
+func (o *outbound) retryAfter(c *call, refusal *refusalReason) time.Duration {
+	if c.route == nil {
+		return o.config.RetryAfter.Default
+	}
+	left := c.request.due.Sub(o.deps.Now()) - o.deps.Balancer.ExpectedServiceTime(c.request.route)
+	return o.config.RetryAfter.For(refusal.code, left)
+}
+
 func statusOf(refusal *refusalReason) int {
 	switch refusal.code {
 	case result.NoTarget:
--- a/internal/slots/overload_test.go
+++ b/internal/slots/overload_test.go
@@ -21,8 +21,9 @@
 	// slowdown multiplies the hold times in the middle third, as on a server that
 	// turns slow.
 	slowdown float64
-	// returns has each refused caller come back once, after a quarter of a second.
-	returns bool
+	// returns has each refused caller come back once, after returnDelay.
+	returns     bool
+	returnDelay time.Duration
 }
 
 const (
@@ -30,8 +31,10 @@
 	callTime       = 22 * time.Millisecond
 	orderObjective = 400 * time.Millisecond
 	orderDeadline  = time.Second
-	returnDelay    = 250 * time.Millisecond
-	loadPeriod     = 60 * time.Second
+	// soonReturn and lateReturn are the times of retry.After in the proxy's defaults.
+	soonReturn = 50 * time.Millisecond
+	lateReturn = 250 * time.Millisecond
+	loadPeriod = 60 * time.Second
 )
 
 // overloadResult counts the orders by their outcome.
@@ -78,8 +81,8 @@
 		if now.Sub(o.submitted) > orderObjective/2 {
 			outcome.heldInVain++
 		}
-		if pattern.returns && !o.returned && now.Add(returnDelay).Before(o.deadline) {
-			comebacks = append(comebacks, comeback{now.Add(returnDelay), o})
+		if returnAt := now.Add(pattern.returnDelay); pattern.returns && !o.returned && returnAt.Before(o.deadline) {
+			comebacks = append(comebacks, comeback{returnAt, o})
 			return
 		}
 		outcome.refused++
@@ -180,11 +183,11 @@
 var overloadPatterns = map[string]overloadPattern{
 	"orders beyond the capacity":          {slots: 12, utilization: 1.3},
 	"short calls that overtake orders":    {slots: 12, utilization: 1.2, callShare: 0.3},
-	"callers that return after a refusal": {slots: 12, utilization: 1.3, callShare: 0.2, returns: true},
-	"a server that turns slow":            {slots: 12, utilization: 0.7, callShare: 0.2, slowdown: 2.5, returns: true},
-	"a few slots":                         {slots: 5, utilization: 1.3, callShare: 0.2, returns: true},
-	"a burst of twice the capacity":       {slots: 12, utilization: 2, callShare: 0.2, returns: true},
-	"calls that outnumber the orders":     {slots: 12, utilization: 1.4, callShare: 0.4, returns: true},
+	"callers that return after a refusal": {slots: 12, utilization: 1.3, callShare: 0.2, returns: true, returnDelay: soonReturn},
+	"a server that turns slow":            {slots: 12, utilization: 0.7, callShare: 0.2, slowdown: 2.5, returns: true, returnDelay: soonReturn},
+	"a few slots":                         {slots: 5, utilization: 1.3, callShare: 0.2, returns: true, returnDelay: soonReturn},
+	"a burst of twice the capacity":       {slots: 12, utilization: 2, callShare: 0.2, returns: true, returnDelay: soonReturn},
+	"calls that outnumber the orders":     {slots: 12, utilization: 1.4, callShare: 0.4, returns: true, returnDelay: soonReturn},
 }
 
 // TestOverloadHoldsFewInVain guards against requests that wait long and are refused in
@@ -216,3 +219,27 @@
 		})
 	}
 }
+
+// TestSoonReturnServesMoreInTime guards against sending refused callers away for so long
+// that they are late when they come back, although slots become free all the time.
+func TestSoonReturnServesMoreInTime(t *testing.T) {
+	const seeds = 2
+	g := gomega.NewWithT(t)
+	var onTime, served [2]int
+	for _, pattern := range overloadPatterns {
+		if !pattern.returns {
+			continue
+		}
+		for i, delay := range []time.Duration{soonReturn, lateReturn} {
+			pattern.returnDelay = delay
+			for seed := range uint64(seeds) {
+				r := simulate(pattern, seed)
+				onTime[i] += r.onTime
+				served[i] += r.onTime + r.late
+			}
+		}
+	}
+	t.Logf("soon: on time %d of %d served; late: %d of %d", onTime[0], served[0], onTime[1], served[1])
+	g.Expect(onTime[0]).To(gomega.BeNumerically(">", onTime[1]))
+	g.Expect(served[0]).To(gomega.BeNumerically(">", served[1]))
+}
