Don't warn about changes of a peer that another one overtook

A follower asks its leader for the changes from its version. When another peer delivers a version before the response arrives, the changes start before the version held. Operators saw the warning "configuration refused; the previous one stays in force" although nothing was refused, and the versions behind the one held, which the response carried too, were put in force one poll later.

applyChanges now skips the changes up to the version held and applies the rest. Changes that don't continue that version are counted (outdated_changes) without a line: the next query states the new version. Changes behind the version held are still reported, since their base is missing.

--- a/internal/registry/configuration_history.go
+++ b/internal/registry/configuration_history.go
@@ -51,12 +51,24 @@
 	return next, nil
 }
 
+// errOutdatedChanges is returned for changes that start before the newest configuration
+// and do not continue it, because another peer has delivered it since they were asked for.
+var errOutdatedChanges = errors.New("changes start before the newest configuration and do not continue it")
+
 // applyChanges returns the configuration that results from applying changes to the
-// newest one. It returns an error when the changes do not start at its version or a
-// checksum differs.
+// newest one. Changes before it are skipped. It returns an error when the rest does not
+// start at its version or a checksum differs.
 func (h configurationHistory) applyChanges(changes []versionChange) ([]byte, error) {
-	if h.compressed == nil || len(changes) == 0 || changes[0].From != h.version {
-		return nil, errors.Errorf("changes do not start at the current version %d", h.version)
+	if h.compressed == nil || len(changes) == 0 {
+		return nil, errors.Errorf("%d changes without a configuration to apply them to", len(changes))
+	}
+	first := changes[0].From
+	changes, found := changesFrom(changes, h.version)
+	switch {
+	case !found && first < h.version:
+		return nil, errOutdatedChanges
+	case !found:
+		return nil, errors.Errorf("changes start at version %d, behind the newest version %d", first, h.version)
 	}
 	raw, err := decompress(h.compressed)
 	if err != nil {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
@@ -68,8 +69,11 @@
 	localChanged chan struct{}
 
 	rejectedValues tally.Counter
-	peerRequests   tally.Counter
-	storeFailures  tally.Counter
+	// outdatedChanges counts the changes of the configuration that came from a peer after
+	// another one had delivered newer ones.
+	outdatedChanges tally.Counter
+	peerRequests    tally.Counter
+	storeFailures   tally.Counter
 
 	mu sync.Mutex
 	// configuration holds the newest configuration as the operators wrote it.
@@ -96,7 +100,8 @@
 		config: config, deps: deps, local: local, startedAt: deps.Now(), runID: deps.Now().UnixNano(),
 		peerTrigger: make(chan struct{}, 1), localChanged: make(chan struct{}, 1),
 		updates: newNotifier(), leaderCooldownUntil: make(map[string]time.Time), suspects: make(map[string]fleet.Entry),
-		rejectedValues: scope.Counter("refused_values"), peerRequests: scope.Counter("peer_questions"), storeFailures: scope.Counter("store_lost"),
+		rejectedValues: scope.Counter("refused_values"), outdatedChanges: scope.Counter("outdated_changes"),
+		peerRequests: scope.Counter("peer_questions"), storeFailures: scope.Counter("store_lost"),
 	}, nil
 }
 
@@ -204,6 +209,11 @@
 	} else {
 		raw, err = decompress(remote.Configuration)
 	}
+	if errors.Is(err, errOutdatedChanges) {
+		// The next response of the peer starts at the version of this node.
+		r.outdatedChanges.Inc(1)
+		return
+	}
 	if err != nil {
 		r.rejectedValues.Inc(1)
 		r.deps.Log.WithError(err).WithField("source", source).Warn("configuration refused; the previous one stays in force")
