Notice that a caller leaves while its body is unread

The reader of a connection waits for the body of a request before it looks for the next one, and without reading a socket it can't see the close. A handler that holds back from reading (a body above 1 MB whose request waits for a server) therefore went on for a caller that had left until its own time limit. Only requests without a body, or with one that was read, were cancelled.

The wait for the body now polls the socket like the other waits of the reader. TestCallerLeavesWhileBodyIsUnread saw no cancellation within 2 s in all four cases before; it allows 100 ms.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -101,7 +101,7 @@
 	}
 	if e.body != nil {
 		// The next request begins behind the body.
-		<-e.body.done
+		c.awaitBody(e.body)
 	}
 	return !invalid && !e.request.Close
 }
--- a/internal/ingress/conn_wait.go
+++ b/internal/ingress/conn_wait.go
@@ -101,6 +101,29 @@
 	return c.awaitRunning(func() bool { return len(c.running) == 0 })
 }
 
+// awaitBody waits until a body was read or its exchange has ended. A caller that leaves
+// while the handler does not read is noticed by polls.
+func (c *conn) awaitBody(b *body) {
+	select {
+	case <-b.done:
+		return
+	default:
+	}
+	ticker := time.NewTicker(leavePollInterval)
+	defer ticker.Stop()
+	for c.ctx.Err() == nil {
+		select {
+		case <-b.done:
+			return
+		case <-ticker.C:
+			if callerLeft(c.net) {
+				c.leave()
+			}
+		}
+	}
+	<-b.done
+}
+
 func (c *conn) startWaiting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
