--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -28,8 +28,8 @@
 	source io.Reader
 	// remaining is the rest of a stated length; unknownLength for chunks.
 	remaining int64
-	// allowed is the number of bytes that a body of unknown length may still have.
-	allowed int64
+	// size is the stated length, or the number of bytes that were read of chunks.
+	size int64
 	// complete is set once the last byte was read.
 	complete atomic.Bool
 	// deadlineMu is held while the read deadline is set on behalf of the handler, and
@@ -46,8 +46,8 @@
 // unknownLength is the length of a body that ends with its last chunk.
 const unknownLength = -1
 
-func newBody(e *exchange, limit int64) *body {
-	b := &body{exchange: e, remaining: e.request.ContentLength, allowed: limit, done: make(chan struct{})}
+func newBody(e *exchange) *body {
+	b := &body{exchange: e, remaining: e.request.ContentLength, size: max(e.request.ContentLength, 0), done: make(chan struct{})}
 	if b.remaining < 0 {
 		b.source = httputil.NewChunkedReader(e.conn.reader)
 	} else {
@@ -63,6 +63,9 @@
 	if b.err != nil {
 		return 0, b.err
 	}
+	if err := b.checkSize(); err != nil {
+		return 0, b.fail(err)
+	}
 	if err := b.askForBody(); err != nil {
 		return 0, b.fail(err)
 	}
@@ -70,6 +73,13 @@
 		p = p[:b.remaining]
 	}
 	n, err := b.source.Read(p)
+	if b.remaining < 0 {
+		b.size += int64(n)
+	}
+	// The limit may have changed while the read waited.
+	if err := b.checkSize(); err != nil {
+		return 0, b.fail(err)
+	}
 	if b.remaining >= 0 {
 		b.remaining -= int64(n)
 		if b.remaining == 0 {
@@ -78,8 +88,6 @@
 		if err == io.EOF {
 			err = io.ErrUnexpectedEOF
 		}
-	} else if b.allowed -= int64(n); b.allowed < 0 {
-		return 0, b.fail(reject(http.StatusRequestEntityTooLarge, result.BodyTooLarge, "the body exceeds the limit by %d bytes or more", -b.allowed))
 	}
 	switch {
 	case err == io.EOF:
@@ -94,6 +102,14 @@
 	}
 }
 
+// checkSize compares the size with the limit that is in force now.
+func (b *body) checkSize() error {
+	if limit := b.exchange.conn.server.config.limits().BodyBytes; b.size > limit {
+		return reject(http.StatusRequestEntityTooLarge, result.BodyTooLarge, "the body of %d bytes or more exceeds the limit of %d", b.size, limit)
+	}
+	return nil
+}
+
 // Close implements io.Closer. The exchange ends the body.
 func (b *body) Close() error { return nil }
 
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -50,6 +50,8 @@
 	// waiting is set while the reader waits for the first byte of a request or for the
 	// end of the connection.
 	waiting bool
+	// headSince is when the head that is being read began; zero while none is read.
+	headSince time.Time
 	// idleSince is when the last exchange ended; zero while one runs.
 	idleSince time.Time
 	// expiring is set when the connection makes room for others.
@@ -90,11 +92,12 @@
 // startNext reads the next request and starts it when its turn comes. It returns false
 // when no further request follows.
 func (c *conn) startNext() bool {
+	c.beginHead()
 	e, invalid := c.readExchange()
+	c.endHead()
 	if e == nil {
 		return false
 	}
-	c.setReadDeadline(time.Time{})
 	if !c.awaitRunning(func() bool { return e.mayStart(c.running) }) || !c.start(e) {
 		e.cancel()
 		return false
@@ -109,19 +112,19 @@
 // readExchange reads the head of a request. An invalid one becomes an exchange that
 // rejects it; nil means that the caller left.
 func (c *conn) readExchange() (e *exchange, invalid bool) {
-	limits := c.server.config.limits()
-	request, err := readRequest(c.reader, limits.HeaderBytes)
+	config := c.server.config
+	request, err := readRequest(c.reader, func() int { return config.limits().HeaderBytes })
 	var rejection *rejection
 	switch {
 	case err == nil:
 		e = newExchange(c, request)
-		e.attachBody(limits.BodyBytes)
+		e.attachBody()
 		c.server.metrics.requests.Inc(1)
 		return e, false
 	case errors.As(err, &rejection):
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.headExpired = c.isExpiring()
-		rejection = reject(http.StatusRequestTimeout, result.RequestTimeout, "the head of the request was not complete within %s, or when room was needed for other connections", limits.HeaderTimeout)
+		rejection = reject(http.StatusRequestTimeout, result.RequestTimeout, "the head of the request was not complete within %s, or when room was needed for other connections", config.limits().HeaderTimeout)
 	default:
 		c.leave()
 		return nil, true
--- a/internal/ingress/conn_wait.go
+++ b/internal/ingress/conn_wait.go
@@ -124,6 +124,30 @@
 	<-b.done
 }
 
+// beginHead starts the time limit of a head. That of a connection which makes room for
+// others has passed already.
+func (c *conn) beginHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headSince = time.Now()
+	c.updateHead()
+}
+
+// endHead ends the time limit of a head.
+func (c *conn) endHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headSince = time.Time{}
+	c.setReadDeadline(time.Time{})
+}
+
+// updateHead sets the deadline of a head by the limit in force; c.mu is held.
+func (c *conn) updateHead() {
+	if !c.expiring {
+		c.setReadDeadline(c.headSince.Add(c.server.config.limits().HeaderTimeout))
+	}
+}
+
 func (c *conn) startWaiting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -169,11 +193,14 @@
 }
 
 // updateDeadline applies a changed limit, or the end of the server, to a connection that
-// waits for a request.
+// waits for a request or reads a head.
 func (c *conn) updateDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.waiting {
+	switch {
+	case c.waiting:
 		c.updateWaiting()
+	case !c.headSince.IsZero():
+		c.updateHead()
 	}
 }
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -48,13 +48,13 @@
 	return e
 }
 
-// attachBody gives the request its body of at most limit bytes.
-func (e *exchange) attachBody(limit int64) {
+// attachBody gives the request its body.
+func (e *exchange) attachBody() {
 	if e.request.ContentLength == 0 {
 		e.request.Body = http.NoBody
 		return
 	}
-	e.body = newBody(e, limit)
+	e.body = newBody(e)
 	e.request.Body = e.body
 }
 
--- a/internal/ingress/head.go
+++ b/internal/ingress/head.go
@@ -34,9 +34,9 @@
 	return &headParser{head: make([]byte, 0, headBufferBytes), reader: bufio.NewReaderSize(nil, headBufferBytes)}
 }}
 
-// readRequest reads the head of a request of at most limit bytes. The body stays
-// unread. A *rejection is returned for a head that is invalid or too large.
-func readRequest(from *bufio.Reader, limit int) (*http.Request, error) {
+// readRequest reads the head of a request of at most the bytes that limit returns. The
+// body stays unread. A *rejection is returned for a head that is invalid or too large.
+func readRequest(from *bufio.Reader, limit func() int) (*http.Request, error) {
 	p := headParsers.Get().(*headParser)
 	defer func() {
 		if cap(p.head) <= maxPooledHeadBytes {
@@ -63,12 +63,12 @@
 }
 
 // read reads up to the empty line behind the head.
-func (p *headParser) read(from *bufio.Reader, limit int) error {
+func (p *headParser) read(from *bufio.Reader, limit func() int) error {
 	p.head = p.head[:0]
 	lineStart, emptyLines := 0, 0
 	for {
 		part, err := from.ReadSlice('\n')
-		if len(p.head)+len(part) > limit {
+		if limit := limit(); len(p.head)+len(part) > limit {
 			return reject(http.StatusRequestHeaderFieldsTooLarge, result.BodyTooLarge, "the head of the request exceeds %d bytes", limit)
 		}
 		p.head = append(p.head, part...)
--- a/internal/proxy/outbound_accept.go
+++ b/internal/proxy/outbound_accept.go
@@ -40,9 +40,6 @@
 	o.setTimes(c, r)
 	c.retryBudget = o.retryBudgets.forService(c.request.service)
 	c.retryBudget.RecordRequest(now)
-	if limit := c.table.Limits().BodyBytes; r.ContentLength > limit {
-		return c, newRefusal(result.BodyTooLarge, fmt.Sprintf("the body of %d bytes exceeds the limit of %d", r.ContentLength, limit))
-	}
 	if err := o.inbound.readBody(w, r, c.request); err != nil {
 		refusal := newRefusal(bodyErrorCode(err), "read the request body: "+err.Error())
 		refusal.cancelled = r.Context().Err() != nil
