--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -25,6 +25,9 @@
 	// MaxConns is the number of open connections from which those whose callers have
 	// been silent for longest are ended to make room for new ones.
 	MaxConns int
+	// MaxIncompleteHeadBytes bounds the buffers of the heads that are being read, over all
+	// connections. Heads of up to 2 KB don't count. A head without room is refused.
+	MaxIncompleteHeadBytes int
 	// MaxPipelined is the number of requests of a connection that run side by side.
 	MaxPipelined int
 	// MaxBufferedBytes bounds the responses of a connection that wait in memory for
@@ -47,13 +50,14 @@
 // DefaultConfig returns the defaults. The caller sets the functions, Log and Scope.
 func DefaultConfig() Config {
 	return Config{
-		MaxConns:         2048,
-		MaxPipelined:     8,
-		MaxBufferedBytes: 1 << 20,
-		WriteTimeout:     15 * time.Second,
-		LingerTimeout:    3 * time.Second,
-		IdleLimitNotice:  3 * time.Second,
-		Now:              time.Now,
+		MaxConns:               2048,
+		MaxIncompleteHeadBytes: 2 << 20,
+		MaxPipelined:           8,
+		MaxBufferedBytes:       1 << 20,
+		WriteTimeout:           15 * time.Second,
+		LingerTimeout:          3 * time.Second,
+		IdleLimitNotice:        3 * time.Second,
+		Now:                    time.Now,
 	}
 }
 
@@ -67,6 +71,7 @@
 		value int64
 	}{
 		{"MaxConns", int64(c.MaxConns)},
+		{"MaxIncompleteHeadBytes", int64(c.MaxIncompleteHeadBytes)},
 		{"MaxPipelined", int64(c.MaxPipelined)},
 		{"MaxBufferedBytes", int64(c.MaxBufferedBytes)},
 		{"WriteTimeout", int64(c.WriteTimeout)},
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -113,7 +113,7 @@
 // rejects it; nil means that the caller left.
 func (c *conn) readExchange() (e *exchange, invalid bool) {
 	config := c.server.config
-	request, err := readRequest(c.reader, func() int { return config.limits().HeaderBytes })
+	request, err := readRequest(c.reader, func() int { return config.limits().HeaderBytes }, &c.server.heads)
 	var rejection *rejection
 	switch {
 	case err == nil:
@@ -243,9 +243,13 @@
 		return
 	}
 	c.setReadDeadline(time.Now().Add(c.server.config.LingerTimeout))
-	// The error is that of the caller's close or of the deadline.
-	discarded, _ := io.Copy(io.Discard, c.reader)
-	c.server.metrics.discardedBytes.Inc(discarded)
+	// The connection's own buffer is used: io.Copy would hold another one for each caller
+	// that does not close. The error is that of the caller's close or of the deadline.
+	for err := error(nil); err == nil; {
+		var discarded int
+		discarded, err = c.reader.Discard(readBufferBytes)
+		c.server.metrics.discardedBytes.Inc(int64(discarded))
+	}
 }
 
 // write writes to the connection, each part within the write timeout and all of them
--- a/internal/ingress/head.go
+++ b/internal/ingress/head.go
@@ -14,45 +14,55 @@
 )
 
 const (
-	// headBufferBytes is the initial size of the buffer for a head.
+	// headBufferBytes is the initial size of the buffer for a head. A larger buffer counts
+	// against MaxIncompleteHeadBytes and is not reused.
 	headBufferBytes = 2 << 10
-	// maxPooledHeadBytes is the capacity of the largest head buffer that is reused.
-	maxPooledHeadBytes = 64 << 10
 	// maxEmptyLines is the number of empty lines that are skipped before a request
 	// (RFC 9112, section 2.2).
 	maxEmptyLines = 2
 )
 
-// headParser holds the buffers for reading one head.
+// headParser holds the buffer for reading one head.
 type headParser struct {
-	head   []byte
+	head []byte
+	// limit returns the size in bytes that a head may have.
+	limit func() int
+	// budget bounds the buffers of all heads together, and taken is the part of it that
+	// this one holds.
+	budget *headBudget
+	taken  int64
+}
+
+// headReader reads a complete head from memory.
+type headReader struct {
 	bytes  bytes.Reader
-	reader *bufio.Reader
+	buffer *bufio.Reader
 }
 
-var headParsers = sync.Pool{New: func() any {
-	return &headParser{head: make([]byte, 0, headBufferBytes), reader: bufio.NewReaderSize(nil, headBufferBytes)}
-}}
-
-// readRequest reads the head of a request of at most the bytes that limit returns. The
-// body stays unread. A *rejection is returned for a head that is invalid or too large.
-func readRequest(from *bufio.Reader, limit func() int) (*http.Request, error) {
-	p := headParsers.Get().(*headParser)
-	defer func() {
-		if cap(p.head) <= maxPooledHeadBytes {
-			headParsers.Put(p)
-		}
-	}()
-	if err := p.read(from, limit); err != nil {
+var (
+	headBuffers = sync.Pool{New: func() any { return new([headBufferBytes]byte) }}
+	headReaders = sync.Pool{New: func() any { return &headReader{buffer: bufio.NewReaderSize(nil, headBufferBytes)} }}
+)
+
+// readRequest reads the head of a request. The body stays unread. A *rejection is
+// returned for a head that is invalid or too large, or that finds no room in the budget.
+func readRequest(from *bufio.Reader, limit func() int, budget *headBudget) (*http.Request, error) {
+	buffer := headBuffers.Get().(*[headBufferBytes]byte)
+	defer headBuffers.Put(buffer)
+	p := headParser{head: buffer[:0], limit: limit, budget: budget}
+	defer func() { budget.give(p.taken) }()
+	if err := p.read(from); err != nil {
 		return nil, err
 	}
 	f, err := p.checkLines()
 	if err != nil {
 		return nil, err
 	}
-	p.bytes.Reset(p.head)
-	p.reader.Reset(&p.bytes)
-	request, err := http.ReadRequest(p.reader)
+	reader := headReaders.Get().(*headReader)
+	defer headReaders.Put(reader)
+	reader.bytes.Reset(p.head)
+	reader.buffer.Reset(&reader.bytes)
+	request, err := http.ReadRequest(reader.buffer)
 	if err != nil {
 		return nil, reject(http.StatusBadRequest, result.BadRequest, "malformed request: %v", err)
 	}
@@ -63,15 +73,16 @@
 }
 
 // read reads up to the empty line behind the head.
-func (p *headParser) read(from *bufio.Reader, limit func() int) error {
-	p.head = p.head[:0]
+func (p *headParser) read(from *bufio.Reader) error {
 	lineStart, emptyLines := 0, 0
 	for {
 		part, err := from.ReadSlice('\n')
-		if limit := limit(); len(p.head)+len(part) > limit {
+		if limit := p.limit(); len(p.head)+len(part) > limit {
 			return reject(http.StatusRequestHeaderFieldsTooLarge, result.BodyTooLarge, "the head of the request exceeds %d bytes", limit)
 		}
-		p.head = append(p.head, part...)
+		if !p.append(part) {
+			return reject(http.StatusServiceUnavailable, result.Overloaded, "the incomplete heads of other requests occupy the memory for them")
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
@@ -93,6 +104,22 @@
 	}
 }
 
+// append appends to the head. It returns false when a larger buffer exceeds the budget.
+func (p *headParser) append(part []byte) bool {
+	size := len(p.head) + len(part)
+	if size <= cap(p.head) {
+		p.head = append(p.head, part...)
+		return true
+	}
+	size = max(size, 2*cap(p.head))
+	if !p.budget.take(int64(size) - p.taken) {
+		return false
+	}
+	p.taken = int64(size)
+	p.head = append(append(make([]byte, 0, size), p.head...), part...)
+	return true
+}
+
 // trimLineEnd removes a line feed and a carriage return before it. A further carriage
 // return belongs to the line, which is then invalid.
 func trimLineEnd(line []byte) []byte {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -28,6 +28,8 @@
 	removed chan struct{}
 	// idle is the policy for the idle limit that was last seen in force.
 	idle atomic.Pointer[idlePolicy]
+	// heads bounds the memory of the heads that are being read.
+	heads headBudget
 	// work hands requests to idle workers.
 	work        chan *exchange
 	idleWorkers atomic.Int32
@@ -52,7 +54,7 @@
 	s := &Server{
 		config: config, metrics: newMetrics(config.Scope.SubScope("ingress")),
 		work: make(chan *exchange), stop: make(chan struct{}), conns: make(map[*conn]struct{}),
-		removed: make(chan struct{}, 1),
+		removed: make(chan struct{}, 1), heads: headBudget{capacity: int64(config.MaxIncompleteHeadBytes)},
 	}
 	s.idle.Store(&idlePolicy{limit: config.limits().IdleTimeout})
 	return s, nil
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -54,6 +54,9 @@
 	// MaxConnections is the number of open connections from which those that have been
 	// silent for longest are ended to make room for new ones.
 	MaxConnections int `ini:"max_connections"`
+	// MaxIncompleteHeadBytes bounds the memory for heads that are being read, over all
+	// connections.
+	MaxIncompleteHeadBytes int `ini:"max_incomplete_head_bytes"`
 	// IdleLimitNotice is how long callers may still go by the previous idle limit after
 	// the operators have lowered it.
 	IdleLimitNotice time.Duration `ini:"idle_limit_notice"`
@@ -98,7 +101,7 @@
 func DefaultSidecar() Sidecar {
 	return Sidecar{
 		Listen:  SidecarListen{Metrics: 9464},
-		Callers: SidecarCallers{MaxPipelined: 8, MaxConnections: 2048, IdleLimitNotice: 3 * time.Second},
+		Callers: SidecarCallers{MaxPipelined: 8, MaxConnections: 2048, MaxIncompleteHeadBytes: 2 << 20, IdleLimitNotice: 3 * time.Second},
 		Store:   SidecarStore{MinLease: time.Second},
 		Bounds:  SidecarBounds{Settle: 3 * time.Second, Grace: 6 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second},
 		Costs:   SidecarCosts{CrossDomainPerMB: 8, CrossRegionPerMB: 31},
--- a/internal/settings/validate_sidecar.go
+++ b/internal/settings/validate_sidecar.go
@@ -30,6 +30,7 @@
 		{"listen", "metrics", validPort(s.Listen.Metrics), "a port from 1 to 65535"},
 		{"callers", "max_pipelined", s.Callers.MaxPipelined > 0, "above 0"},
 		{"callers", "max_connections", s.Callers.MaxConnections > 0, "above 0"},
+		{"callers", "max_incomplete_head_bytes", s.Callers.MaxIncompleteHeadBytes > 0, "above 0"},
 		{"callers", "idle_limit_notice", s.Callers.IdleLimitNotice > 0, "above 0"},
 		{"store", "address", validAddress(s.Store.Address), "an IP address and a port"},
 		{"store", "min_lease", s.Store.MinLease > 0, "above 0"},
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -141,6 +141,7 @@
 		return &limits
 	}
 	config.MaxConns, config.MaxPipelined = loaded.Callers.MaxConnections, loaded.Callers.MaxPipelined
+	config.MaxIncompleteHeadBytes = loaded.Callers.MaxIncompleteHeadBytes
 	config.IdleLimitNotice = loaded.Callers.IdleLimitNotice
 	config.Log, config.Scope = s.log, s.metrics.Scope
 	var err error
