--- a/internal/exchange/body.go
+++ b/internal/exchange/body.go
@@ -39,8 +39,9 @@
 	buffer := bodyBuffers.Get().(*bytes.Buffer)
 	body := &Body{buffer: buffer, Length: r.ContentLength}
 	if r.ContentLength > 0 {
-		// ReadFrom needs bytes.MinRead free bytes to detect the end of the input.
-		buffer.Grow(int(min(r.ContentLength, int64(limit))) + bytes.MinRead)
+		// ReadFrom needs bytes.MinRead free bytes to detect the end of the input. A larger
+		// buffer is made only for bytes that have arrived.
+		buffer.Grow(int(min(r.ContentLength, int64(limit), maxPooledBodyBytes)) + bytes.MinRead)
 	}
 	n, err := buffer.ReadFrom(io.LimitReader(r.Body, int64(limit)))
 	if err != nil {
--- a/internal/proxy/request_body.go
+++ b/internal/proxy/request_body.go
@@ -6,31 +6,26 @@
 	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/exchange"
-	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
 // readBody reads the body of a request until its deadline and buffers up to
 // MaxBufferedBytes of it. It fails with result.Overloaded when the node buffers too
-// much already.
+// much already. Bytes count from when they arrive: callers that announce a body and do
+// not send it take no room from others.
 func (in *inbound) readBody(w http.ResponseWriter, r *http.Request, req *upstreamRequest) error {
 	if r.ContentLength == 0 {
 		req.body = &exchange.Body{}
 		return nil
 	}
-	want := int64(in.config.MaxBufferedBytes)
-	if r.ContentLength > 0 {
-		want = min(want, r.ContentLength)
-	}
-	if taken := in.buffers.take(want); taken < want {
-		in.buffers.give(taken)
-		return result.Errorf(result.Overloaded, "the node buffers %d bytes of other bodies", in.buffers.used.Load())
-	}
-	body, err := readBody(w, r, req.deadline, int(want))
+	charged := &chargedReader{ReadCloser: r.Body, budget: in.buffers, charging: true}
+	r.Body = charged
+	body, err := readBody(w, r, req.deadline, in.config.MaxBufferedBytes)
+	charged.charging = false
 	if err != nil {
-		in.buffers.give(want)
+		in.buffers.give(charged.taken)
 		return err
 	}
-	req.body, req.bufferedBytes = body, want
+	req.body, req.bufferedBytes = body, charged.taken
 	return nil
 }
 
