--- a/internal/proxy/slow_body_test.go
+++ b/internal/proxy/slow_body_test.go
@@ -87,3 +87,20 @@
 	g.Eventually(buffers.used.Load).WithTimeout(3 * slowBodyTimeout).Should(gomega.BeZero())
 	expectResponse(g, f.post("other", part), "other", part)
 }
+
+// TestSlowLargeBodyEndsWithItsRoute guards against a body that is sent on while it arrives
+// and holds a slot beyond the time of its route, and against a response that says that
+// the request did not run or was complete.
+func TestSlowLargeBodyEndsWithItsRoute(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := startTestFleet(&testFleet{t: t, routes: testRoutesWith(slowBodyTimeout, 64<<20)}, 1, 1)
+	startedAt := time.Now()
+	conn := f.sendSlowBody(g, "slow", "Content-Length: 3000000", strings.Repeat("x", 1_500_000))
+	g.Eventually(func() int { return f.nodes[0].slots.Load().Running }).Should(gomega.Equal(1), "the body is sent on")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(response.StatusCode).To(gomega.BeElementOf(http.StatusBadGateway, http.StatusGatewayTimeout))
+	g.Expect(time.Since(startedAt)).To(gomega.BeNumerically("<", slowBodyTimeout+500*time.Millisecond))
+	g.Eventually(func() int { return f.nodes[0].slots.Load().Running }).Should(gomega.BeZero())
+	expectResponse(g, f.post("other", "body"), "other", "body")
+}
