--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -11,10 +11,14 @@
 // call is one request of a caller and the state of its attempts. It uses the same
 // routing table from start to end.
 type call struct {
-	request     *upstreamRequest
-	route       *routing.Route
-	table       *routing.Table
-	started     time.Time
+	request *upstreamRequest
+	route   *routing.Route
+	table   *routing.Table
+	started time.Time
+	// connection is the address of the caller, and waited how long the request waited for
+	// the ones before it on that connection.
+	connection  string
+	waited      time.Duration
 	retryBudget *retry.ServiceBudget
 
 	excluded []string
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
 	"rosemaryladder.dev/rosemaryladder/internal/balance"
@@ -77,6 +78,8 @@
 	dial exchange.DialFunc
 	// random is the source of the nodes' random numbers; nil for 0.5 always.
 	random func() float64
+	// log receives the lines of the nodes; nil to discard them.
+	log *logrus.Entry
 	// clockOffset is added to the time that the nodes read, in nanoseconds.
 	clockOffset atomic.Int64
 }
@@ -118,13 +121,16 @@
 
 // testRoutes returns a table with an idempotent route /get/ and a non-idempotent one,
 // /post/.
-func testRoutes(timeout time.Duration) *routing.Holder {
+func testRoutes(timeout time.Duration) *routing.Holder { return testRoutesWith(timeout, 1<<20) }
+
+// testRoutesWith returns the routes of testRoutes with a limit on bodies.
+func testRoutesWith(timeout time.Duration, bodyBytes int64) *routing.Holder {
 	destinations := []routing.Destination{{Service: testService, Weight: 1}}
 	route := routing.Route{Host: testHost, Timeout: timeout, Objective: 500 * time.Millisecond, MaxAttempts: 2, Destinations: destinations}
 	get, post := route, route
 	get.Name, get.Prefix, get.Idempotent = "get", "/get/", true
 	post.Name, post.Prefix = "post", "/post/"
-	limits := routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: time.Minute}
+	limits := routing.Limits{HeaderBytes: 16 << 10, BodyBytes: bodyBytes, HeaderTimeout: time.Second, IdleTimeout: time.Minute}
 	services := []routing.Service{{Name: testService, HealthPath: "/healthz", MaxConnections: 100}}
 	table, err := routing.NewTable(1, []routing.Route{get, post}, services, limits)
 	if err != nil {
@@ -190,9 +196,13 @@
 	if random == nil {
 		random = func() float64 { return 0.5 }
 	}
+	log := f.log
+	if log == nil {
+		log = telemetry.DiscardLogger()
+	}
 	n.proxy, err = New(config, Deps{
 		Headers: testHeaders, Routes: routes, View: f.table.View, Balancer: balancer,
-		Server: n.tracker, Slots: n.slots, Crashes: &n.crashes, CrashesChanged: func() { f.publish(n) }, Dial: dial, Scope: tally.NoopScope, Log: telemetry.DiscardLogger(),
+		Server: n.tracker, Slots: n.slots, Crashes: &n.crashes, CrashesChanged: func() { f.publish(n) }, Dial: dial, Scope: tally.NoopScope, Log: log,
 		NewerVersion: func(routing.Version) {}, Suspect: func(fleet.Entry) {}, ServerLost: func(id string) { n.tracker.MarkAbsent(id) },
 		Now: f.now, Random: random,
 	})
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -47,6 +47,6 @@
 
 // refuseUnread refuses a request without matching its route or reading its body.
 func (o *outbound) refuseUnread(w http.ResponseWriter, r *http.Request) {
-	c := &call{started: o.deps.Now(), request: &upstreamRequest{id: r.Header.Get(o.deps.Headers.RequestID)}}
+	c := &call{started: o.deps.Now(), connection: r.RemoteAddr, request: &upstreamRequest{id: r.Header.Get(o.deps.Headers.RequestID)}}
 	o.refuse(w, c, newRefusal(result.Draining, "node "+o.config.Node+" is stopping"))
 }
--- a/internal/proxy/outbound_accept.go
+++ b/internal/proxy/outbound_accept.go
@@ -17,7 +17,7 @@
 func (o *outbound) accept(w http.ResponseWriter, r *http.Request) (*call, *refusalReason) {
 	now := o.deps.Now()
 	waited := waitedInPipeline(r, now)
-	c := &call{started: now.Add(-waited), table: o.deps.Routes.Load(), request: &upstreamRequest{
+	c := &call{started: now.Add(-waited), connection: r.RemoteAddr, waited: waited, table: o.deps.Routes.Load(), request: &upstreamRequest{
 		id: r.Header.Get(o.deps.Headers.RequestID), caller: o.config.Service,
 		method: r.Method, host: r.Host, header: r.Header, receivedAt: sinceBoot() - waited,
 	}}
--- a/internal/proxy/respond.go
+++ b/internal/proxy/respond.go
@@ -36,6 +36,12 @@
 	fields := map[string]any{
 		"request": c.request.id, "ms": now.Sub(c.started).Milliseconds(), "attempts": c.attempts, "arrivals": c.deliveries,
 	}
+	if c.connection != "" {
+		fields["connection"] = c.connection
+	}
+	if waited := c.waited.Milliseconds(); waited > 0 {
+		fields["waited_ms"] = waited
+	}
 	if c.table != nil {
 		fields["version"] = uint64(c.table.Version())
 	}
