--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -263,6 +263,17 @@
 		Expect(errOut).To(ContainSubstring("orderdesk-1"))
 	})
 
+	// Guards against the version that is waited for beside the count of nodes that have
+	// another one in force.
+	It("names the version that the counted nodes have in force", func() {
+		node := newFakeNode()
+		node.status = operator.FleetStatus{Accepted: 7, Nodes: 2, InForce: 2}
+		status, _, errOut := run("target", "delete", "lookups", "--wait", "100ms", "--node", node.address())
+		Expect(status).To(Equal(int(result.NotInForce)))
+		Expect(errOut).To(ContainSubstring("2 of 2 nodes have version 7 in force"))
+		Expect(errOut).To(ContainSubstring("version 8 is not known to the fleet yet"))
+	})
+
 	It("succeeds when every node has the version in force", func() {
 		node := newFakeNode()
 		node.status = operator.FleetStatus{Accepted: 8, Nodes: 2, InForce: 2}
