--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -51,6 +51,8 @@
 	// waiting is set while the reader waits for the first byte of a request or for the
 	// end of the connection.
 	waiting bool
+	// headSince is when the head that is being read began; zero while none is read.
+	headSince time.Time
 	// idleSince is when the last exchange ended; zero while one runs.
 	idleSince time.Time
 	// expiring is set when the connection makes room for others.
@@ -91,18 +93,19 @@
 // startNext reads the next request and starts it when its turn comes. It returns false
 // when no further request follows.
 func (c *conn) startNext() bool {
+	c.beginHead()
 	e, invalid := c.readExchange()
+	c.endHead()
 	if e == nil {
 		return false
 	}
-	c.setReadDeadline(time.Time{})
 	if !c.awaitRunning(func() bool { return e.mayStart(c.running) }) || !c.start(e) {
 		e.cancel()
 		return false
 	}
 	if e.body != nil {
 		// The next request begins behind the body.
-		<-e.body.done
+		c.awaitBody(e.body)
 	}
 	return !invalid && !e.request.Close
 }
@@ -110,19 +113,19 @@
 // readExchange reads the head of a request. An invalid one becomes an exchange that
 // rejects it; nil means that the caller left.
 func (c *conn) readExchange() (e *exchange, invalid bool) {
-	limits := c.server.config.limits()
-	request, err := readRequest(c.reader, limits.HeaderBytes)
+	config := c.server.config
+	request, err := readRequest(c.reader, func() int { return config.limits().HeaderBytes }, &c.server.heads)
 	var rejection *rejection
 	switch {
 	case err == nil:
 		e = newExchange(c, request)
-		e.attachBody(limits.BodyBytes)
+		e.attachBody()
 		c.server.metrics.requests.Inc(1)
 		return e, false
 	case errors.As(err, &rejection):
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.headExpired = c.isExpiring() && !hasUnacknowledged(c.net)
-		rejection = reject(http.StatusRequestTimeout, result.RequestTimeout, "the head of the request was not complete within %s, or when room was needed for other connections", limits.HeaderTimeout)
+		rejection = reject(http.StatusRequestTimeout, result.RequestTimeout, "the head of the request was not complete within %s, or when room was needed for other connections", config.limits().HeaderTimeout)
 	default:
 		c.leave()
 		return nil, true
@@ -241,9 +244,13 @@
 		return
 	}
 	c.setReadDeadline(time.Now().Add(c.server.config.LingerTimeout))
-	// The error is that of the caller's close or of the deadline.
-	discarded, _ := io.Copy(io.Discard, c.reader)
-	c.server.metrics.discardedBytes.Inc(discarded)
+	// The connection's own buffer is used: io.Copy would hold another one for each caller
+	// that does not close. The error is that of the caller's close or of the deadline.
+	for err := error(nil); err == nil; {
+		var discarded int
+		discarded, err = c.reader.Discard(readBufferBytes)
+		c.server.metrics.discardedBytes.Inc(int64(discarded))
+	}
 }
 
 // write writes to the connection, each part within the write timeout and all of them
