--- a/internal/sidecar/http_conn.go
+++ b/internal/httpserver/conn.go
@@ -1,15 +1,26 @@
-package sidecar
+package httpserver
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
 )
 
-// httpConn is a connection to an httpServer. Whether a request has begun is decided in
+// connKey is the key of the connection in the context of its requests.
+type connKey struct{}
+
+func withConn(ctx context.Context, netConn net.Conn) context.Context {
+	if c, ok := netConn.(*conn); ok {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	return ctx
+}
+
+// conn is a connection to a Server. Whether a request has begun is decided in
 // one place with the arrival of its bytes, so that each request is either handled or
 // refused.
-type httpConn struct {
+type conn struct {
 	*net.TCPConn
 
 	mu sync.Mutex
@@ -20,7 +31,7 @@
 }
 
 // Read implements net.Conn.
-func (c *httpConn) Read(b []byte) (int, error) {
+func (c *conn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.TCPConn.Read(b)
 		if err != nil || !c.isRefused(n) {
@@ -31,16 +42,33 @@
 
 // isRefused reports whether received bytes are discarded. Otherwise a request has
 // begun.
-func (c *httpConn) isRefused(received int) bool {
+func (c *conn) isRefused(received int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = c.busy || (received > 0 && !c.refused)
 	return c.refused
 }
 
-// setIdle marks the response as complete. net/http may have read one byte of the next
-// request by then, which is no complete request.
-func (c *httpConn) setIdle() {
+// begin marks a request as begun, because net/http may have read it together with the one
+// before it. It returns false when the connection is refused.
+func (c *conn) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = !c.refused
+	return c.busy
+}
+
+// awaitEnd waits until a refused connection ends. Closing it with unread bytes would reset
+// it before the peer has read the refusal.
+func (c *conn) awaitEnd() {
+	var discarded [1]byte
+	// Read discards all bytes and returns only an error.
+	_, _ = c.Read(discarded[:])
+}
+
+// setIdle marks the response as complete. net/http may have read bytes of the next request
+// by then; begin decides whether that request runs.
+func (c *conn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = false
@@ -48,7 +76,7 @@
 
 // refuse sends a refusal and ends the stream to the peer, unless a request has begun.
 // The connection ends when the peer closes it, or after closeLinger.
-func (c *httpConn) refuse(refusal []byte) {
+func (c *conn) refuse(refusal []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.busy || c.refused {
@@ -64,7 +92,7 @@
 }
 
 // SetReadDeadline implements net.Conn. The deadline of a refused connection stays.
-func (c *httpConn) SetReadDeadline(deadline time.Time) error {
+func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.refused {
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -21,6 +21,7 @@
 	splitter       *routing.Splitter
 	retryBudgets   *retryBudgets
 	callerTimeouts *callerTimeouts
+	streamed       streamedRoutes
 	// clockID identifies the clock of the timestamps in hop headers.
 	clockID string
 	// draining is set once the node stops.
@@ -47,6 +48,6 @@
 
 // refuseUnread refuses a request without matching its route or reading its body.
 func (o *outbound) refuseUnread(w http.ResponseWriter, r *http.Request) {
-	c := &call{started: o.deps.Now(), request: &upstreamRequest{id: r.Header.Get(o.deps.Headers.RequestID)}}
+	c := &call{started: o.deps.Now(), connection: r.RemoteAddr, request: &upstreamRequest{id: r.Header.Get(o.deps.Headers.RequestID)}}
 	o.refuse(w, c, newRefusal(result.Draining, "node "+o.config.Node+" is stopping"))
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
@@ -37,6 +38,9 @@
 	// than the local one.
 	newestPeerVersion  atomic.Uint64
 	peerVersionOverdue bool
+	// changesFailed is set when the changes that a peer sent did not apply, so that the
+	// next query asks for the complete configuration.
+	changesFailed atomic.Bool
 	// exchanged is set once a peer has responded with its state.
 	exchanged atomic.Bool
 	// updates wakes the pending long polls of followers.
@@ -68,8 +72,11 @@
 	localChanged chan struct{}
 
 	rejectedValues tally.Counter
-	peerRequests   tally.Counter
-	storeFailures  tally.Counter
+	// outdatedChanges counts the changes of the configuration that came from a peer after
+	// another one had delivered newer ones.
+	outdatedChanges tally.Counter
+	peerRequests    tally.Counter
+	storeFailures   tally.Counter
 
 	mu sync.Mutex
 	// configuration holds the newest configuration as the operators wrote it.
@@ -96,7 +103,8 @@
 		config: config, deps: deps, local: local, startedAt: deps.Now(), runID: deps.Now().UnixNano(),
 		peerTrigger: make(chan struct{}, 1), localChanged: make(chan struct{}, 1),
 		updates: newNotifier(), leaderCooldownUntil: make(map[string]time.Time), suspects: make(map[string]fleet.Entry),
-		rejectedValues: scope.Counter("refused_values"), peerRequests: scope.Counter("peer_questions"), storeFailures: scope.Counter("store_lost"),
+		rejectedValues: scope.Counter("refused_values"), outdatedChanges: scope.Counter("outdated_changes"),
+		peerRequests: scope.Counter("peer_questions"), storeFailures: scope.Counter("store_lost"),
 	}, nil
 }
 
@@ -195,15 +203,33 @@
 	return r.configuration
 }
 
+// versionToSend returns the version that a query states. Version 0 asks for the complete
+// configuration. It is sent once after changes that did not apply: a peer may hold the
+// local version with other bytes, because a restored store was given it again, and none
+// of its changes applies then.
+func (r *Registry) versionToSend() uint64 {
+	if r.changesFailed.Swap(false) {
+		return 0
+	}
+	return uint64(r.deps.Routes.Version())
+}
+
 // applyPeerConfiguration puts the configuration of a peer in force.
 func (r *Registry) applyPeerConfiguration(remote peerState, source string) {
 	var raw []byte
 	var err error
 	if len(remote.Changes) > 0 {
 		raw, err = r.retainedConfiguration().applyChanges(remote.Changes)
+		// Another peer may have sent the version, or a version before it, meanwhile.
+		r.changesFailed.Store(err != nil && !errors.Is(err, errOutdatedChanges) && routing.Version(remote.Version) > r.deps.Routes.Version())
 	} else {
 		raw, err = decompress(remote.Configuration)
 	}
+	if errors.Is(err, errOutdatedChanges) {
+		// The next response of the peer starts at the version of this node.
+		r.outdatedChanges.Inc(1)
+		return
+	}
 	if err != nil {
 		r.rejectedValues.Inc(1)
 		r.deps.Log.WithError(err).WithField("source", source).Warn("configuration refused; the previous one stays in force")
