--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -34,6 +35,7 @@
 		IdleConnTimeout: 30 * time.Second,
 	}}
 	defer c.client.CloseIdleConnections()
+	started := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, options.Duration)
 	defer cancel()
 	reports := make(map[string]*Report)
@@ -43,7 +45,7 @@
 		c.group.Add(1)
 		go func() {
 			defer c.group.Done()
-			c.send(ctx, number, class, report)
+			c.send(ctx, started, number, class, report)
 		}()
 	}
 	c.group.Wait()
@@ -54,21 +56,27 @@
 }
 
 // send starts the calls of a class at its rate, regardless of whether earlier ones
-// have finished.
-func (c *Caller) send(ctx context.Context, number int, class Class, report *Report) {
+// have finished. Those that are due at the end of the duration are started then, so
+// that a goroutine which is scheduled late sends no fewer calls.
+func (c *Caller) send(ctx context.Context, started time.Time, number int, class Class, report *Report) {
 	random := rand.New(rand.NewPCG(c.options.Seed, uint64(number)))
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	started := time.Now()
 	for sent := 0; ; {
 		select {
 		case <-ctx.Done():
-			return
 		case <-ticker.C:
 		}
-		for ; float64(sent) < time.Since(started).Seconds()*class.Rate; sent++ {
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return
+		}
+		elapsed := min(time.Since(started), c.options.Duration)
+		for ; float64(sent) < elapsed.Seconds()*class.Rate; sent++ {
 			c.start(newCall(class, fmt.Sprintf("%d-%d-%d-%x", c.options.Seed, number, sent, random.Uint64()), random), report, random.Uint64())
 		}
+		if ctx.Err() != nil {
+			return
+		}
 	}
 }
 
