Break streamed responses in each run of TestCallsUnderFaults

The test requires a call whose connection broke towards the caller. Every tenth call now has a response that is too large to hold and breaks while it is streamed. All checks stay.

--- a/internal/call/property_test.go
+++ b/internal/call/property_test.go
@@ -107,11 +107,14 @@
 		for attempt := range rapid.IntRange(1, 3).Draw(rt, "attempts") {
 			drawFault(rt, toInbound, "inbound")
 			drawFault(rt, toServer, "server")
+			if callNumber%streamedCallInterval == 0 {
+				drawStreamFault(rt, &call, toInbound, toServer)
+			}
 			before := server.runCount(call.id)
 			run := checkResponse(t, rt, caller, f, server, call, before)
 			callsByRun[run]++
 			allRefused = allRefused && run == string(result.NotRun)
-			if runs := server.runCount(call.id); atMostOnce && runs > 1 {
+			if runs := server.runCount(call.id); call.atMostOnce && runs > 1 {
 				rt.Fatalf("attempt %d: a non-idempotent call ran %d times, want at most 1", attempt, runs)
 			}
 		}
@@ -133,6 +136,19 @@
 	}
 }
 
+// streamedCallInterval is the number of calls of which one has a response that breaks
+// while it is streamed. The other draws seldom lead to that: with RAPID_SEED=5 and 8 none
+// of 100 calls did.
+const streamedCallInterval = 10
+
+// drawStreamFault turns a call into one with a response that is too large to be held, and
+// breaks the connection to the inbound proxy within that response.
+func drawStreamFault(rt *rapid.T, call *testCall, toInbound, toServer *faultInjector) {
+	*call = testCall{id: call.id, body: strings.Repeat("b", 300_000), chunks: 3}
+	toInbound.set(-1, rapid.Int64Range(400_000, 800_000).Draw(rt, "inboundStream"))
+	toServer.set(-1, -1)
+}
+
 // drawFault chooses after how many bytes the connections break; often they do
 // not.
 func drawFault(rt *rapid.T, injector *faultInjector, name string) {
