Let the kernel pick the port of the stand-in server in the drain tests

Its 50 parallel drains each pick a free port, close it and listen on it again, so that two of them can take the same one.

--- a/internal/standin/app/app.go
+++ b/internal/standin/app/app.go
@@ -20,6 +20,7 @@
 type Options struct {
 	ID      string
 	Service string
+	// Address is where the server listens; with port 0 the system chooses one.
 	Address string
 	// CheckInAddress is the address of the node that accepts check-ins.
 	CheckInAddress string
@@ -60,6 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
+	options.Address = listener.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &App{options: options, startTime: time.Now().UnixMilli(), cancel: cancel}
 	a.server = &http.Server{Handler: a, ConnContext: withConn}
@@ -68,6 +70,9 @@
 	return a, nil
 }
 
+// Address returns where the server listens.
+func (a *App) Address() string { return a.options.Address }
+
 // Drain reports the server as draining from the next check-in on.
 func (a *App) Drain() { a.draining.Store(true) }
 
--- a/internal/standin/app/drain_test.go
+++ b/internal/standin/app/drain_test.go
@@ -13,8 +13,6 @@
 	"time"
 
 	"github.com/onsi/gomega"
-
-	"rosemaryladder.dev/rosemaryladder/internal/standin/ports"
 )
 
 // drains is the number of drains of a test, all at once, so that handlers start late.
@@ -45,16 +43,14 @@
 // the acknowledgement, and expects a number of late requests.
 func playDrain(t *testing.T, sendLate bool, want int64) {
 	g := gomega.NewWithT(t)
-	picked, err := ports.Pick("127.0.0.1", 1)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(picked[0]))
 	node := &drainingNode{t: t, sendLate: sendLate}
 	server := httptest.NewServer(node)
 	defer server.Close()
-	node.app, err = Start(Options{ID: "i", Address: address, CheckInAddress: server.Listener.Addr().String(), OnRun: func(string) {}})
+	var err error
+	node.app, err = Start(Options{ID: "i", Address: "127.0.0.1:0", CheckInAddress: server.Listener.Addr().String(), OnRun: func(string) {}})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer node.app.Stop()
-	node.conn, err = net.Dial("tcp", address)
+	node.conn, err = net.Dial("tcp", node.app.Address())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer node.conn.Close()
 	node.app.Drain()
