Write the version in force back to a store that has lost it

Operators saw, after the store had come back from a copy: each change was refused with code 41, "the store returned version 1, but version 2 is in force", for as long as a node had version 2 in force.

Cause: of the class of CONFIG, an acknowledgement of an earlier epoch of the store is taken to hold in the next one. Nobody owns a lost version: on the users' platform the operators write it again, for rosemaryladderd the node that accepted the change has long forgotten it.

The reader in the region of the store now writes the document in force back when a value of a later epoch is older, by compare-and-swap against the revision that it has read: a stale read, a second reader or an operator's change make it a conflict, and the reader looks again. Changes that were accepted on the older version meanwhile are replaced, since a version in force never reverts; log and events name them.

--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -83,6 +83,22 @@
 // Stops returns the planned stops. The caller must not change them.
 func (s *Snapshot) Stops() []Stop { return s.document.Stops }
 
+// MissingChanges returns the IDs of the changes that another snapshot lists and this one
+// does not, oldest first. Changes older than those that this one lists are left out.
+func (s *Snapshot) MissingChanges(other *Snapshot) []string {
+	oldest := uint64(0)
+	if len(s.document.Changes) == MaxAppliedChanges {
+		oldest = s.document.Changes[0].Version
+	}
+	var missing []string
+	for _, change := range other.document.Changes {
+		if _, found := s.document.AppliedVersion(change.ID); !found && change.Version >= oldest {
+			missing = append(missing, change.ID)
+		}
+	}
+	return missing
+}
+
 // Match returns the target that a call matches; false when there is none.
 func (s *Snapshot) Match(service, method, path string) (*Target, bool) {
 	for _, target := range s.routes[service] {
--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -52,6 +52,7 @@
 	relay     *Relay
 	holder    *config.Holder
 	scope     tally.TestScope
+	events    *event.Ring
 	changed   chan struct{}
 	stop      func()
 	stopRelay func()
@@ -89,9 +90,10 @@
 
 func (n *testNode) build() {
 	var err error
+	n.events = event.NewRing(n.id, 100, time.Now)
 	n.relay, err = New(Options{
 		StoreRegion: "north", BatchDelay: n.cluster.batch, Holder: n.holder, View: n.view, Lease: n, Store: n.cluster.store,
-		Dialer: dial.Dialer{LocalIP: "127.0.0.1"}, Events: event.NewRing(n.id, 100, time.Now), Logger: telemetry.DiscardLogger(),
+		Dialer: dial.Dialer{LocalIP: "127.0.0.1"}, Events: n.events, Logger: telemetry.DiscardLogger(),
 		Scope: n.scope, Traffic: NewTraffic(n.scope), Now: time.Now, Random: rand.Float64,
 		Statistics: nodeCount{},
 	})
--- a/internal/relay/fake_store_test.go
+++ b/internal/relay/fake_store_test.go
@@ -15,6 +15,8 @@
 	value   store.Value
 	changed chan struct{}
 	down    bool
+	// readOnly makes writes fail as if the store were away.
+	readOnly bool
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{changed: make(chan struct{})} }
@@ -25,6 +27,28 @@
 	f.down = down
 }
 
+func (f *fakeStore) setReadOnly(readOnly bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readOnly = readOnly
+}
+
+// restore replaces the value by an earlier one, as a store does that comes back from a
+// copy: the earlier revision is given out in the next epoch.
+func (f *fakeStore) restore(earlier store.Value) {
+	earlier.Epoch++
+	earlier.Revision = earlier.Epoch.Revision(uint64(earlier.Revision))
+	f.set(earlier)
+}
+
+func (f *fakeStore) set(value store.Value) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.value = value
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 func (f *fakeStore) read() (store.Value, chan struct{}, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -46,13 +70,13 @@
 func (f *fakeStore) CompareAndSwap(_ context.Context, _ string, expected store.Revision, data []byte, _ store.LeaseID) (store.Revision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.down {
+	if f.down || f.readOnly {
 		return 0, store.ErrNotSent
 	}
 	if f.value.Revision != expected {
 		return 0, store.ErrConflict
 	}
-	f.value = store.Value{Data: data, Revision: expected + 1}
+	f.value = store.Value{Data: data, Revision: expected + 1, Epoch: expected.Epoch()}
 	close(f.changed)
 	f.changed = make(chan struct{})
 	return f.value.Revision, nil
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -16,6 +16,8 @@
 	storeReads     tally.Counter
 	storeWatches   tally.Counter
 	storeFailures  tally.Counter
+	// restoredDocuments counts the documents written back to a restored store.
+	restoredDocuments tally.Counter
 	// limitsReached counts the items dropped because a limit was reached.
 	limitsReached tally.Counter
 	subscribers   tally.Gauge
@@ -23,19 +25,20 @@
 
 func newMetrics(scope tally.Scope) *metrics {
 	return &metrics{
-		published:      scope.Counter("versions_published"),
-		rejections:     scope.Counter("versions_rejected"),
-		corrupted:      scope.Counter("updates_damaged"),
-		staleReads:     scope.Counter("store_answers_outdated"),
-		hashMismatches: scope.Counter("hash_mismatches"),
-		repairs:        scope.Counter("repairs"),
-		updatesSent:    scope.Counter("updates_sent"),
-		redirects:      scope.Counter("subscribers_redirected"),
-		parentTimeouts: scope.Counter("parents_silent"),
-		storeReads:     scope.Counter("store_reads"),
-		storeWatches:   scope.Counter("store_watches"),
-		storeFailures:  scope.Counter("store_failures"),
-		limitsReached:  scope.Counter("limits_reached"),
-		subscribers:    scope.Gauge("subscribers"),
+		published:         scope.Counter("versions_published"),
+		rejections:        scope.Counter("versions_rejected"),
+		corrupted:         scope.Counter("updates_damaged"),
+		staleReads:        scope.Counter("store_answers_outdated"),
+		hashMismatches:    scope.Counter("hash_mismatches"),
+		repairs:           scope.Counter("repairs"),
+		updatesSent:       scope.Counter("updates_sent"),
+		redirects:         scope.Counter("subscribers_redirected"),
+		parentTimeouts:    scope.Counter("parents_silent"),
+		storeReads:        scope.Counter("store_reads"),
+		storeWatches:      scope.Counter("store_watches"),
+		storeFailures:     scope.Counter("store_failures"),
+		restoredDocuments: scope.Counter("restored_documents"),
+		limitsReached:     scope.Counter("limits_reached"),
+		subscribers:       scope.Gauge("subscribers"),
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,7 +61,7 @@
 	r.repairer = newRepairer(r)
 	r.aggregator = &aggregator{relay: r}
 	r.subscription = &subscription{relay: r, avoidedUntil: make(map[string]time.Time)}
-	r.storeReader = &storeReader{relay: r}
+	r.storeReader = &storeReader{relay: r, restorer: storeRestorer{relay: r}}
 	r.fleetClient = &fleetClient{relay: r}
 	r.statisticsClient = &fleetClient{relay: r, statistics: true}
 	r.server = &server{relay: r}
--- a/internal/relay/store_reader.go
+++ b/internal/relay/store_reader.go
@@ -25,7 +25,8 @@
 // storeReader reads the document from the store while the node holds the reader
 // lease.
 type storeReader struct {
-	relay *Relay
+	relay    *Relay
+	restorer storeRestorer
 	// revision is the newest revision read.
 	revision store.Revision
 }
@@ -69,6 +70,7 @@
 		s.relay.metrics.storeWatches.Inc(1)
 		value, err := s.relay.options.Store.Watch(ctx, config.StoreKey, s.revision)
 		if err == nil && s.apply(value) {
+			s.restorer.restore(ctx, value)
 			failures = 0
 			continue
 		}
--- a/internal/standin/fleet/admin.go
+++ b/internal/standin/fleet/admin.go
@@ -19,6 +19,16 @@
 	return callJSON(ctx, http.MethodPut, f.storeAdmin, "/faults", faults, nil)
 }
 
+// CopyStore keeps a copy of the state of the store.
+func (f *Fleet) CopyStore(ctx context.Context) error {
+	return callJSON(ctx, http.MethodPut, f.storeAdmin, "/copy", nil, nil)
+}
+
+// RestoreStore replaces the state of the store by the copy.
+func (f *Fleet) RestoreStore(ctx context.Context) error {
+	return callJSON(ctx, http.MethodPut, f.storeAdmin, "/restore", nil, nil)
+}
+
 // StoreCounts returns the counts of store calls since the last reset.
 func (f *Fleet) StoreCounts(ctx context.Context) (store.Counts, error) {
 	var counts store.Counts
--- a/internal/standin/scenario/faults_test.go
+++ b/internal/standin/scenario/faults_test.go
@@ -15,8 +15,9 @@
 const slowServiceTime = 4 * time.Second
 
 // storeCommand: store ok|down|slow MS|lose PERCENT|old PERCENT sets the faults of
-// the store; store reset resets its counts; store peak MAX fails if it got more
-// than MAX calls in one second.
+// the store; store copy keeps a copy of its state and store restore goes back to it;
+// store reset resets its counts; store peak MAX fails if it got more than MAX calls in
+// one second.
 func (r *run) storeCommand(ts *testscript.TestScript, _ bool, args []string) {
 	number := 0
 	if len(args) > 1 {
@@ -25,6 +26,10 @@
 		number = parsed
 	}
 	switch args[0] {
+	case "copy":
+		ts.Check(r.fleet.CopyStore(r.ctx))
+	case "restore":
+		ts.Check(r.fleet.RestoreStore(r.ctx))
 	case "reset":
 		ts.Check(r.fleet.ResetStoreCounts(r.ctx))
 	case "peak":
--- a/internal/standin/store/admin.go
+++ b/internal/standin/store/admin.go
@@ -7,7 +7,8 @@
 
 // AdminHandler serves the admin interface of the stand-in: GET and PUT /faults (JSON
 // of Faults), GET and DELETE /counts (JSON of Counts), GET /keys (sizes in bytes by
-// key).
+// key), PUT /copy (keeps a copy of the state) and PUT /restore (replaces the state by
+// that copy).
 func (s *Server) AdminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) {
@@ -18,9 +19,23 @@
 	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Counts()) })
 	mux.HandleFunc("DELETE /counts", func(http.ResponseWriter, *http.Request) { s.ResetCounts() })
 	mux.HandleFunc("GET /keys", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.state.Keys()) })
+	mux.HandleFunc("PUT /copy", func(http.ResponseWriter, *http.Request) {
+		snapshot := s.state.Snapshot()
+		s.copied.Store(&snapshot)
+	})
+	mux.HandleFunc("PUT /restore", s.putRestore)
 	return mux
 }
 
+func (s *Server) putRestore(w http.ResponseWriter, _ *http.Request) {
+	copied := s.copied.Load()
+	if copied == nil {
+		http.Error(w, "the store has no copy to restore", http.StatusConflict)
+		return
+	}
+	s.state.Restore(*copied)
+}
+
 func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
 	var faults Faults
 	decoder := json.NewDecoder(r.Body)
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/store"
@@ -30,6 +31,8 @@
 	faults *faultController
 	counts *counter
 	mux    *http.ServeMux
+	// copied is the state that the admin interface has kept for a restore.
+	copied atomic.Pointer[Snapshot]
 }
 
 // NewServer returns a server with an empty state. The seed determines which calls
