Let new connections wait for those that make room to end

Callers saw new connections reset, with a complete request on them, while others opened connections and sent half a head: the ones that had been expired to make room had not ended yet, and everything beyond an eighth of [callers] max_connections was closed at once, unread.

The accepting goroutine now waits until an expired connection has ended, for a second at most, which is what callers allow a new connection. When none has ended in that time (callers that read nothing), or none is expiring, new connections are refused at once as before.

--- a/internal/ingress/capacity.go
+++ b/internal/ingress/capacity.go
@@ -13,6 +13,10 @@
 	// overflowShare is the inverse of the share of MaxConns by which connections that
 	// are about to end may exceed it.
 	overflowShare = 8
+	// roomTimeout is how long a new connection waits for one that makes room to end:
+	// callers give up a connection that is not established after a second. A connection
+	// whose caller doesn't read its last response takes longer, and is not waited for.
+	roomTimeout = time.Second
 )
 
 // silentConn is a connection on which no request runs.
@@ -21,6 +25,37 @@
 	since time.Time
 }
 
+// awaitRoom waits until another connection can be accepted; false when there is no room.
+// The connections that makeRoom expires end within moments. A new one that was closed
+// meanwhile would be reset, together with a request that has arrived on it.
+func (s *Server) awaitRoom() bool {
+	if s.makeRoom() {
+		return true
+	}
+	timer := time.NewTimer(roomTimeout)
+	defer timer.Stop()
+	for !s.full.Load() && s.isExpiring() {
+		select {
+		case <-s.roomMade:
+			if s.makeRoom() {
+				return true
+			}
+		case <-s.stop:
+			return false
+		case <-timer.C:
+			s.full.Store(true)
+		}
+	}
+	return false
+}
+
+// isExpiring reports whether connections that makeRoom has expired have not ended.
+func (s *Server) isExpiring() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.expiring > 0
+}
+
 // makeRoom reports whether another connection can be accepted. With MaxConns open, it
 // expires those whose callers have been silent for longest, requests whose head is
 // incomplete included.
--- a/internal/ingress/capacity_test.go
+++ b/internal/ingress/capacity_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"runtime"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -95,3 +96,80 @@
 	_, body, _ = busy.receive()
 	g.Expect(body).To(gomega.Equal("/busy "))
 }
+
+// TestFloodOfConnectionsResetsNoOther guards against callers whose new connections are
+// reset, with a complete request on them, because those that were ended to make room for
+// them have not ended yet.
+func TestFloodOfConnectionsResetsNoOther(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const (
+		senders, requests = 8, 300
+		// openPerSender is the number of connections that a sender keeps.
+		openPerSender = 64
+	)
+	s := newTestServer(t, func(c *Config) { c.MaxConns = 128 })
+	stop := make(chan struct{})
+	var flood sync.WaitGroup
+	for range senders {
+		flood.Go(func() { s.openHalfHeads(openPerSender, stop) })
+	}
+	unanswered := 0
+	for range requests {
+		c := s.dial(t, g)
+		c.send(get("/other"))
+		if _, err := http.ReadResponse(c.reader, nil); err != nil {
+			unanswered++
+		}
+	}
+	close(stop)
+	flood.Wait()
+	refused := s.counter("refused_connections")
+	t.Logf("%d connections with half a head refused", refused)
+	g.Expect(unanswered).To(gomega.BeZero(), "requests without a response, of %d", requests)
+}
+
+// openHalfHeads opens connections with half a head, of which it keeps a number, until it
+// is stopped.
+func (s *testServer) openHalfHeads(kept int, stop <-chan struct{}) {
+	open := make([]net.Conn, kept)
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			for _, conn := range open {
+				if conn != nil {
+					conn.Close()
+				}
+			}
+			return
+		default:
+		}
+		conn, err := net.Dial("tcp", s.address)
+		if err != nil {
+			continue
+		}
+		// An error means that the server has ended the connection.
+		_, _ = io.WriteString(conn, "GET /half")
+		if previous := open[i%kept]; previous != nil {
+			previous.Close()
+		}
+		open[i%kept] = conn
+	}
+}
+
+// TestFullServerRefusesAtOnce guards against new connections that wait, one behind the
+// other, for room that is not about to be made: requests run on all connections.
+func TestFullServerRefusesAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const conns, refused = 16, 5
+	s := newTestServer(t, func(c *Config) { c.MaxConns = conns })
+	for range conns {
+		s.dial(t, g).send(get("/busy?wait=1000"))
+	}
+	g.Eventually(s.Active).Should(gomega.BeEquivalentTo(conns))
+	startedAt := time.Now()
+	for range refused {
+		_, err := s.dial(t, g).reader.ReadByte()
+		g.Expect(err).To(gomega.HaveOccurred())
+	}
+	g.Expect(time.Since(startedAt)).To(gomega.BeNumerically("<", roomTimeout))
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -24,8 +24,12 @@
 	draining atomic.Bool
 	// ending is set once connections without a request are closed.
 	ending atomic.Bool
-	// removed is signalled after a connection has ended.
-	removed chan struct{}
+	// removed is signalled after a connection has ended, for Shutdown, and roomMade for
+	// the accepting goroutine.
+	removed, roomMade chan struct{}
+	// full is set while connections without room are refused at once, since none has
+	// ended for roomTimeout.
+	full atomic.Bool
 	// idle is the policy for the idle limit that was last seen in force.
 	idle atomic.Pointer[idlePolicy]
 	// heads bounds the memory of the heads that are being read.
@@ -54,7 +58,7 @@
 	s := &Server{
 		config: config, metrics: newMetrics(config.Scope.SubScope("ingress")),
 		work: make(chan *exchange), stop: make(chan struct{}), conns: make(map[*conn]struct{}),
-		removed: make(chan struct{}, 1), heads: headBudget{capacity: int64(config.MaxIncompleteHeadBytes)},
+		removed: make(chan struct{}, 1), roomMade: make(chan struct{}, 1), heads: headBudget{capacity: int64(config.MaxIncompleteHeadBytes)},
 	}
 	s.idle.Store(&idlePolicy{limit: config.limits().IdleTimeout})
 	return s, nil
@@ -85,7 +89,7 @@
 
 // accept serves a connection, or closes it when there is no room for it.
 func (s *Server) accept(netConn net.Conn) {
-	if !s.makeRoom() {
+	if !s.awaitRoom() {
 		s.metrics.refusedConns.Inc(1)
 		netConn.Close()
 		return
@@ -199,9 +203,12 @@
 	if c.isExpiring() {
 		s.expiring--
 	}
-	select {
-	case s.removed <- struct{}{}:
-	default:
+	s.full.Store(false)
+	for _, removed := range []chan struct{}{s.removed, s.roomMade} {
+		select {
+		case removed <- struct{}{}:
+		default:
+		}
 	}
 }
 
