Send no response behind one that was broken off

The response to one of them could still be written, to the caller as the missing bytes of the broken one, or as its response when none of it was sent.

Cause: awaitTurn selects between the end of the earlier response and the cancellation of the request. A handler that finishes after both finds both channels ready, and select picks either. The outbound proxy does so when the cancellation interrupts the read of a response's body: it responds with 502.

The cancellation precedes the end of the broken response, so that a request whose turn comes is now checked for it.

--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -138,7 +138,9 @@
 	}
 	select {
 	case <-e.previous:
-		return true
+		// An earlier response that could not be completed has cancelled the exchange. Both
+		// channels are then ready, and select picks either.
+		return e.ctx.Err() == nil
 	case <-e.ctx.Done():
 		return false
 	}
