Answer read requests when a stop uses up the grace

Cause: the wait for requests in flight used the whole time, so that ingress.Server.Shutdown, which lets each reader decide about its own connection, got a context that had ended and closed everything.

The last 300 ms before the deadline now belong to Shutdown. Idle connections end at its start; requests in flight have until the deadline, as before.

--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -29,6 +29,10 @@
 	// callersCloseTimeout bounds the wait for callers to close the connections whose last
 	// response announced the end. Callers that received it close at once.
 	callersCloseTimeout = time.Second
+	// callersCloseMinimum is the end of the grace in which callers' connections are closed
+	// although requests are in flight, so that each request of another caller that is read
+	// meanwhile gets its response.
+	callersCloseMinimum = 300 * time.Millisecond
 	// inFlightPollInterval is the time between two checks for requests in flight.
 	inFlightPollInterval = 20 * time.Millisecond
 )
@@ -53,13 +57,7 @@
 	s.slots.Close(result.Errorf(result.Draining, "the node is stopping"))
 	time.Sleep(time.Until(startedAt.Add(refusalDelay)))
 	s.proxy.RefuseNewRequests()
-	for s.proxy.InFlight()+s.callers.Active() > 0 && time.Now().Before(deadline) {
-		time.Sleep(inFlightPollInterval)
-	}
-	if inFlight := s.proxy.InFlight(); inFlight > 0 {
-		s.log.WithField("in_flight", inFlight).Warn("requests were still in flight at the end of the grace")
-	}
-	s.closeCallers(deadline)
+	s.endRequests(deadline)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(entryDeleteTimeout))
 	defer cancel()
 	if err := s.registry.DeleteLocalEntry(ctx); err != nil {
@@ -67,6 +65,24 @@
 	}
 }
 
+// endRequests waits for the requests in flight, until the deadline at most, and ends the
+// connections of callers without discarding a request.
+func (s *Sidecar) endRequests(deadline time.Time) {
+	s.awaitInFlight(deadline.Add(-callersCloseMinimum))
+	if inFlight := s.proxy.InFlight(); inFlight > 0 {
+		s.log.WithField("in_flight", inFlight).Warn("requests are still in flight near the end of the grace")
+	}
+	s.closeCallers(deadline)
+	s.awaitInFlight(deadline)
+}
+
+// awaitInFlight waits until no request is in flight or a time has come.
+func (s *Sidecar) awaitInFlight(until time.Time) {
+	for s.proxy.InFlight()+s.callers.Active() > 0 && time.Now().Before(until) {
+		time.Sleep(inFlightPollInterval)
+	}
+}
+
 // closeCallers ends the connections of callers without discarding a request.
 func (s *Sidecar) closeCallers(deadline time.Time) {
 	if latest := time.Now().Add(callersCloseTimeout); deadline.After(latest) {
