Don't take back departed nodes that a peer still reports

A node that had left could stay in the fleet of a reader, and of all nodes that follow it, until the reader's watch failed. Requests were sent to its address.

A query to a peer is answered with all entries when the fleets differ. The peer may hold an entry whose removal the reader has seen already, or that left the store just before the reader listed it. The reader merged it like an entry of the store, but the store reports each removal only once.

An entry that a third node reports proves neither that its node is alive nor that the store holds it. While the store does not respond, nothing changes: peers are the only source then, and nothing is removed.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -39,8 +39,8 @@
 	entry *Entry
 	// lapsedAt is when the entry left the store; zero while it is there.
 	lapsedAt time.Time
-	// lost is set if the entry lapsed only because a restored store lacked it, which
-	// does not prove that its node has left.
+	// lost is set if the entry lapsed because a restored store lacked it or only a peer
+	// reported it, which does not prove that its node has left.
 	lost bool
 	// position is the table's position at the last change of the entry.
 	position uint64
@@ -81,6 +81,29 @@
 	return changed
 }
 
+// MergeReported merges an entry that a node other than its own has reported, and reports
+// whether anything changed. The reporting node may not know yet that the node has left,
+// so the entry proves neither that the node is alive nor that the store holds it: it does
+// not take back a node that left with this entry, and the entry of an unknown node counts
+// as lapsed after rewrite unless it comes from elsewhere before.
+func (t *Table) MergeReported(entry Entry, now time.Time, rewrite time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h, found := t.entries[entry.Node]
+	if t.hasDeparted(entry) || found && !entry.NewerThan(*h.entry) {
+		return false
+	}
+	if !found {
+		h.lapsedAt, h.lost = now.Add(rewrite), true
+	}
+	t.merge(entry)
+	merged := t.entries[entry.Node]
+	merged.lapsedAt, merged.lost = h.lapsedAt, h.lost
+	t.entries[entry.Node] = merged
+	t.publish()
+	return true
+}
+
 // SyncFromStore merges the complete list of the store: entries that it lacks
 // count as lapsed from now on.
 func (t *Table) SyncFromStore(entries []Entry, now time.Time) {
@@ -278,8 +301,8 @@
 }
 
 func (t *Table) lapse(node string, now time.Time) {
-	if h, found := t.entries[node]; found && h.lapsedAt.IsZero() {
-		h.lapsedAt = now
+	if h, found := t.entries[node]; found && (h.lapsedAt.IsZero() || h.lost && now.Before(h.lapsedAt)) {
+		h.lapsedAt, h.lost = now, false
 		t.entries[node] = h
 	}
 }
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -177,3 +177,30 @@
 	g.Expect(nodes()).To(gomega.ContainElement("left"), "an entry that is written again is taken")
 	g.Expect(table.Expire(now.Add(retention + rewrite))).To(gomega.ConsistOf("lost"))
 }
+
+// TestReportedEntriesNeedConfirmation guards against an entry of a node that has left and
+// is kept forever, because a peer that did not know of it reported the entry.
+func TestReportedEntriesNeedConfirmation(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const retention, rewrite = 2 * time.Second, time.Second
+	table := NewTable(retention)
+	for _, node := range []string{"left", "lapsed", "changed"} {
+		table.Merge(entry(node, 1, 1, Ready))
+	}
+	table.Remove([]string{"left"})
+	table.MarkLapsed("lapsed", start)
+	table.MarkLapsed("changed", start)
+	g.Expect(table.MergeReported(entry("left", 1, 1, Ready), start, rewrite)).To(gomega.BeFalse())
+	g.Expect(table.MergeReported(entry("lapsed", 1, 1, Ready), start, rewrite)).To(gomega.BeFalse())
+	g.Expect(table.MergeReported(entry("changed", 1, 2, Draining), start, rewrite)).To(gomega.BeTrue())
+	for _, node := range []string{"unknown", "confirmed", "listed"} {
+		g.Expect(table.MergeReported(entry(node, 1, 1, Ready), start, rewrite)).To(gomega.BeTrue())
+	}
+	table.Merge(entry("confirmed", 1, 1, Ready))
+	table.SyncFromRestoredStore([]Entry{entry("confirmed", 1, 1, Ready), entry("listed", 1, 1, Ready)}, start, rewrite)
+	changed, _ := table.Get("changed")
+	g.Expect(changed.State).To(gomega.Equal(Draining))
+	g.Expect(table.Expire(start.Add(retention))).To(gomega.ConsistOf("lapsed", "changed"))
+	g.Expect(table.Expire(start.Add(retention + rewrite))).To(gomega.ConsistOf("unknown"))
+	g.Expect(table.View().Len()).To(gomega.Equal(2))
+}
--- a/internal/registry/peer_loop.go
+++ b/internal/registry/peer_loop.go
@@ -138,7 +138,8 @@
 	if err != nil {
 		return false
 	}
-	r.mergeState(remote, "peer "+entry.Node)
+	source := "peer " + entry.Node
+	r.mergeState(r.mergeReported(remote, entry.Node, source), source)
 	if routing.Version(remote.Version) < r.deps.Routes.Version() {
 		if _, err := r.exchangeState(ctx, r.deps.PeerClient, entry, r.stateFor(remote)); err != nil {
 			r.deps.Log.WithError(err).WithField("peer", entry.Node).Info("failed to send the configuration to a peer")
@@ -211,6 +212,29 @@
 	return state
 }
 
+// mergeReported merges the entries of other nodes in the complete state of a peer that
+// this node does not follow, and returns the state without them. The peer may hold a node
+// that has left, whose removal the store does not report again. While the store does not
+// respond, peers are the only source, and nothing is removed.
+func (r *Registry) mergeReported(remote peerState, peer, source string) peerState {
+	if !remote.Complete || !r.fleetKnown.Load() || r.sinceContact() >= r.config.PeerAfter {
+		return remote
+	}
+	localNode := r.LocalEntry().Node
+	var rest []fleet.Entry
+	for _, entry := range remote.Entries {
+		if entry.Node == localNode || entry.Node == peer || entry.Validate() != nil {
+			rest = append(rest, entry)
+			continue
+		}
+		if r.deps.Fleet.MergeReported(entry, r.deps.Now(), r.config.OutageRetry) {
+			r.announceChange(entry, source)
+		}
+	}
+	remote.Entries = rest
+	return remote
+}
+
 // mergeState merges the state of a peer into the local one.
 func (r *Registry) mergeState(remote peerState, source string) {
 	for _, entry := range remote.Entries {
@@ -250,7 +274,8 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	r.mergeState(remote, "peer "+request.RemoteAddr)
+	source := "peer " + request.RemoteAddr
+	r.mergeState(r.mergeReported(remote, "", source), source)
 	r.waitForUpdate(request, remote)
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(r.stateFor(remote)); err != nil {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -257,14 +257,19 @@
 		return
 	}
 	if r.deps.Fleet.Merge(entry) {
-		r.updates.notify()
-		r.deps.Log.WithFields(map[string]any{
-			"peer": entry.Node, "peer_server": entry.Server, "state": entry.State, "service": entry.Service,
-			"domain": entry.Domain, "incarnation": entry.Incarnation, "sequence": entry.Sequence, "source": source,
-		}).Info("fleet entry changed")
+		r.announceChange(entry, source)
 	}
 }
 
+// announceChange wakes the pending long polls after a change of an entry, and logs it.
+func (r *Registry) announceChange(entry fleet.Entry, source string) {
+	r.updates.notify()
+	r.deps.Log.WithFields(map[string]any{
+		"peer": entry.Node, "peer_server": entry.Server, "state": entry.State, "service": entry.Service,
+		"domain": entry.Domain, "incarnation": entry.Incarnation, "sequence": entry.Sequence, "source": source,
+	}).Info("fleet entry changed")
+}
+
 // raiseIncarnation raises the local incarnation above that of an entry which an
 // earlier process of this node left behind. That process may have run with a clock
 // that was ahead.
