Write an entry again that has left the store under a live lease

A live server could be missing from the views of a reader, and of all nodes that follow it, for as long as its node lived without a change.

A call without a response may be executed seconds later, also after the store was restored. A write of an entry from before the restore then binds it to a lease of the copy, or to one whose number was granted again; the entry ends with that lease. A deletion by an earlier process has the same effect in any epoch. The node renews its own lease with success and does not learn of it: only a reader watches the store. Its polls keep it in the fleet of its leader, but the other readers drop it.

A leader now tells a follower whose entry it takes to have lapsed or left. The follower renews its lease and, if that succeeds, writes the entry again; if the lease is gone as well, the usual path with its spread of writes follows. An entry that only a restored copy lacks is not reported: the node learns of the new epoch itself.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -156,8 +156,15 @@
 	return departed
 }
 
-// hasDeparted reports whether the node of an entry has left, or its entry has lapsed,
-// with this entry or a newer one.
+// HasDeparted reports whether the node of an entry has left, or its entry has lapsed,
+// with this entry or a newer one. The loss of an entry in a restore does not count.
+func (t *Table) HasDeparted(entry Entry) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hasDeparted(entry)
+}
+
+// hasDeparted is HasDeparted for callers that hold the lock.
 func (t *Table) hasDeparted(entry Entry) bool {
 	if h, found := t.entries[entry.Node]; found {
 		return !h.lapsedAt.IsZero() && !h.lost && !entry.NewerThan(*h.entry)
--- a/internal/registry/follow_loop.go
+++ b/internal/registry/follow_loop.go
@@ -104,6 +104,10 @@
 	if !leaderDisconnected {
 		r.recordContact()
 	}
+	if remote.EntryLapsed {
+		r.entryLapsed.Store(true)
+		wake(r.localChanged)
+	}
 	r.mergeState(remote, "leader "+leader.Node)
 	if remote.Complete {
 		r.deps.Fleet.SyncFromPeer(remote.Entries, r.LocalEntry())
--- a/internal/registry/lease_loop.go
+++ b/internal/registry/lease_loop.go
@@ -87,9 +87,14 @@
 		if err == nil {
 			r.recordStoreResponse()
 		}
-		return lease, err
+		if err != nil || !r.entryLapsed.Swap(false) {
+			return lease, err
+		}
+		r.deps.Log.Info("local entry left the store although its lease is renewed; writing it again")
+		r.setStored(fleet.Entry{})
 	}
 	if lease == 0 {
+		r.entryLapsed.Store(false)
 		granted, err := r.deps.Store.Grant(ctx, r.config.LeaseTTL)
 		if err != nil {
 			return 0, err
--- a/internal/registry/peer_loop.go
+++ b/internal/registry/peer_loop.go
@@ -274,11 +274,18 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	// Only the store tells a reader of it, and a follower that renews its lease would never
+	// write the entry again.
+	lapsed := remote.WaitMs > 0 && slices.ContainsFunc(remote.Entries, r.deps.Fleet.HasDeparted)
 	source := "peer " + request.RemoteAddr
 	r.mergeState(r.mergeReported(remote, "", source), source)
-	r.waitForUpdate(request, remote)
+	if !lapsed {
+		r.waitForUpdate(request, remote)
+	}
+	state := r.stateFor(remote)
+	state.EntryLapsed = lapsed
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(r.stateFor(remote)); err != nil {
+	if err := json.NewEncoder(w).Encode(state); err != nil {
 		r.deps.Log.WithError(err).WithField("peer", request.RemoteAddr).Info("failed to send the state to a peer")
 	}
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -31,6 +31,9 @@
 	following atomic.Bool
 	// leaderDisconnected is set while the store does not respond to the leader either.
 	leaderDisconnected atomic.Bool
+	// entryLapsed is set when a leader has told that the local entry has left the store,
+	// until the entry is written again.
+	entryLapsed atomic.Bool
 	// fleetKnown is set once the fleet is known, from the store or from a peer.
 	fleetKnown atomic.Bool
 	// newestPeerVersion is the newest configuration version reported by a peer.
