Put the newest of the versions in force that a restore reorders

A version that the store had acknowledged after a restore could stay out of force.

Of several configurations in one response of a watch, a reader decodes only the last valid one and takes it for the newest. After a restore, lost versions are written again: an older one may follow a newer one. If both came in one response, as after the reader's pause of 350 ms, the newer one was skipped, and both readers of a region may skip it.

From the first list of an epoch until the list that follows when the leases of the copy have ended, all configurations of a response are decoded; the newest is in force, as everywhere else. At other times nothing changes.

--- a/internal/registry/watch_loop.go
+++ b/internal/registry/watch_loop.go
@@ -202,12 +202,13 @@
 
 // applyEvents applies changes in order. Of several configurations only the newest
 // valid one is put in force: versions in quick succession would otherwise keep a slow
-// processor busy with decoding ones that are replaced at once.
+// processor busy with decoding ones that are replaced at once. The last one is taken for
+// the newest, except after a restore, when lost versions are written again in any order.
 func (r *Registry) applyEvents(events []store.Event) {
 	applied := false
 	for _, event := range slices.Backward(events) {
 		if event.Key == r.config.ConfigurationKey && !event.Removed && !applied {
-			applied = r.applyConfiguration(event.Value, "store")
+			applied = r.applyConfiguration(event.Value, "store") && r.relistAt.IsZero()
 		}
 	}
 	for _, event := range events {
