Count the time to rewrite lost entries from the last restore

Live servers could be missing from the views of a region for some hundred milliseconds when the store came back from copies twice within a few seconds.

A reader keeps an entry that a restored store lacks for 4.5 s from its first list, so that its node can write it again. When the store went away again meanwhile, nodes could not write, but the time ran on: after a second outage of 3 s less than a second was left, and a node needs up to a renewal interval.

The time is now counted from the last list of a restored store that lacks the entry.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -127,8 +127,9 @@
 // node writes its entry again, which the watch reports, so that a listed entry does not
 // prove that its node is alive: a node that had left, or whose entry had lapsed, is not
 // taken back by the entry that it left with. Entries that the store lacks count as
-// lapsed after rewrite, the time that their nodes need to write them again; one that a
-// later list holds has been written again, or is in the copy of a later restore.
+// lapsed after rewrite, the time that their nodes need to write them again, counted from
+// the last such list: the store may have been away again meanwhile. One that a later list
+// holds has been written again, or is in the copy of a later restore.
 func (t *Table) SyncFromRestoredStore(entries []Entry, now time.Time, rewrite time.Duration) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -147,7 +148,7 @@
 		t.merge(entry)
 	}
 	for node, h := range t.entries {
-		if !listed[node] && h.lapsedAt.IsZero() {
+		if !listed[node] && (h.lapsedAt.IsZero() || h.lost) {
 			h.lapsedAt, h.lost = now.Add(rewrite), true
 			t.entries[node] = h
 		}
