--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -39,6 +39,9 @@
 	entry *Entry
 	// lapsedAt is when the entry left the store; zero while it is there.
 	lapsedAt time.Time
+	// lost is set if the entry lapsed because a restored store lacked it or only a peer
+	// reported it, which does not prove that its node has left.
+	lost bool
 	// position is the table's position at the last change of the entry.
 	position uint64
 }
@@ -78,6 +81,29 @@
 	return changed
 }
 
+// MergeReported merges an entry that a node other than its own has reported, and reports
+// whether anything changed. The reporting node may not know yet that the node has left,
+// so the entry proves neither that the node is alive nor that the store holds it: it does
+// not take back a node that left with this entry, and the entry of an unknown node counts
+// as lapsed after rewrite unless it comes from elsewhere before.
+func (t *Table) MergeReported(entry Entry, now time.Time, rewrite time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h, found := t.entries[entry.Node]
+	if t.hasDeparted(entry) || found && !entry.NewerThan(*h.entry) {
+		return false
+	}
+	if !found {
+		h.lapsedAt, h.lost = now.Add(rewrite), true
+	}
+	t.merge(entry)
+	merged := t.entries[entry.Node]
+	merged.lapsedAt, merged.lost = h.lapsedAt, h.lost
+	t.entries[entry.Node] = merged
+	t.publish()
+	return true
+}
+
 // SyncFromStore merges the complete list of the store: entries that it lacks
 // count as lapsed from now on.
 func (t *Table) SyncFromStore(entries []Entry, now time.Time) {
@@ -101,7 +127,9 @@
 // node writes its entry again, which the watch reports, so that a listed entry does not
 // prove that its node is alive: a node that had left, or whose entry had lapsed, is not
 // taken back by the entry that it left with. Entries that the store lacks count as
-// lapsed after rewrite, the time that their nodes need to write them again.
+// lapsed after rewrite, the time that their nodes need to write them again, counted from
+// the last such list: the store may have been away again meanwhile. One that a later list
+// holds has been written again, or is in the copy of a later restore.
 func (t *Table) SyncFromRestoredStore(entries []Entry, now time.Time, rewrite time.Duration) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -113,22 +141,34 @@
 			departed = append(departed, entry.Node)
 			continue
 		}
+		if h := t.entries[entry.Node]; h.lost {
+			h.lapsedAt, h.lost = time.Time{}, false
+			t.entries[entry.Node] = h
+		}
 		t.merge(entry)
 	}
-	for node := range t.entries {
-		if !listed[node] {
-			t.lapse(node, now.Add(rewrite))
+	for node, h := range t.entries {
+		if !listed[node] && (h.lapsedAt.IsZero() || h.lost) {
+			h.lapsedAt, h.lost = now.Add(rewrite), true
+			t.entries[node] = h
 		}
 	}
 	t.publish()
 	return departed
 }
 
-// hasDeparted reports whether the node of an entry has left, or its entry has lapsed,
-// with this entry or a newer one.
+// HasDeparted reports whether the node of an entry has left, or its entry has lapsed,
+// with this entry or a newer one. The loss of an entry in a restore does not count.
+func (t *Table) HasDeparted(entry Entry) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hasDeparted(entry)
+}
+
+// hasDeparted is HasDeparted for callers that hold the lock.
 func (t *Table) hasDeparted(entry Entry) bool {
 	if h, found := t.entries[entry.Node]; found {
-		return !h.lapsedAt.IsZero() && !entry.NewerThan(*h.entry)
+		return !h.lapsedAt.IsZero() && !h.lost && !entry.NewerThan(*h.entry)
 	}
 	for _, r := range slices.Backward(t.removals) {
 		if r.last.Node == entry.Node {
@@ -269,8 +309,8 @@
 }
 
 func (t *Table) lapse(node string, now time.Time) {
-	if h, found := t.entries[node]; found && h.lapsedAt.IsZero() {
-		h.lapsedAt = now
+	if h, found := t.entries[node]; found && (h.lapsedAt.IsZero() || h.lost && now.Before(h.lapsedAt)) {
+		h.lapsedAt, h.lost = now, false
 		t.entries[node] = h
 	}
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -31,6 +31,9 @@
 	following atomic.Bool
 	// leaderDisconnected is set while the store does not respond to the leader either.
 	leaderDisconnected atomic.Bool
+	// entryLapsed is set when a leader has told that the local entry has left the store,
+	// until the entry is written again.
+	entryLapsed atomic.Bool
 	// fleetKnown is set once the fleet is known, from the store or from a peer.
 	fleetKnown atomic.Bool
 	// newestPeerVersion is the newest configuration version reported by a peer.
@@ -257,14 +260,19 @@
 		return
 	}
 	if r.deps.Fleet.Merge(entry) {
-		r.updates.notify()
-		r.deps.Log.WithFields(map[string]any{
-			"peer": entry.Node, "peer_server": entry.Server, "state": entry.State, "service": entry.Service,
-			"domain": entry.Domain, "incarnation": entry.Incarnation, "sequence": entry.Sequence, "source": source,
-		}).Info("fleet entry changed")
+		r.announceChange(entry, source)
 	}
 }
 
+// announceChange wakes the pending long polls after a change of an entry, and logs it.
+func (r *Registry) announceChange(entry fleet.Entry, source string) {
+	r.updates.notify()
+	r.deps.Log.WithFields(map[string]any{
+		"peer": entry.Node, "peer_server": entry.Server, "state": entry.State, "service": entry.Service,
+		"domain": entry.Domain, "incarnation": entry.Incarnation, "sequence": entry.Sequence, "source": source,
+	}).Info("fleet entry changed")
+}
+
 // raiseIncarnation raises the local incarnation above that of an entry which an
 // earlier process of this node left behind. That process may have run with a clock
 // that was ahead.
