Keep fault proxies running after a failed accept

The accept loop of a fault proxy returned at the first error, without a log line, while the listener stayed open: the kernel completed new connections that nothing ever read.

The loop now logs the error and tries again until the proxy is closed. TestFailedAcceptsEndNoProxy, with a listener that fails three times, failed 3 of 3 times before and passes 3 of 3 with -race.

--- a/internal/standin/faultproxy/proxy.go
+++ b/internal/standin/faultproxy/proxy.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"rosemaryladder.dev/rosemaryladder/internal/standin/arrival"
 )
 
@@ -33,6 +35,9 @@
 	delay = 60 * time.Millisecond
 	// pollInterval is how often a stalled direction checks whether the fault has ended.
 	pollInterval = 10 * time.Millisecond
+	// acceptBackoff is the pause after a failed accept. Each one is logged, and all
+	// proxies of a process run out of descriptors at the same time.
+	acceptBackoff = 100 * time.Millisecond
 	// maxChunkBytes is the maximum size of a forwarded chunk.
 	maxChunkBytes = 16 << 10
 )
@@ -57,12 +62,17 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, conns: make(map[net.Conn]bool), lastSent: make(map[string]time.Time)}
-	p.Set(None)
+	p := newProxy(listener, target)
 	go p.accept()
 	return p, nil
 }
 
+func newProxy(listener net.Listener, target string) *Proxy {
+	p := &Proxy{listener: listener, target: target, conns: make(map[net.Conn]bool), lastSent: make(map[string]time.Time)}
+	p.Set(None)
+	return p
+}
+
 // Address returns the address that the proxy listens on.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
@@ -105,10 +115,15 @@
 func (p *Proxy) accept() {
 	for {
 		client, err := p.listener.Accept()
-		if err != nil {
+		if err == nil {
+			go p.serve(client)
+			continue
+		}
+		if p.isClosed() {
 			return
 		}
-		go p.serve(client)
+		logrus.WithError(err).WithField("address", p.Address()).Warn("cannot accept a connection; retrying")
+		time.Sleep(acceptBackoff)
 	}
 }
 
@@ -167,6 +182,12 @@
 	}
 }
 
+func (p *Proxy) isClosed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
+}
+
 func (p *Proxy) track(conn net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/standin/faultproxy/proxy_test.go
+++ b/internal/standin/faultproxy/proxy_test.go
@@ -3,10 +3,14 @@
 import (
 	"io"
 	"net"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"rosemaryladder.dev/rosemaryladder/internal/standin/arrival"
 )
 
 // TestFaults guards against a proxy that does not inject its faults, which would make
@@ -81,3 +85,45 @@
 		return !p.LastSent(server.RemoteAddr().String()).After(sentAt)
 	}).Should(gomega.BeTrue(), "every chunk is dated after it was sent")
 }
+
+// failingListener fails the first accepts as a process without free descriptors does.
+type failingListener struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// TestFailedAcceptsEndNoProxy guards against a proxy that accepts nothing any more after
+// the process was out of descriptors for a moment, so that a soak takes the host behind it
+// for one that does not recover.
+func TestFailedAcceptsEndNoProxy(t *testing.T) {
+	g := gomega.NewWithT(t)
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer target.Close()
+	listener, err := arrival.Listen("127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	failing := &failingListener{Listener: listener}
+	failing.failures.Store(3)
+	p := newProxy(failing, target.Addr().String())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.accept()
+	}()
+	client, err := net.Dial("tcp", p.Address())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer client.Close()
+	g.Expect(target.(*net.TCPListener).SetDeadline(time.Now().Add(5 * time.Second))).To(gomega.Succeed())
+	server, err := target.Accept()
+	g.Expect(err).NotTo(gomega.HaveOccurred(), "the connection was not forwarded")
+	server.Close()
+	p.Close()
+	g.Eventually(ended).Should(gomega.BeClosed(), "Close ends the proxy")
+}
