--- a/internal/call/match_target.go
+++ b/internal/call/match_target.go
@@ -10,16 +10,11 @@
 // matchTarget returns the URI to forward and the target of a call; no target when none
 // matches. The error has the code result.BadRequest.
 func matchTarget(snapshot *config.Snapshot, service string, r *http.Request) (uri string, target *config.Target, err error) {
-	requestTarget, err := urlpath.Parse(r)
-	if err != nil {
-		return "", nil, err
-	}
-	target, _, err = urlpath.Match(requestTarget, func(path string) (*config.Target, string, bool) {
+	return urlpath.MatchRequest(r, func(path string) (*config.Target, string, bool) {
 		target, found := snapshot.Match(service, r.Method, path)
 		if !found {
 			return nil, "", false
 		}
 		return target, target.Path, true
 	})
-	return requestTarget.URI, target, err
 }
--- a/internal/urlpath/match.go
+++ b/internal/urlpath/match.go
@@ -1,6 +1,20 @@
 package urlpath
 
-import "strings"
+import (
+	"net/http"
+	"strings"
+)
+
+// MatchRequest returns the URI to forward and the route that find selects for a request;
+// the zero route when there is none. find and the error are those of Match and Parse.
+func MatchRequest[R comparable](r *http.Request, find func(path string) (route R, prefix string, found bool)) (uri string, route R, err error) {
+	target, err := Parse(r)
+	if err != nil {
+		return "", route, err
+	}
+	route, _, err = Match(target, find)
+	return target.URI, route, err
+}
 
 // Match returns the route that find selects for a target; false when there is none.
 // find returns the route of a path and its prefix. The error has the code
