Encode the closing response of the inbound proxy by httpserver

The inbound proxy wrote the response by hand that the other two ports encode with httpserver.EncodeRefusal. Status, fields and body are the same; the fields come in another order. The detection of crashes moves to a file of its own.

--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -226,44 +226,6 @@
 	}
 }
 
-// recordContent records whether the server completed a request with this content or
-// broke the connection, as it does when it crashes.
-func (in *inbound) recordContent(req *upstreamRequest, server string, complete bool) {
-	if !complete {
-		if in.deps.Crashes.AddBroken(in.deps.Now(), server, req.content()) {
-			in.deps.CrashesChanged()
-		}
-		go in.checkCrash()
-		return
-	}
-	blocks := in.deps.View().Blocklist()
-	if blocks.Empty() {
-		return
-	}
-	if content := req.content(); blocks.IsSuspect(content) && in.deps.Crashes.AddServed(in.deps.Now(), content) {
-		in.deps.CrashesChanged()
-	}
-}
-
-// crashCheckTimeout bounds the check for a crash after a broken exchange. A server
-// that exits closes its listener within milliseconds of its connections.
-const crashCheckTimeout = 200 * time.Millisecond
-
-// checkCrash reports the server as lost if it refuses connections, so that a crash is
-// noticed before the next request. One check runs at a time.
-func (in *inbound) checkCrash() {
-	if !in.checkingCrash.CompareAndSwap(false, true) {
-		return
-	}
-	defer in.checkingCrash.Store(false)
-	server := in.deps.Server.Server()
-	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
-	defer cancel()
-	if in.client.RefusesConnections(ctx, in.config.Server) {
-		in.deps.ServerLost(server.ID)
-	}
-}
-
 // exchangeRefusal returns the outcome of a request whose exchange with the server
 // failed before the head of the response was read.
 func (in *inbound) exchangeRefusal(ctx context.Context, req *upstreamRequest, server string, exchangeErr *exchange.Error) *refusalReason {
--- a/internal/proxy/inbound_handler.go
+++ b/internal/proxy/inbound_handler.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -109,17 +108,6 @@
 	_, _ = w.Write([]byte(refusal.message))
 }
 
-// closingResponse returns the refusal that is sent on a connection of another node
-// before it is closed. A request that crosses it did not run.
-func (in *inbound) closingResponse() []byte {
-	message := "node " + in.config.Node + " is stopping"
-	var response bytes.Buffer
-	fmt.Fprintf(&response, "HTTP/1.1 %d %s\r\n%s: %d\r\n%s: %s\r\nConnection: close\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s",
-		http.StatusServiceUnavailable, http.StatusText(http.StatusServiceUnavailable),
-		headerOutcome, result.Draining, headerReport, formatReport(balance.Report{}), len(message), message)
-	return response.Bytes()
-}
-
 // setInternalHeaders sets the headers for the outbound proxy.
 func (in *inbound) setInternalHeaders(w http.ResponseWriter, code result.Code, report balance.Report) {
 	w.Header()[headerOutcome] = []string{strconv.Itoa(int(code))}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -20,6 +20,7 @@
 type Proxy struct {
 	outbound *outbound
 	inbound  *inbound
+	closing  []byte
 	inFlight atomic.Int64
 	// refusing is set when new requests of callers are refused.
 	refusing atomic.Bool
@@ -34,6 +35,10 @@
 	if err != nil {
 		return nil, err
 	}
+	closing, err := closingResponse(config.Node)
+	if err != nil {
+		return nil, err
+	}
 	m := newMetrics(deps.Scope.SubScope("proxy"))
 	in := &inbound{config: config, deps: deps, metrics: m, transitDelay: newTransitDelay(), link: link, buffers: newBufferBudget(config.MaxBufferedTotalBytes), client: exchange.NewClient(exchange.Options{
 		Dial: dialWithin(deps.Dial, config.ServerConnectTimeout), MaxIdle: maxIdleServerConns, IdleTimeout: config.ServerIdleTimeout,
@@ -46,7 +51,7 @@
 	})
 	deps.Routes.OnPublish(out.splitter.Retain)
 	deps.Routes.OnPublish(out.streamed.retain)
-	return &Proxy{outbound: out, inbound: in}, nil
+	return &Proxy{outbound: out, inbound: in, closing: closing}, nil
 }
 
 // maxIdleServerConns bounds the idle connections to the server. The slots bound the
@@ -109,7 +114,7 @@
 
 // ClosingResponse returns the response to requests of other nodes that arrive while
 // their connection is being closed.
-func (p *Proxy) ClosingResponse() []byte { return p.inbound.closingResponse() }
+func (p *Proxy) ClosingResponse() []byte { return p.closing }
 
 // InFlight returns the number of requests in flight, outbound and inbound.
 func (p *Proxy) InFlight() int64 { return p.inFlight.Load() }
