--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -34,26 +34,6 @@
 	trimmedPosition uint64
 }
 
-// tableEntry is an entry with its state in the store and in the table.
-type tableEntry struct {
-	entry *Entry
-	// lapsedAt is when the entry left the store; zero while it is there.
-	lapsedAt time.Time
-	// position is the table's position at the last change of the entry.
-	position uint64
-}
-
-// removal is a node that was removed from the view, with its last entry and the
-// position at that time.
-type removal struct {
-	last     Entry
-	position uint64
-}
-
-// maxRemovals bounds the removals that are listed. A reader that missed more
-// needs the complete view.
-const maxRemovals = 256
-
 // NewTable returns an empty table. lapsedRetention is how long an entry that left
 // the store is kept, so that its node can write it again.
 func NewTable(lapsedRetention time.Duration) *Table {
@@ -88,20 +68,16 @@
 		listed[entry.Node] = true
 		t.merge(entry)
 	}
-	for node := range t.entries {
-		if !listed[node] {
-			t.lapse(node, now)
-		}
-	}
+	t.lapseOthers(listed, now)
 	t.publish()
 }
 
-// SyncFromRestoredStore merges the list of a store that has come back from an earlier
-// copy, and returns the nodes that the store lists although they have left. Every live
-// node writes its entry again, which the watch reports, so that a listed entry does not
-// prove that its node is alive: a node that had left, or whose entry had lapsed, is not
-// taken back by the entry that it left with. Entries that the store lacks count as
-// lapsed after rewrite, the time that their nodes need to write them again.
+// SyncFromRestoredStore merges the list of a store that was restored from an earlier
+// copy, and returns the nodes that the store lists although they have left. A listed
+// entry does not prove that its node is alive, so a node that had left, or whose entry
+// had lapsed, is not added again by the entry that it left with; live nodes write their
+// entries again, which the watch reports. Entries that the store lacks count as lapsed
+// after rewrite, the time that their nodes need to write them again.
 func (t *Table) SyncFromRestoredStore(entries []Entry, now time.Time, rewrite time.Duration) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -115,11 +91,7 @@
 		}
 		t.merge(entry)
 	}
-	for node := range t.entries {
-		if !listed[node] {
-			t.lapse(node, now.Add(rewrite))
-		}
-	}
+	t.lapseOthers(listed, now.Add(rewrite))
 	t.publish()
 	return departed
 }
@@ -268,6 +240,15 @@
 	}
 }
 
+// lapseOthers marks the entries of the nodes that are not listed as lapsed.
+func (t *Table) lapseOthers(listed map[string]bool, at time.Time) {
+	for node := range t.entries {
+		if !listed[node] {
+			t.lapse(node, at)
+		}
+	}
+}
+
 func (t *Table) lapse(node string, now time.Time) {
 	if h, found := t.entries[node]; found && h.lapsedAt.IsZero() {
 		h.lapsedAt = now
--- /dev/null
+++ b/internal/fleet/table_entry.go
@@ -0,0 +1,12 @@
+package fleet
+
+import "time"
+
+// tableEntry is an entry with its state in the store and in the table.
+type tableEntry struct {
+	entry *Entry
+	// lapsedAt is when the entry left the store; zero while it is there.
+	lapsedAt time.Time
+	// position is the table's position at the last change of the entry.
+	position uint64
+}
