--- a/internal/balance/draw.go
+++ b/internal/balance/draw.go
@@ -25,7 +25,7 @@
 	numAvailable, numInBackoff int
 }
 
-// draw draws candidates of the groups at one distance uniformly. It ends when enough
+// draw returns candidates of the groups at one distance, chosen uniformly at random. It ends when enough
 // available ones were found, so that its cost doesn't grow with the number of
 // candidates.
 func (b *Balancer) draw(now time.Time, groups []fleet.Group, request Request) draw {
--- a/internal/balance/shuffle.go
+++ b/internal/balance/shuffle.go
@@ -11,9 +11,6 @@
 	swapped [maxDrawn]swap
 }
 
-// swap says which index stands at a position.
-type swap struct{ position, index int }
-
 // next returns the next index; false when all or maxDrawn were taken.
 func (s *shuffle) next(random func() float64) (int, bool) {
 	if s.taken == min(s.size, maxDrawn) {
--- /dev/null
+++ b/internal/balance/swap.go
@@ -0,0 +1,4 @@
+package balance
+
+// swap says which index stands at a position.
+type swap struct{ position, index int }
