Name the records that a restored store lacks plainly

remembered, adopt, merge and settled become knownRecords, replaceState, writeLostRecords and canBeDropped; unmerged and lost become lostRecords and lostSegments, the word of the counter. Types get files of their own, and the comments on copies of the store say what is supported. No change of behaviour.

--- a/internal/claim/recent_segments.go
+++ b/internal/claim/recent_segments.go
@@ -6,26 +6,18 @@
 )
 
 const (
-	// maxCopyAge is the age up to which a copy is allowed for from which the store
-	// comes back, counted from the last response before. The platform states some
-	// seconds; a minute leaves a margin and keeps two segments of a shard in memory
-	// at 25 claims a second.
+	// maxCopyAge is the largest supported age of the copy from which the store is
+	// restored, counted from the last response before the restore. The platform states
+	// some seconds; a minute leaves a margin and keeps two segments of a shard in
+	// memory at 25 claims a second.
 	maxCopyAge = time.Minute
-	// maxClockSkew is the difference of two nodes' clocks that is allowed for when the
-	// time of a seal tells whether a copy may lack the segment.
+	// maxClockSkew is the largest supported difference of two nodes' clocks. Seals are
+	// dated by the clock of the node that made them.
 	maxClockSkew = time.Minute
 )
 
-// recentSegment is a sealed segment that a copy of the store may lack.
-type recentSegment struct {
-	name    segmentName
-	records []record
-	// learnedAt is when this log learned that the segment is in use.
-	learnedAt time.Time
-}
-
-// recentSegments holds the records of such segments, oldest first, so that they can be
-// written again.
+// recentSegments holds the segments that a copy of the store may lack, oldest first, so
+// that their records can be written again.
 type recentSegments []recentSegment
 
 // find returns the records of a segment; false when they are not held.
@@ -44,7 +36,7 @@
 	return append(others, added)
 }
 
-// filter returns the segments to keep.
+// filter returns the segments for which keep returns true.
 func (r recentSegments) filter(keep func(recentSegment) bool) recentSegments {
 	return slices.DeleteFunc(slices.Clone(r), func(s recentSegment) bool { return !keep(s) })
 }
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -13,12 +13,7 @@
 	release bool
 }
 
-// recordID identifies a record: the id of its claim and whether it is the release.
-type recordID struct {
-	claim   string
-	release bool
-}
-
+// id returns the identity of the record.
 func (r record) id() recordID { return recordID{claim: r.claim.ID, release: r.release} }
 
 // hash returns the hash by which the record is indexed.
--- a/internal/claim/restored_shard_test.go
+++ b/internal/claim/restored_shard_test.go
@@ -191,12 +191,12 @@
 	s.claim(owner, "new")
 	s.now = s.now.Add(maxCopyAge)
 	s.check(owner)
-	s.Expect(owner.settled()).To(gomega.BeFalse(), "the index must be kept")
+	s.Expect(owner.canBeDropped()).To(gomega.BeFalse(), "the index must be kept")
 	s.now = s.now.Add(Retention + time.Hour)
 	s.claim(owner, "order")
 	s.now = s.now.Add(maxCopyAge)
 	s.check(owner)
-	s.Expect(owner.settled()).To(gomega.BeTrue())
+	s.Expect(owner.canBeDropped()).To(gomega.BeTrue())
 }
 
 // TestMergeAboveTheLimits guards against lost records that do not fit into one head and
--- a/internal/claim/shard_log.go
+++ b/internal/claim/shard_log.go
@@ -48,12 +48,12 @@
 	epoch store.Epoch
 	// recent holds the records of the segments that a copy of the store may lack.
 	recent recentSegments
-	// unmerged holds the records that the store has lost. Nothing is granted until they
-	// are written again.
-	unmerged []record
-	// lost holds the indexes of the segments that the store has lost and whose records
-	// are not known. The keys that they match are refused.
-	lost []segmentIndex
+	// lostRecords holds the records that the store has lost. Nothing is granted until
+	// they are written again.
+	lostRecords []record
+	// lostSegments holds the indexes of the segments that the store has lost and whose
+	// records are not known. The keys that they match are refused.
+	lostSegments []segmentIndex
 	// changedAt is when the log last learned of records, and confirmedAt the time of
 	// the last call to which the store responded in the epoch of the state.
 	changedAt, confirmedAt time.Time
@@ -66,7 +66,7 @@
 	// maybeStored is set when a write of the last commit may have taken effect
 	// although the commit failed.
 	maybeStored bool
-	// permitted is set while acquire has been called for the next write.
+	// permitted is set when acquire has already been called for the next write.
 	permitted bool
 }
 
@@ -97,11 +97,11 @@
 			}
 			confirmed = true
 		}
-		merged, err := l.merge(ctx)
+		complete, err := l.writeLostRecords(ctx)
 		if err != nil {
 			return nil, err
 		}
-		if !merged {
+		if !complete {
 			continue
 		}
 		sealed, err := l.sealedRecords(ctx, batch)
@@ -176,7 +176,7 @@
 		l.metrics.shardFull.Inc(1)
 		return errShardFull
 	}
-	asked := l.now()
+	calledAt := l.now()
 	revision, err := l.client.CompareAndSwap(ctx, headKey(l.shard), base.revision, data, 0)
 	if err != nil {
 		return err
@@ -188,9 +188,9 @@
 	}
 	base.append(revision, appended, encoded)
 	l.state = base
-	// The first write of a shard succeeds in a later epoch as well.
+	// The first write of a shard expects no revision, so it succeeds in a later epoch too.
 	l.epoch = revision.Epoch()
-	l.confirm(asked)
+	l.confirm(calledAt)
 	l.metrics.headWrites.Inc(1)
 	l.metrics.recorded.Inc(int64(len(appended)))
 	return nil
@@ -200,14 +200,14 @@
 // based on the older state then conflicts. The head of a later epoch, which may be
 // missing, always replaces the state.
 func (l *shardLog) refresh(ctx context.Context) error {
-	asked := l.now()
+	calledAt := l.now()
 	stored, err := l.client.GetNewer(ctx, headKey(l.shard), l.state.revision)
 	if err != nil {
 		return err
 	}
 	if stored.Epoch <= l.epoch && stored.Revision <= l.state.revision {
 		l.stale = false
-		l.confirm(asked)
+		l.confirm(calledAt)
 		return nil
 	}
 	value, err := decodeShard(stored.Data)
@@ -222,13 +222,13 @@
 	if err != nil {
 		return err
 	}
-	if err := l.adopt(ctx, fresh, stored.Epoch); err != nil {
+	if err := l.replaceState(ctx, fresh, stored.Epoch); err != nil {
 		return err
 	}
 	l.stale = false
 	if stored.Revision > 0 {
 		l.changedAt = l.now()
 	}
-	l.confirm(asked)
+	l.confirm(calledAt)
 	return nil
 }
--- a/internal/claim/shard_merge.go
+++ b/internal/claim/shard_restore.go
@@ -10,9 +10,9 @@
 	"rosemaryladder.dev/rosemaryladder/internal/store"
 )
 
-// remembered returns the records that this log knows to be recorded and that a head of
-// an epoch must hold, each once.
-func (l *shardLog) remembered(epoch store.Epoch) []record {
+// knownRecords returns the records that this log knows to be recorded and that the shard
+// must hold in an epoch, each once.
+func (l *shardLog) knownRecords(epoch store.Epoch) []record {
 	// A head of the same epoch lacks records only after a write that expected a
 	// revision of an earlier epoch which the store has given out again. The writer
 	// finds out by its first check, which is within maxCopyAge.
@@ -28,7 +28,7 @@
 		}
 		records = append(records, l.state.value.records...)
 	}
-	records = append(records, l.unmerged...)
+	records = append(records, l.lostRecords...)
 	seen := make(map[recordID]bool, len(records))
 	return slices.DeleteFunc(records, func(r record) bool {
 		known := seen[r.id()]
@@ -70,48 +70,48 @@
 	return missing, nil
 }
 
-// adopt replaces the state by one that was read from the store in an epoch. Records that
-// it lacks although they were recorded wait for merge.
-func (l *shardLog) adopt(ctx context.Context, fresh *shardState, epoch store.Epoch) error {
-	missing, err := l.missingFrom(ctx, fresh, l.remembered(epoch))
+// replaceState replaces the state by one that was read from the store in an epoch.
+// Records that it lacks although they were recorded are kept for writeLostRecords.
+func (l *shardLog) replaceState(ctx context.Context, fresh *shardState, epoch store.Epoch) error {
+	missing, err := l.missingFrom(ctx, fresh, l.knownRecords(epoch))
 	if err != nil {
 		return err
 	}
 	listed := func(name segmentName) bool { return slices.ContainsFunc(fresh.value.segments, name.equal) }
-	var lost []segmentIndex
-	for _, index := range append(l.lost, l.state.indexes...) {
+	var lostSegments []segmentIndex
+	for _, index := range append(l.lostSegments, l.state.indexes...) {
 		_, held := l.recent.find(index.name)
 		if !held && !listed(index.name) && !index.name.expired(l.now()) {
-			lost = append(lost, index)
+			lostSegments = append(lostSegments, index)
 		}
 	}
 	l.metrics.lostRecords.Inc(int64(len(missing)))
-	l.lost, l.unmerged, l.state, l.readIndexes, l.epoch = lost, missing, fresh, nil, epoch
+	l.lostSegments, l.lostRecords, l.state, l.readIndexes, l.epoch = lostSegments, missing, fresh, nil, epoch
 	l.recent = l.recent.filter(func(s recentSegment) bool { return listed(s.name) })
 	return nil
 }
 
-// merge writes the records that the store has lost again; false without an error means
-// that the shard must be read again.
-func (l *shardLog) merge(ctx context.Context) (bool, error) {
+// writeLostRecords writes the records that the store has lost again; false without an
+// error means that the shard must be read again.
+func (l *shardLog) writeLostRecords(ctx context.Context) (bool, error) {
 	// A lost response concerns none of the batch's records.
 	maybeStored := l.maybeStored
 	defer func() { l.maybeStored = maybeStored }()
-	for len(l.unmerged) > 0 {
+	for len(l.lostRecords) > 0 {
 		count, size := 0, 0
-		for count < len(l.unmerged) && count < maxBatchRequests && size < maxBatchBytes {
-			encoded, err := encodeRecords(l.unmerged[count : count+1])
+		for count < len(l.lostRecords) && count < maxBatchRequests && size < maxBatchBytes {
+			encoded, err := encodeRecords(l.lostRecords[count : count+1])
 			if err != nil {
 				return false, err
 			}
 			size += len(encoded)
 			count++
 		}
-		done, err := l.tryWrite(ctx, l.unmerged[:count:count])
+		done, err := l.tryWrite(ctx, l.lostRecords[:count:count])
 		if err != nil || !done {
 			return false, err
 		}
-		l.unmerged = l.unmerged[count:]
+		l.lostRecords = l.lostRecords[count:]
 	}
 	return true, nil
 }
@@ -124,26 +124,27 @@
 		if err := l.refresh(ctx); err != nil {
 			return err
 		}
-		if merged, err := l.merge(ctx); err != nil || merged {
+		if complete, err := l.writeLostRecords(ctx); err != nil || complete {
 			return err
 		}
 	}
 	return errContention
 }
 
-// confirm records that the store responded to a call made at a time, in the epoch of the
-// state. What this log learned maxCopyAge before is in each copy that may follow.
-func (l *shardLog) confirm(asked time.Time) {
-	l.confirmedAt = asked
-	l.recent = l.recent.filter(func(s recentSegment) bool { return asked.Sub(s.learnedAt) < maxCopyAge })
+// confirm records that the store responded in the epoch of the state to a call that was
+// made at calledAt. A copy from which the store is restored later holds what this log
+// had learned maxCopyAge before the call, so that is no longer kept.
+func (l *shardLog) confirm(calledAt time.Time) {
+	l.confirmedAt = calledAt
+	l.recent = l.recent.filter(func(s recentSegment) bool { return calledAt.Sub(s.learnedAt) < maxCopyAge })
 }
 
-// settled reports whether the log can be dropped: the store, and each copy from which it
-// may come back, holds all that the log knows.
-func (l *shardLog) settled() bool {
+// canBeDropped reports whether the store, and each copy from which it may be restored,
+// holds all that the log knows.
+func (l *shardLog) canBeDropped() bool {
 	if l.changedAt.IsZero() {
 		return true
 	}
-	held := slices.ContainsFunc(l.lost, func(index segmentIndex) bool { return !index.name.expired(l.now()) })
-	return len(l.unmerged) == 0 && !held && l.confirmedAt.Sub(l.changedAt) >= maxCopyAge
+	hasLostSegment := slices.ContainsFunc(l.lostSegments, func(index segmentIndex) bool { return !index.name.expired(l.now()) })
+	return len(l.lostRecords) == 0 && !hasLostSegment && l.confirmedAt.Sub(l.changedAt) >= maxCopyAge
 }
--- a/internal/claim/shard_segments.go
+++ b/internal/claim/shard_segments.go
@@ -124,7 +124,7 @@
 func (l *shardLog) knownIndex(name segmentName, epoch store.Epoch) (segmentIndex, bool) {
 	known := l.readIndexes
 	if _, recent := l.recent.find(name); epoch == l.epoch || !recent {
-		known = slices.Concat(known, l.state.indexes, l.lost)
+		known = slices.Concat(known, l.state.indexes, l.lostSegments)
 	}
 	i := slices.IndexFunc(known, func(index segmentIndex) bool { return index.name.equal(name) })
 	if i < 0 {
@@ -133,11 +133,11 @@
 	return known[i], true
 }
 
-// keepSegment keeps the records of a segment that was read. Those held before under the
-// same name, from an earlier epoch, stay remembered.
+// keepSegment keeps the records of a segment that was read. Those held under the same
+// name, from an earlier epoch, become lost records.
 func (l *shardLog) keepSegment(name segmentName, records []record) {
 	if held, found := l.recent.find(name); found {
-		l.unmerged = append(l.unmerged, held...)
+		l.lostRecords = append(l.lostRecords, held...)
 	}
 	l.recent = l.recent.with(recentSegment{name: name, records: records, learnedAt: l.now()})
 }
@@ -153,7 +153,7 @@
 		for _, position := range l.state.candidateSegments(hash, l.now()) {
 			hashesBySegment[position] = append(hashesBySegment[position], hash)
 		}
-		for _, index := range l.lost {
+		for _, index := range l.lostSegments {
 			if !index.name.expired(l.now()) && index.mayHold(hash) {
 				sealed.markUnreadable([]uint64{hash}, errors.Wrapf(errSegmentMissing, "shard %d, segment %d", l.shard, index.name.number))
 			}
--- a/internal/claim/writer.go
+++ b/internal/claim/writer.go
@@ -222,7 +222,7 @@
 // idlePause returns the time until the log must be checked or can be dropped.
 func (w *writer) idlePause(log *shardLog) time.Duration {
 	idle := time.Since(w.usedAt)
-	if log.settled() {
+	if log.canBeDropped() {
 		return max(0, w.config.IdleTimeout-idle)
 	}
 	return min(max(minCheckPause, idle), maxCheckPause)
@@ -235,7 +235,7 @@
 	defer w.mu.Unlock()
 	switch {
 	case w.running || w.log == nil || w.base.Err() != nil:
-	case w.log.settled():
+	case w.log.canBeDropped():
 		w.log = nil
 	default:
 		w.running = true
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -39,8 +39,8 @@
 type Value struct {
 	Data     []byte
 	Revision Revision
-	// Epoch is that of the response. It dates the value of a missing key, whose
-	// revision is 0 in all epochs.
+	// Epoch is that of the response. The revision of a missing key, which is 0 in all
+	// epochs, does not tell it.
 	Epoch Epoch
 }
 
