--- a/internal/standin/app/check_in.go
+++ b/internal/standin/app/check_in.go
@@ -57,8 +57,8 @@
 		panic(err)
 	}
 	request.Header.Set("Content-Type", "application/json")
-	// The client closes the connection: a close by the node would follow the
-	// acknowledgement, and what is read at once has the time of its last part.
+	// The client closes the connection: a close by the node could be read together with
+	// the acknowledgement, which would then have the timestamp of the close.
 	client := &http.Client{Timeout: checkInTimeout, Transport: &http.Transport{DialContext: arrival.DialContext}}
 	response, err := client.Do(request)
 	if err != nil {
--- a/internal/standin/arrival/conn.go
+++ b/internal/standin/arrival/conn.go
@@ -14,7 +14,7 @@
 // controlBytes is the size of the buffer for the control message of a read.
 const controlBytes = 64
 
-// Conn is a TCP connection that dates the bytes it receives.
+// Conn is a TCP connection that records when the bytes it receives arrived.
 type Conn struct {
 	*net.TCPConn
 	raw syscall.RawConn
@@ -22,7 +22,7 @@
 	received atomic.Int64
 }
 
-// newConn returns a connection whose socket has its timestamps enabled.
+// newConn returns a Conn for a connection whose socket has its timestamps enabled.
 func newConn(tcp *net.TCPConn) (*Conn, error) {
 	raw, err := tcp.SyscallConn()
 	if err != nil {
@@ -36,8 +36,8 @@
 // the first read.
 func (c *Conn) LastReceived() time.Time { return time.Unix(0, c.received.Load()) }
 
-// Read reads like net.TCPConn and dates what was read. Bytes that the kernel has not
-// dated count as received now.
+// Read implements net.Conn and records when the bytes arrived. Bytes without a timestamp
+// of the kernel count as received now.
 func (c *Conn) Read(p []byte) (int, error) {
 	if len(p) == 0 {
 		return 0, nil
@@ -68,7 +68,7 @@
 	return n, nil
 }
 
-// WriteTo hides the method of net.TCPConn, which doesn't call Read.
+// WriteTo implements io.WriterTo through Read, which the method of net.TCPConn bypasses.
 func (c *Conn) WriteTo(w io.Writer) (int64, error) {
 	return io.Copy(w, struct{ io.Reader }{c})
 }
--- a/internal/standin/arrival/listener.go
+++ b/internal/standin/arrival/listener.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 )
 
-// Listener accepts connections that date the bytes they receive.
+// Listener accepts connections that record when their bytes arrived.
 type Listener struct{ net.Listener }
 
 // Listen listens on a TCP address.
@@ -26,20 +26,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return dated(conn)
+	return wrap(conn)
 }
 
-// DialContext connects to a TCP address and returns a *Conn.
-func DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Control: enableTimestamps}
-	conn, err := dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return dated(conn)
-}
-
-func dated(conn net.Conn) (*Conn, error) {
+// wrap returns a TCP connection as a Conn. It closes the connection when it fails.
+func wrap(conn net.Conn) (*Conn, error) {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		conn.Close()
--- a/internal/standin/arrival/timestamp.go
+++ b/internal/standin/arrival/timestamp.go
@@ -8,7 +8,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// enableTimestamps has the kernel date what a socket receives. Accepted sockets inherit
+// enableTimestamps enables the timestamps of the kernel for what a socket receives. Accepted sockets inherit
 // the option from their listener.
 func enableTimestamps(_, _ string, raw syscall.RawConn) error {
 	var optionErr error
