--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -5,8 +5,8 @@
 // metrics counts connections and requests.
 type metrics struct {
 	requests, pipelined, rejected, left, aborted, panics tally.Counter
-	// idleClosed counts the connections that the server closed without a request, as
-	// idle or at its end.
+	// idleClosed counts the connections that the server closed without a request: as
+	// idle, at its end or to make room for others.
 	idleClosed tally.Counter
 	// expired counts the connections that were ended to make room for others, and
 	// refusedConns those that found no room.
