--- a/internal/relay/child_session.go
+++ b/internal/relay/child_session.go
@@ -46,7 +46,7 @@
 		case <-s.child.replaced:
 			return nil
 		case <-s.relay.stopping:
-			return status.Error(codes.Unavailable, "the node is stopping")
+			return status.Errorf(codes.Unavailable, "node %s is stopping", s.relay.options.View().Self.ID)
 		case <-s.stream.Context().Done():
 			return s.stream.Context().Err()
 		case <-changed:
