--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -19,7 +19,7 @@
 	closed bool
 }
 
-// get returns an idle connection or dials a new one. kept is set for an idle one.
+// get returns an idle connection, for which kept is set, or dials a new one.
 func (p *pool) get(ctx context.Context) (c *conn, kept bool, err error) {
 	for {
 		c, err := p.takeIdleOrReserve()
--- a/internal/proxy/charged_reader.go
+++ b/internal/proxy/charged_reader.go
@@ -6,8 +6,8 @@
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
-// chargedReader is the body of a request whose bytes count against a budget while it is
-// charging.
+// chargedReader is the body of a request. While charging is set, the bytes that are read
+// from it are taken from a budget.
 type chargedReader struct {
 	io.ReadCloser
 	budget   *bufferBudget
--- a/internal/registry/watch_loop.go
+++ b/internal/registry/watch_loop.go
@@ -125,7 +125,7 @@
 	return next, nil
 }
 
-// askPeerOnce has a node that starts as a reader query a peer before it is ready. A
+// askPeerOnce makes a node that starts as a reader query a peer before it is ready. A
 // store that was restored may hold neither the newest configuration nor the entry in
 // which an earlier process of this node acknowledged that its server leaves; peers do.
 // Other nodes learn both from their leader.
--- a/internal/retry/after.go
+++ b/internal/retry/after.go
@@ -17,8 +17,8 @@
 
 // For returns the time for a refusal with the given code. left is the time until the
 // request must start to meet its objective. Several slots become free during OnTime,
-// so an overloaded service that takes most requests takes the returned one in time
-// too. Once the objective is missed, a later return has the better chance.
+// so that an overloaded service that accepts most requests can accept the repeated one
+// in time. A request that misses its objective anyway is more likely accepted later.
 func (a After) For(code result.Code, left time.Duration) time.Duration {
 	if code == result.Overloaded && left >= a.OnTime {
 		return min(a.OnTime, a.Default)
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -65,7 +65,7 @@
 }
 
 // newHTTPServer returns a server for the peers of the node, its backend server or its
-// operators, and the response, or nil, that refuses requests while it closes.
+// operators. refusal is the response to requests while the server closes; nil for none.
 func newHTTPServer(handler http.Handler, refusal []byte) *httpserver.Server {
 	return httpserver.New(httpserver.Options{
 		Handler: handler, Refusal: refusal, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
--- a/internal/slots/queue.go
+++ b/internal/slots/queue.go
@@ -210,9 +210,10 @@
 	return q.waitBehind(work, request.Short)
 }
 
-// waitBehind returns the time in which the slots do some work, in nanoseconds of one
-// slot. Short requests that arrive meanwhile overtake the others, so that only the
-// slots that they leave count (Cobham, Operations Research 2(1), 1954).
+// waitBehind returns the wait of a request behind an amount of work, given as the time
+// in nanoseconds that one slot needs for it. Short requests that arrive meanwhile
+// overtake the others, so that only the slots that they leave count (Cobham, Operations
+// Research 2(1), 1954).
 func (q *queue) waitBehind(work float64, short bool) time.Duration {
 	if q.slots == 0 {
 		return 0
@@ -249,7 +250,7 @@
 // an average busy slot. Refusing them would free hardly any capacity (shortest job
 // first, Schrage, Operations Research 16(3), 1968) and often wastes more elsewhere,
 // since they are mostly calls made by requests that run already. The average over
-// requests is no measure: many short ones lower it until none is short.
+// requests is not used: many short requests lower it until none counts as short.
 func (q *queue) isShort(now time.Time, route string) bool {
 	h := q.routes[route]
 	return h != nil && h.at(now) < shortRatio*q.busySlot.holdTime
