--- a/internal/ingress/capacity_test.go
+++ b/internal/ingress/capacity_test.go
@@ -18,7 +18,7 @@
 	g := gomega.NewWithT(t)
 	const (
 		silent, requests = 5000, 200
-		// maxGrowth is the memory that a front may hold for such connections.
+		// maxGrowth is the memory that the server may hold for such connections.
 		maxGrowth = 64 << 20
 		// maxLatency is the bound of the latency of others' requests, at the 99th percentile.
 		maxLatency = 200 * time.Millisecond
