--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -34,29 +34,6 @@
 	trimmedPosition uint64
 }
 
-// tableEntry is an entry with its state in the store and in the table.
-type tableEntry struct {
-	entry *Entry
-	// lapsedAt is when the entry left the store; zero while it is there.
-	lapsedAt time.Time
-	// lost is set if the entry lapsed because a restored store lacked it or only a peer
-	// reported it, which does not prove that its node has left.
-	lost bool
-	// position is the table's position at the last change of the entry.
-	position uint64
-}
-
-// removal is a node that was removed from the view, with its last entry and the
-// position at that time.
-type removal struct {
-	last     Entry
-	position uint64
-}
-
-// maxRemovals bounds the removals that are listed. A reader that missed more
-// needs the complete view.
-const maxRemovals = 256
-
 // NewTable returns an empty table. lapsedRetention is how long an entry that left
 // the store is kept, so that its node can write it again.
 func NewTable(lapsedRetention time.Duration) *Table {
@@ -122,13 +99,13 @@
 	t.publish()
 }
 
-// SyncFromRestoredStore merges the list of a store that has come back from an earlier
-// copy, and returns the nodes that the store lists although they have left. Every live
-// node writes its entry again, which the watch reports, so that a listed entry does not
-// prove that its node is alive: a node that had left, or whose entry had lapsed, is not
-// taken back by the entry that it left with. Entries that the store lacks count as
-// lapsed after rewrite, the time that their nodes need to write them again, counted from
-// the last such list: the store may have been away again meanwhile. One that a later list
+// SyncFromRestoredStore merges the list of a store that was restored from an earlier
+// copy, and returns the nodes that the store lists although they have left. A listed
+// entry does not prove that its node is alive, so a node that had left, or whose entry
+// had lapsed, is not added again by the entry that it left with; live nodes write their
+// entries again, which the watch reports. Entries that the store lacks count as lapsed
+// after rewrite, the time that their nodes need to write them again, counted from the
+// last such list: the store may have been away again meanwhile. One that a later list
 // holds has been written again, or is in the copy of a later restore.
 func (t *Table) SyncFromRestoredStore(entries []Entry, now time.Time, rewrite time.Duration) []string {
 	t.mu.Lock()
