End the registry's loops before the local entry is deleted

A node that had stopped could stay in the fleet of other nodes, as draining: until the lease of its last process ended (6 s) and the retention after it, or in the fleet of a leader until that leader lists the store again.

The loops ran on while a stopping node waited for the response to the deletion of its entry, which may take until the end of the grace if the store is slow or the response is lost. A reader learned of the deletion from its watch and wrote the entry again. The poll of a follower took the entry back into the fleet of its leader, to which the store reports a removal only once; since the leader also asks the follower to write it again.

DeleteLocalEntry now ends the loops first: nothing that they do is needed by a node without requests.

--- a/internal/registry/lease_loop.go
+++ b/internal/registry/lease_loop.go
@@ -109,8 +109,11 @@
 	return lease, nil
 }
 
-// DeleteLocalEntry deletes the local entry from the store.
+// DeleteLocalEntry deletes the local entry from the store. It ends Run before: a node that
+// learns of the removal of its entry would write it again, and its polls would keep it in
+// the fleet of its leader.
 func (r *Registry) DeleteLocalEntry(ctx context.Context) error {
+	r.leave()
 	return r.deps.Store.Delete(ctx, r.config.EntriesPrefix+r.LocalEntry().Node)
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -46,6 +46,9 @@
 	changesFailed atomic.Bool
 	// exchanged is set once a peer has responded with its state.
 	exchanged atomic.Bool
+	// left ends when the node deletes its entry, and leave ends it.
+	left  context.Context
+	leave context.CancelFunc
 	// updates wakes the pending long polls of followers.
 	updates *notifier
 	// runID identifies this run of the process to followers.
@@ -102,7 +105,9 @@
 	}
 	scope := deps.Scope.SubScope("registry")
 	deps.Fleet.Merge(local)
+	left, leave := context.WithCancel(context.Background())
 	return &Registry{
+		left: left, leave: leave,
 		config: config, deps: deps, local: local, startedAt: deps.Now(), runID: deps.Now().UnixNano(),
 		peerTrigger: make(chan struct{}, 1), localChanged: make(chan struct{}, 1),
 		updates: newNotifier(), leaderCooldownUntil: make(map[string]time.Time), suspects: make(map[string]fleet.Entry),
@@ -111,8 +116,12 @@
 	}, nil
 }
 
-// Run keeps the view and the entry current until the context ends.
+// Run keeps the view and the entry current until the context ends or DeleteLocalEntry is
+// called.
 func (r *Registry) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(r.left, cancel)()
 	var loops sync.WaitGroup
 	loops.Go(func() { r.watchLoop(ctx) })
 	loops.Go(func() { r.leaseLoop(ctx) })
