Don't wait at the start for a host that accepts no connection

Cause: a reader queries a peer before it reads the configuration, for PeerTimeout (0.4 s) at most. A host without power answers no SYN, so that the query lasted the whole time when the peer was not up yet ("peer did not respond to the query at the start").

A live host accepts a connection within a round trip. The query now ends when the connection is not there after 60 ms; once it is, the peer has the whole time as before.

--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -51,6 +51,10 @@
 }
 
 func startRegistryWith(t *testing.T, shared Store, name string, change func(*Config)) *testRegistry {
+	return startRegistryWithPeers(t, shared, name, http.DefaultClient, change)
+}
+
+func startRegistryWithPeers(t *testing.T, shared Store, name string, peers *http.Client, change func(*Config)) *testRegistry {
 	r := &testRegistry{routes: &routing.Holder{}, fleet: fleet.NewTable(500 * time.Millisecond)}
 	r.inbound = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) { r.ServeHTTP(w, request) }))
 	t.Cleanup(r.inbound.Close)
@@ -66,7 +70,7 @@
 	}
 	var err error
 	r.Registry, err = New(config, Deps{
-		Store: shared, Decode: decodeTest, Routes: r.routes, Fleet: r.fleet, PeerClient: http.DefaultClient, LeaderClient: http.DefaultClient,
+		Store: shared, Decode: decodeTest, Routes: r.routes, Fleet: r.fleet, PeerClient: peers, LeaderClient: http.DefaultClient,
 		Log: telemetry.DiscardLogger(), Scope: tally.NoopScope, Now: time.Now, Random: func() float64 { return 0.5 },
 		OnReached: func(string) {}, OnPrevious: func(fleet.Entry) {},
 	}, local)
--- a/internal/registry/watch_loop.go
+++ b/internal/registry/watch_loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http/httptrace"
 	"slices"
 	"time"
 
@@ -140,11 +141,19 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.config.PeerTimeout)
 	defer cancel()
+	unreachable := time.AfterFunc(startConnectTimeout, cancel)
+	defer unreachable.Stop()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { unreachable.Stop() }})
 	if !r.queryPeer(ctx, peer) {
 		r.deps.Log.WithField("peer", peer.Node).Info("peer did not respond to the query at the start")
 	}
 }
 
+// startConnectTimeout is how long a starting node waits for a peer to accept its
+// connection: two round trips between regions. After a common restart the peer's host may
+// not be up, and calls are refused meanwhile.
+const startConnectTimeout = 60 * time.Millisecond
+
 // firstWatchWait is the wait of the watch after StartPause, whose events have occurred
 // already. It delays a node without a fleet.
 const firstWatchWait = 100 * time.Millisecond
