Count crashes by the servers that one content explains, not by their times

Cause: the blocklist counted crashes within a second of each other as one, to protect frequent content when many servers lose their power together. A request's own repeats are faster than that, so the eight crashes of the users' record counted as two, and a block needs three.

Time can't tell the two cases apart, so other evidence replaces it: - a node doesn't charge content that the same run of its server finished in the 5 s before the crash; - a success on any server clears crashes up to 5 s later, and no longer all later ones; - the content with most crashes explains them, and content beside it is charged only with the rest; - servers that end in the same second and run nothing that explains it offset one crash each; - a broken exchange is charged only with the end of the run that broke it.

--- a/internal/crash/blocklist.go
+++ b/internal/crash/blocklist.go
@@ -1,9 +1,6 @@
 package crash
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// crashesToBlock is the number of crashes after which content is refused.
@@ -13,67 +10,64 @@
 	// crash usually has a cause that all requests running at the time share, and
 	// each clearing is a write to the store.
 	crashesToClear = crashesToBlock - 1
-	// commonCauseWindow is the time between two crashes below which they count as
-	// one: servers that end together have lost their power or their failure
-	// domain.
+	// commonCauseWindow is the time within which crashes may have a common cause:
+	// servers that end together have lost their power or their failure domain.
 	commonCauseWindow = time.Second
 )
 
-// Blocklist says which content is refused: content that was running in three
-// crashes at different times and that no server ever finished. It is immutable;
-// the zero value refuses nothing.
+// Blocklist says which content is refused: content that alone explains three crashes of
+// servers and that no server finished since. It is immutable; the zero value refuses
+// nothing.
 type Blocklist struct {
-	// crashes counts the crashes of each content that was running in more than
-	// one.
+	// crashes counts the crashes of each content that explains more than one.
 	crashes map[Fingerprint]int
-	served  map[Fingerprint]bool
 }
 
 // NewBlocklist derives the blocklist from the records of all nodes.
+//
+// The content that was running in most crashes explains them, and other content is
+// charged only with the rest: a server that ends was running other requests besides the
+// one that ended it. The time between crashes is no evidence, as callers and their
+// proxies repeat a request within milliseconds.
 func NewBlocklist(records []ParsedRecord) Blocklist {
-	times := make(map[Fingerprint][]time.Time)
-	b := Blocklist{crashes: make(map[Fingerprint]int), served: make(map[Fingerprint]bool)}
-	for _, record := range records {
-		for _, o := range record.Crashed {
-			times[o.Content] = append(times[o.Content], o.At)
+	events := eventsOf(records)
+	b := Blocklist{crashes: make(map[Fingerprint]int)}
+	for len(events) > 0 {
+		counts := countCrashes(events)
+		most := 0
+		for _, count := range counts {
+			most = max(most, count)
 		}
-		for _, o := range record.Served {
-			b.served[o.Content] = true
+		if most < crashesToClear {
+			break
 		}
-	}
-	for content, at := range times {
-		if count := countDistinct(at); count >= crashesToClear {
-			b.crashes[content] = count
+		explains := func(content Fingerprint) bool { return counts[content] == most }
+		for content := range counts {
+			if explains(content) {
+				b.crashes[content] = most
+			}
 		}
+		events = dropExplained(events, explains)
 	}
 	return b
 }
 
-// countDistinct counts the times; those within commonCauseWindow of each other
-// count once.
-func countDistinct(times []time.Time) int {
-	slices.SortFunc(times, time.Time.Compare)
-	count := 0
-	var last time.Time
-	for _, at := range times {
-		if count == 0 || at.Sub(last) >= commonCauseWindow {
-			count, last = count+1, at
-		}
-	}
-	return count
-}
-
-// Empty reports whether no content is suspect, so that fingerprints are not
-// needed.
+// Empty reports whether no content is suspect.
 func (b Blocklist) Empty() bool { return len(b.crashes) == 0 }
 
-// IsSuspect reports whether content was running in several crashes and no server
-// is known to have finished it.
-func (b Blocklist) IsSuspect(content Fingerprint) bool {
-	return b.crashes[content] > 0 && !b.served[content]
-}
+// IsSuspect reports whether content explains several crashes.
+func (b Blocklist) IsSuspect(content Fingerprint) bool { return b.crashes[content] > 0 }
 
 // Contains reports whether content is refused.
-func (b Blocklist) Contains(content Fingerprint) bool {
-	return b.crashes[content] >= crashesToBlock && !b.served[content]
+func (b Blocklist) Contains(content Fingerprint) bool { return b.crashes[content] >= crashesToBlock }
+
+// Blocked returns the number of contents that are refused.
+func (b Blocklist) Blocked() int {
+	blocked := 0
+	for content := range b.crashes {
+		if b.Contains(content) {
+			blocked++
+		}
+	}
+	return blocked
 }
--- a/internal/crash/fingerprint.go
+++ b/internal/crash/fingerprint.go
@@ -5,6 +5,10 @@
 // Fingerprint identifies the content of a request.
 type Fingerprint uint64
 
+// NoContent stands for a crash of a server that was running no request which may have
+// caused it.
+const NoContent Fingerprint = 0
+
 // numberBase is the base of encoded fingerprints and times.
 const numberBase = 36
 
--- a/internal/crash/occurrence.go
+++ b/internal/crash/occurrence.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Occurrence is the content of a request and the time at which its exchange broke,
-// its server crashed or its server finished it.
+// Occurrence is the content of a request and the time at which its server crashed or
+// finished it. All occurrences of one crash have the same time.
 type Occurrence struct {
 	Content Fingerprint
 	At      time.Time
--- a/internal/crash/record.go
+++ b/internal/crash/record.go
@@ -15,6 +15,10 @@
 	// break: the exchanges of a server that ends break together, and each is recorded
 	// by its own goroutine.
 	lateBreakWindow = 500 * time.Millisecond
+	// vouchWindow is how long content that a server finished is not charged with a
+	// crash. It covers the hold times of slow requests, so that content which runs on
+	// many servers at once has been finished by each of them within it.
+	vouchWindow = 5 * time.Second
 	// retention is how long occurrences are kept, and so how long content is
 	// refused after its last crash.
 	retention = 10 * time.Minute
@@ -27,15 +31,17 @@
 // concurrent use.
 type Record struct {
 	mu sync.Mutex
-	// broken lists the recent exchanges that broke while the server was running
-	// them.
-	broken []Occurrence
-	// endedServer is the last server that ended without notice, and endedAt when that
-	// was noticed.
-	endedServer string
-	endedAt     time.Time
-	// crashed has an item for each crash of the server and each content that it
-	// was running; served lists the suspect content that the server finished.
+	// broken lists the recent broken exchanges of servers that are not known to have
+	// ended.
+	broken []brokenExchange
+	// finished holds what the current run of the server has finished.
+	finished recentContents
+	// endedServer is the last server that ended without notice, noticedAt when that was
+	// noticed, and crashedAt the date of the crash.
+	endedServer          string
+	noticedAt, crashedAt time.Time
+	// crashed has an item for each crash of the server and each content that may have
+	// caused it; served lists the suspect content that the server finished.
 	// Both are ordered by age, oldest first.
 	crashed, served []Occurrence
 }
@@ -46,54 +52,112 @@
 func (r *Record) AddBroken(now time.Time, server string, content Fingerprint) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	o := Occurrence{content, now}
-	if server == r.endedServer && now.Sub(r.endedAt) <= lateBreakWindow {
-		return r.addCrashed(o)
+	if server == r.endedServer && now.Sub(r.noticedAt) <= lateBreakWindow {
+		return r.charge(server, content)
 	}
-	r.broken = appendBounded(dropBefore(r.broken, now.Add(-attributionWindow)), o)
+	r.broken = slices.DeleteFunc(r.broken, func(b brokenExchange) bool { return now.Sub(b.at) > attributionWindow })
+	if len(r.broken) >= maxOccurrences {
+		r.broken = r.broken[1:]
+	}
+	r.broken = append(r.broken, brokenExchange{server, content, now})
 	return false
 }
 
-// AddCrash records that a server has ended without notice, and reports whether the
-// record has changed. A crash is dated by its broken exchanges, because it may be
+// AddCrash records that a server has ended without notice, and reports whether content
+// is charged with it. A crash is dated by its first broken exchange, because it may be
 // noticed only when the server is back.
 func (r *Record) AddCrash(now time.Time, server string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	recent := dropBefore(r.broken, now.Add(-attributionWindow))
-	r.broken = nil
-	r.endedServer, r.endedAt = server, now
-	changed := false
-	for _, o := range recent {
-		changed = r.addCrashed(o) || changed
+	var running, others []brokenExchange
+	for _, b := range r.broken {
+		switch {
+		case now.Sub(b.at) > attributionWindow:
+		case b.server == server:
+			running = append(running, b)
+		default:
+			others = append(others, b)
+		}
+	}
+	r.broken = others
+	r.endedServer, r.noticedAt, r.crashedAt = server, now, now
+	if len(running) > 0 {
+		r.crashedAt = running[0].at
+	}
+	charged := false
+	for _, b := range running {
+		charged = r.charge(server, b.content) || charged
 	}
-	return changed
+	if !charged {
+		r.addUnexplained()
+	}
+	return charged
 }
 
-// addCrashed adds content that was running in a crash. Requests of the same content
-// that ran together count as one.
-func (r *Record) addCrashed(o Occurrence) bool {
-	if slices.ContainsFunc(r.crashed, func(other Occurrence) bool {
-		return other.Content == o.Content && o.At.Sub(other.At) < commonCauseWindow
-	}) {
+// charge adds content that was running in the last crash, unless the same run of the
+// server has finished it just before. Requests of the same content that ran together
+// count as one.
+func (r *Record) charge(server string, content Fingerprint) bool {
+	o := Occurrence{content, r.crashedAt}
+	if r.finished.contains(r.crashedAt, server, content) || slices.Contains(r.crashed, o) {
 		return false
 	}
+	r.crashed = slices.DeleteFunc(r.crashed, func(other Occurrence) bool { return other == Occurrence{NoContent, r.crashedAt} })
 	r.crashed = appendBounded(r.crashed, o)
 	return true
 }
 
-// AddServed records that the server finished suspect content, which clears it,
-// and reports whether the record has changed.
+// addUnexplained adds a crash that no content explains. Only the latest one is kept:
+// it is compared with crashes of other servers at the same time.
+func (r *Record) addUnexplained() {
+	r.crashed = slices.DeleteFunc(r.crashed, func(o Occurrence) bool { return o.Content == NoContent })
+	r.crashed = appendBounded(r.crashed, Occurrence{NoContent, r.crashedAt})
+}
+
+// AddFinished records that a server finished content, which a crash of the same run
+// within vouchWindow is not charged to.
+func (r *Record) AddFinished(now time.Time, server string, content Fingerprint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.finished.add(now, server, content)
+}
+
+// AddServed records that the server finished suspect content, which clears it, and
+// reports whether the record has changed. A later crash needs a newer time only once it
+// may be outside vouchWindow.
 func (r *Record) AddServed(now time.Time, content Fingerprint) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if slices.ContainsFunc(r.served, func(o Occurrence) bool { return o.Content == content }) {
-		return false
+	known := slices.IndexFunc(r.served, func(o Occurrence) bool { return o.Content == content })
+	if known >= 0 {
+		if now.Sub(r.served[known].At) < vouchWindow/2 {
+			return false
+		}
+		r.served = slices.Delete(r.served, known, known+1)
 	}
 	r.served = appendBounded(r.served, Occurrence{content, now})
 	return true
 }
 
+// Adopt adds what an earlier process of this node has recorded, and reports whether the
+// record has changed.
+func (r *Record) Adopt(earlier ParsedRecord) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := len(r.crashed) + len(r.served)
+	r.crashed = prepend(earlier.Crashed, r.crashed)
+	r.served = prepend(earlier.Served, r.served)
+	return len(r.crashed)+len(r.served) > before
+}
+
+// prepend returns the items of earlier that list lacks, followed by list. When there are
+// too many, the oldest are left out.
+func prepend(earlier, list []Occurrence) []Occurrence {
+	merged := slices.DeleteFunc(slices.Clone(earlier), func(o Occurrence) bool { return slices.Contains(list, o) })
+	merged = append(merged, list...)
+	return merged[max(0, len(merged)-maxOccurrences):]
+}
+
 // Expire drops occurrences older than the retention, and reports whether the
 // record has changed.
 func (r *Record) Expire(now time.Time) bool {
--- a/internal/proxy/crash_test.go
+++ b/internal/proxy/crash_test.go
@@ -33,7 +33,7 @@
 			n.crashes.AddCrash(f.now(), "server-"+n.name)
 			f.publish(n)
 		}
-		// Crashes within a second count as one.
+		// Both servers end in each round, which offsets crashes within a second.
 		f.clockOffset.Add(int64(1200 * time.Millisecond))
 	}
 	response := send("d", "/post/poison")
--- a/internal/proxy/inbound_crash.go
+++ b/internal/proxy/inbound_crash.go
@@ -15,11 +15,9 @@
 		go in.checkCrash()
 		return
 	}
-	blocks := in.deps.View().Blocklist()
-	if blocks.Empty() {
-		return
-	}
-	if content := req.content(); blocks.IsSuspect(content) && in.deps.Crashes.AddServed(in.deps.Now(), content) {
+	now, content := in.deps.Now(), req.content()
+	in.deps.Crashes.AddFinished(now, server, content)
+	if in.deps.View().Blocklist().IsSuspect(content) && in.deps.Crashes.AddServed(now, content) {
 		in.deps.CrashesChanged()
 	}
 }
--- a/internal/standin/platformscenario/scenario_test.go
+++ b/internal/standin/platformscenario/scenario_test.go
@@ -214,9 +214,9 @@
 			logLines(ts, "server changed", "server ended", "poison")
 			ts.Fatalf("after %d crashes the request got status %d and crashed %d servers; want a refusal with 503 after %d crashes", crashes, status, len(crashed), limit)
 		}
-		// Crashes within one second count as one, and a restart takes some time.
 		time.Sleep(restartDelay)
 		ts.Check(d.StartApp(crashed[0]))
+		// The record of the crash must reach the other nodes.
 		time.Sleep(time.Second)
 	}
 }
