Check the blocklist again after the wait for a slot

The inbound proxy asked the blocklist before a request waited for a slot, and not after it, although it checks the server again then. Found by reading.

Both checks are one function, checkRunnable, which is asked wherever a request is about to be written.

--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -54,12 +54,9 @@
 // from forwarding to its head.
 func (in *inbound) admit(ctx context.Context, req *upstreamRequest) (*serverResponse, *refusalReason, time.Duration) {
 	server := in.deps.Server.Server()
-	if refusal := in.checkServer(req, server.State); refusal != nil {
+	if refusal := in.checkRunnable(req, server.State); refusal != nil {
 		return nil, refusal, 0
 	}
-	if blocks := in.deps.View().Blocklist(); !blocks.Empty() && blocks.Contains(req.content()) {
-		return nil, newRefusal(result.Quarantined, "requests with this content have crashed several servers"), 0
-	}
 	ctx, cancel := context.WithDeadline(ctx, req.deadline.Add(in.config.ResponseGrace/2))
 	release, err := in.deps.Slots.Acquire(ctx, slots.Request{Route: req.route, Priority: req.priority, Late: req.late, Due: req.due, Deadline: req.deadline, MaxWait: req.maxWait})
 	if err != nil {
@@ -68,9 +65,9 @@
 		return nil, refusal, 0
 	}
 	in.sending.Add(1)
-	// The server may have changed while the request waited.
+	// The server and the blocklist may have changed while the request waited.
 	server = in.deps.Server.Server()
-	refusal := in.checkServer(req, server.State)
+	refusal := in.checkRunnable(req, server.State)
 	if refusal == nil && (ctx.Err() != nil || req.expired(in.deps.Now())) {
 		refusal = in.admissionRefusal(ctx, result.Errorf(result.DeadlineNotRun, "the deadline passed before the request was forwarded to the server"))
 	}
@@ -111,6 +108,18 @@
 	}
 }
 
+// checkRunnable returns why a request can't run at the server in the given state; nil
+// when it can.
+func (in *inbound) checkRunnable(req *upstreamRequest, state fleet.State) *refusalReason {
+	if refusal := in.checkServer(req, state); refusal != nil {
+		return refusal
+	}
+	if blocks := in.deps.View().Blocklist(); !blocks.Empty() && blocks.Contains(req.content()) {
+		return newRefusal(result.Quarantined, "requests with this content have crashed several servers")
+	}
+	return nil
+}
+
 func (in *inbound) admissionRefusal(ctx context.Context, err error) *refusalReason {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return &refusalReason{code: result.DeadlineNotRun, message: "the caller cancelled the request", cancelled: true}
@@ -144,7 +153,7 @@
 func (in *inbound) mayResend(req *upstreamRequest, server string) bool {
 	in.sending.Add(1)
 	current := in.deps.Server.Server()
-	if current.ID == server && in.checkServer(req, current.State) == nil {
+	if current.ID == server && in.checkRunnable(req, current.State) == nil {
 		return true
 	}
 	in.sending.Add(-1)
