Don't say "not run" for a retried request whose content is blocked meanwhile

A caller's idempotent request crashed one server, its content was blocked before the retry, and the outbound proxy returned the refusal of the second attempt: 503, which says that the request has not run.

TestRetriedContentThatIsBlockedMayHaveRun fails before with 503 and gets 502 now: the refusal passes finalRefusal, as every other one that follows an attempt which may have run.

--- a/internal/proxy/outbound_attempts.go
+++ b/internal/proxy/outbound_attempts.go
@@ -31,8 +31,10 @@
 		last = refusal
 		c.recordRefusal(refusal)
 		switch {
-		case refusal.cancelled || refusal.code == result.Quarantined || (c.mayHaveRun && !c.request.idempotent):
+		case refusal.cancelled || (c.mayHaveRun && !c.request.idempotent):
 			return nil, refusal
+		case refusal.code == result.Quarantined:
+			return nil, o.finalRefusal(c, refusal)
 		case refusal.maybeDelivered:
 			if !o.takeRetry(ctx, c) {
 				return nil, o.finalRefusal(c, refusal)
--- a/internal/proxy/queued_crash_test.go
+++ b/internal/proxy/queued_crash_test.go
@@ -36,6 +36,23 @@
 	g.Expect(n.backend.runCount("queued")).To(gomega.BeZero())
 }
 
+// TestRetriedContentThatIsBlockedMayHaveRun guards against a refusal that says "not run"
+// for a request which has crashed a server before its content was blocked.
+func TestRetriedContentThatIsBlockedMayHaveRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newTestFleet(t, 2, 4)
+	request := &upstreamRequest{method: http.MethodGet, host: testHost, uri: "/get/poison", body: &exchange.Body{}}
+	for _, n := range f.nodes {
+		n.backend.handle = func(http.ResponseWriter, *http.Request) {
+			blockContent(f, request.content())
+			panic(http.ErrAbortHandler)
+		}
+	}
+	got := f.send(t.Context(), http.MethodGet, "/get/poison", "a", "")
+	g.Expect(f.nodes[0].backend.runCount("a") + f.nodes[1].backend.runCount("a")).To(gomega.Equal(1))
+	g.Expect(got.status).To(gomega.Equal(http.StatusBadGateway), got.body)
+}
+
 // blockContent has content refused by the fleet.
 func blockContent(f *testFleet, content crash.Fingerprint) {
 	n := f.nodes[0]
