Adopt the crash record of an earlier process of the node

A node publishes the crashes that it saw in its fleet entry.

Scenario poison-restart, before: after the restart of four sidecars the request is answered 502 and crashes a fourth server. Now it is refused at once. The record is adopted where the leaving of a server already is; a record of a node that leaves for good is still lost with its entry.

--- a/internal/sidecar/crashes.go
+++ b/internal/sidecar/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rosemaryladder.dev/rosemaryladder/internal/crash"
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 	"rosemaryladder.dev/rosemaryladder/internal/instance"
 )
@@ -25,3 +26,17 @@
 func (s *Sidecar) publishCrashes() {
 	s.registry.UpdateLocalEntry(func(entry *fleet.Entry) { entry.Crashes = s.crashes.String() })
 }
+
+// adoptCrashes adopts the crash record of an earlier process, so that content stays
+// refused after a restart of the nodes that recorded its crashes.
+func (s *Sidecar) adoptCrashes(previous fleet.Entry) {
+	record, err := crash.ParseRecord(previous.Crashes)
+	if err != nil {
+		s.log.WithError(err).Warn("crash record of an earlier process rejected")
+		return
+	}
+	if s.crashes.Adopt(record) {
+		s.log.WithField("crashes", s.crashes.String()).Info("crash record adopted from the entry of an earlier process")
+		s.publishCrashes()
+	}
+}
--- a/internal/sidecar/server_change.go
+++ b/internal/sidecar/server_change.go
@@ -41,9 +41,16 @@
 	})
 }
 
-// adoptLeaving adopts the leaving of the backend server from the entry of an earlier
-// process of this node, which has acknowledged it. The server may not announce it
-// again, and a delayed announcement may still say that it is ready.
+// adoptPrevious adopts from the entry of an earlier process of this node what the fleet
+// would lose with that entry: the leaving of the backend server and the crash record.
+func (s *Sidecar) adoptPrevious(previous fleet.Entry) {
+	s.adoptLeaving(previous)
+	s.adoptCrashes(previous)
+}
+
+// adoptLeaving adopts the leaving of the backend server, which the earlier process has
+// acknowledged. The server may not announce it again, and a delayed announcement may
+// still say that it is ready.
 func (s *Sidecar) adoptLeaving(previous fleet.Entry) {
 	if previous.LeavingServer == "" {
 		return
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -107,7 +107,7 @@
 		Decode: s.adapter.DecodeConfiguration, Routes: s.routes, Fleet: s.fleet,
 		PeerClient: &http.Client{Transport: peerTransport(dialer)}, LeaderClient: &http.Client{Transport: leaderTransport(dialer)},
 		Log: s.log, Scope: s.metrics.Scope, Now: time.Now, Random: rand.Float64,
-		OnReached: s.balancer.MarkReachable, OnPrevious: s.adoptLeaving,
+		OnReached: s.balancer.MarkReachable, OnPrevious: s.adoptPrevious,
 	}, local)
 	return err
 }
