Log and count the ends of servers and the contents that they block

Each end without notice is logged and counted now, charged or not, and each node logs when the number of contents that it refuses changes, with the evidence.

--- a/internal/crash/blocklist.go
+++ b/internal/crash/blocklist.go
@@ -1,6 +1,11 @@
 package crash
 
-import "time"
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
 
 const (
 	// crashesToBlock is the number of crashes after which content is refused.
@@ -71,3 +76,13 @@
 	}
 	return blocked
 }
+
+// String lists the suspect contents with the crashes that each explains.
+func (b Blocklist) String() string {
+	items := make([]string, 0, len(b.crashes))
+	for content, crashes := range b.crashes {
+		items = append(items, content.String()+":"+strconv.Itoa(crashes))
+	}
+	slices.Sort(items)
+	return strings.Join(items, itemSeparator)
+}
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -29,6 +29,8 @@
 	// removals of nodes, oldest first.
 	position uint64
 	removals []removal
+	// onBlocklist is called when the number of refused contents has changed.
+	onBlocklist func(crash.Blocklist)
 	// trimmedPosition is the position of the newest removal that is no longer
 	// listed.
 	trimmedPosition uint64
@@ -43,6 +45,10 @@
 	return table
 }
 
+// OnBlocklist sets a function that is called when the number of refused contents has
+// changed. It must not call the table. It is set before the first entry is merged.
+func (t *Table) OnBlocklist(call func(crash.Blocklist)) { t.onBlocklist = call }
+
 // View returns the published view.
 func (t *Table) View() *View { return t.view.Load() }
 
@@ -294,7 +300,13 @@
 
 // publish publishes a view of the entries unless the published one has the same.
 func (t *Table) publish() {
-	if t.view.Load().position != t.position {
-		t.view.Store(newView(&t.index, t.position))
+	previous := t.view.Load()
+	if previous.position == t.position {
+		return
+	}
+	current := newView(&t.index, t.position)
+	t.view.Store(current)
+	if t.onBlocklist != nil && previous.blocklist.Blocked() != current.blocklist.Blocked() {
+		t.onBlocklist(current.blocklist)
 	}
 }
--- a/internal/sidecar/crashes.go
+++ b/internal/sidecar/crashes.go
@@ -17,9 +17,21 @@
 // recordCrash records the requests that a backend server was running when it ended
 // without notice.
 func (s *Sidecar) recordCrash(old, next instance.Server) {
-	if endedWithoutNotice(old, next) && s.crashes.AddCrash(time.Now(), old.ID) {
-		s.log.WithFields(map[string]any{"server": old.ID, "crashes": s.crashes.String()}).Info("server ended while it ran requests")
+	if !endedWithoutNotice(old, next) {
+		return
+	}
+	s.metrics.Scope.Counter("server_ends").Inc(1)
+	charged := s.crashes.AddCrash(time.Now(), old.ID)
+	if charged {
+		s.metrics.Scope.Counter("server_ends_charged").Inc(1)
 	}
+	s.log.WithFields(map[string]any{"server": old.ID, "charged": charged, "crashes": s.crashes.String()}).Info("server ended without notice")
+}
+
+// blocklistChanged logs and counts the contents that are refused.
+func (s *Sidecar) blocklistChanged(blocks crash.Blocklist) {
+	s.metrics.Scope.Gauge("blocked_contents").Update(float64(blocks.Blocked()))
+	s.log.WithFields(map[string]any{"blocked": blocks.Blocked(), "suspects": blocks.String()}).Info("contents refused because they crash servers changed")
 }
 
 // publishCrashes puts the crash record into the local fleet entry.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -64,6 +64,7 @@
 		slots:   slots.NewController(time.Now),
 	}
 	s.settings.Store(&loaded)
+	s.fleet.OnBlocklist(s.blocklistChanged)
 	for _, step := range []func(settings.Sidecar) error{s.buildBalancer, s.buildRegistry, s.buildProxy, s.buildCallers, s.listen} {
 		if err := step(loaded); err != nil {
 			return nil, err
