Keep repeated content in a full crash record

A record holds 32 occurrences and dropped the oldest.

TestRecordKeepsRepeatedContent fails before. A full record now drops content that was running in one crash only, oldest first; the bound stays.

--- a/internal/crash/common_cause_test.go
+++ b/internal/crash/common_cause_test.go
@@ -124,6 +124,26 @@
 	g.Expect(parsed.Crashed).To(gomega.Equal([]Occurrence{{poison, start}}))
 }
 
+// TestRecordKeepsRepeatedContent guards against content that is never refused, because
+// each crash of a server with many slots drops the crashes before from its full record.
+func TestRecordKeepsRepeatedContent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := &Record{}
+	for i := range 3 {
+		server, at := fmt.Sprintf("s%d", i), start.Add(time.Duration(i)*time.Second)
+		for slot := range 20 {
+			content := Fingerprint(100 + 20*i + slot)
+			// The order in which exchanges break differs from crash to crash.
+			if slot == 9*i {
+				content = poison
+			}
+			r.AddBroken(at, server, content)
+		}
+		r.AddCrash(at, server)
+	}
+	g.Expect(blocklistOf(t, r).Contains(poison)).To(gomega.BeTrue())
+}
+
 // TestRecordOfEarlierProcessIsAdopted guards against crashes that are forgotten because
 // the node that recorded them restarts.
 func TestRecordOfEarlierProcessIsAdopted(t *testing.T) {
--- a/internal/crash/record.go
+++ b/internal/crash/record.go
@@ -53,6 +53,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if server == r.endedServer && now.Sub(r.noticedAt) <= lateBreakWindow {
+		defer r.dropLeastSuspect()
 		return r.charge(server, content)
 	}
 	r.broken = slices.DeleteFunc(r.broken, func(b brokenExchange) bool { return now.Sub(b.at) > attributionWindow })
@@ -91,6 +92,7 @@
 	if !charged {
 		r.addUnexplained()
 	}
+	r.dropLeastSuspect()
 	return charged
 }
 
@@ -103,15 +105,28 @@
 		return false
 	}
 	r.crashed = slices.DeleteFunc(r.crashed, func(other Occurrence) bool { return other == Occurrence{NoContent, r.crashedAt} })
-	r.crashed = appendBounded(r.crashed, o)
+	r.crashed = append(r.crashed, o)
 	return true
 }
 
+// dropLeastSuspect keeps the record within its bound. It drops the oldest crash of
+// content that was running in no other one, or the oldest of all when there is none.
+func (r *Record) dropLeastSuspect() {
+	for len(r.crashed) > maxOccurrences {
+		crashes := make(map[Fingerprint]int)
+		for _, o := range r.crashed {
+			crashes[o.Content]++
+		}
+		drop := max(0, slices.IndexFunc(r.crashed, func(o Occurrence) bool { return crashes[o.Content] == 1 }))
+		r.crashed = slices.Delete(r.crashed, drop, drop+1)
+	}
+}
+
 // addUnexplained adds a crash that no content explains. Only the latest one is kept:
 // it is compared with crashes of other servers at the same time.
 func (r *Record) addUnexplained() {
 	r.crashed = slices.DeleteFunc(r.crashed, func(o Occurrence) bool { return o.Content == NoContent })
-	r.crashed = appendBounded(r.crashed, Occurrence{NoContent, r.crashedAt})
+	r.crashed = append(r.crashed, Occurrence{NoContent, r.crashedAt})
 }
 
 // AddFinished records that a server finished content, which a crash of the same run
@@ -135,7 +150,10 @@
 		}
 		r.served = slices.Delete(r.served, known, known+1)
 	}
-	r.served = appendBounded(r.served, Occurrence{content, now})
+	if len(r.served) >= maxOccurrences {
+		r.served = r.served[1:]
+	}
+	r.served = append(r.served, Occurrence{content, now})
 	return true
 }
 
@@ -177,14 +195,6 @@
 	return encode(r.crashed, r.served)
 }
 
-// appendBounded appends to a list and drops its oldest item when it is full.
-func appendBounded(list []Occurrence, o Occurrence) []Occurrence {
-	if len(list) >= maxOccurrences {
-		list = list[1:]
-	}
-	return append(list, o)
-}
-
 // dropBefore returns the items at or after a time.
 func dropBefore(list []Occurrence, from time.Time) []Occurrence {
 	first := slices.IndexFunc(list, func(o Occurrence) bool { return !o.At.Before(from) })
