--- a/internal/standin/app/app.go
+++ b/internal/standin/app/app.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -49,6 +50,8 @@
 	crashed atomic.Bool
 	// silent is set once the server sends no further check-ins.
 	silent atomic.Bool
+	// headers are added to each response; nil for none.
+	headers atomic.Pointer[http.Header]
 	// sent holds when the requests were sent.
 	sent   sendTimes
 	cancel context.CancelFunc
@@ -79,6 +82,13 @@
 // Silence stops the check-ins.
 func (a *App) Silence() { a.silent.Store(true) }
 
+// SetHeaders has the server add headers to each response from now on, in place of the
+// previous ones.
+func (a *App) SetHeaders(headers http.Header) { a.headers.Store(&headers) }
+
+// SentTimes returns when the requests were sent that the server received.
+func (a *App) SentTimes() []time.Time { return a.sent.all() }
+
 // SendLateCheckIn sends a check-in that says that the server is ready, with the sequence
 // number of its first one, as if it had been delayed on the way.
 func (a *App) SendLateCheckIn() error {
@@ -114,6 +124,9 @@
 func (a *App) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Rosemaryladder-Instance-Id", a.options.ID)
 	w.Header().Set("X-Rosemaryladder-Instance-Load", fmt.Sprintf("0,0,%d", a.options.Slots))
+	if headers := a.headers.Load(); headers != nil {
+		maps.Copy(w.Header(), *headers)
+	}
 	if r.URL.Path == "/healthz" {
 		return
 	}
--- a/internal/standin/app/send_times.go
+++ b/internal/standin/app/send_times.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -19,6 +20,13 @@
 	s.times = append(s.times, at)
 }
 
+// all returns the times in order.
+func (s *sendTimes) all() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.SortedFunc(slices.Values(s.times), time.Time.Compare)
+}
+
 // after returns the number of requests sent after a time.
 func (s *sendTimes) after(limit time.Time) int64 {
 	s.mu.Lock()
