Keep the limit that a backend server names in its responses

A server in need names the requests a second that it takes from all hosts together (Server-Limit).

All requests for a server pass the inbound proxy beside it, which sees each response, so the limit needs no agreement between hosts: admission starts a request when a slot is free and a token bucket at the named rate has a token. Waiting and new requests that the rate would make late are refused at once as not run, so that the outbound proxy tries other servers. Reports carry the limit to outbound proxies, whose choice counts only the capacity that it leaves. A limit ends with the first response that names none and with the run of the server; an invalid one changes nothing, nor does a response without a valid signature. Sends on a second connection and health checks are counted.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -86,7 +86,7 @@
 		if !anyAvailable {
 			group = d.inBackoff[:d.numInBackoff]
 		}
-		for _, c := range sample(group, request.Random) {
+		for _, c := range sample(now, group, request.Random) {
 			choice := b.estimate(now, c, distance, stats, request)
 			if !found || choice.Cost < best.Cost {
 				best, found = choice, true
--- a/internal/balance/fleet_load_test.go
+++ b/internal/balance/fleet_load_test.go
@@ -245,7 +245,7 @@
 	var best Choice
 	found := false
 	for distance := range numDistances {
-		for _, c := range sample(available[distance], request.Random) {
+		for _, c := range sample(now, available[distance], request.Random) {
 			if choice := b.estimate(now, c, distance, stats, request); !found || choice.Cost < best.Cost {
 				best, found = choice, true
 			}
--- a/internal/balance/peer.go
+++ b/internal/balance/peer.go
@@ -37,6 +37,9 @@
 	// failureMaxAge is how long a reported failure rate counts without a new
 	// report.
 	failureMaxAge = 2 * time.Second
+	// limitMaxAge is how long a reported limit counts without a new report. A server
+	// that gets no requests can't report that its limit has ended.
+	limitMaxAge = 2 * time.Second
 )
 
 // peer is the state that the balancer keeps of one node.
@@ -94,13 +97,26 @@
 	if slots == 0 {
 		return 0
 	}
-	occupied, servers := p.occupancy(now), float64(slots)
-	perSlot := float64(p.report.HoldTime) / servers
+	occupied := p.occupancy(now)
+	servers, holdTime := p.capacity(now, float64(slots), float64(p.report.HoldTime))
+	perSlot := holdTime / servers
 	utilization := min(occupied/servers, maxUtilization)
 	longRunWait := perSlot * math.Pow(utilization, math.Sqrt(2*(servers+1))) / (1 - utilization) * p.staleness(now)
 	return time.Duration(max(perSlot*(occupied+1-servers), longRunWait))
 }
 
+// capacity returns the slots and the hold time, in nanoseconds, with which a server does
+// the requests that its limit leaves: as many slots as the limit keeps in use (Little,
+// Operations Research 9(3), 1961), at least one.
+func (p *peer) capacity(now time.Time, slots, holdTime float64) (limitedSlots, limitedHoldTime float64) {
+	limited := p.report.Limit > 0 && !p.reportedAt.IsZero() && now.Sub(p.reportedAt) < limitMaxAge
+	if !limited || slots <= p.report.Limit*holdTime/float64(time.Second) {
+		return slots, holdTime
+	}
+	limitedSlots = max(1, p.report.Limit*holdTime/float64(time.Second))
+	return limitedSlots, limitedSlots / p.report.Limit * float64(time.Second)
+}
+
 // currentSlowdown returns the slowdown, which decays to 1 without new samples.
 func (p *peer) currentSlowdown(now time.Time) float64 {
 	age := now.Sub(p.sampledAt)
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -10,6 +10,9 @@
 	Slots   int
 	// HoldTime is the average time for which a request holds a slot.
 	HoldTime time.Duration
+	// Limit is the rate at which the server takes requests, in requests a second;
+	// 0 without a limit.
+	Limit float64
 	// FailureRate is the share of the server's recent responses that failed, from
 	// 0 to 1.
 	FailureRate float64
--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 )
@@ -31,7 +32,7 @@
 // probability proportional to the throughput of their servers in requests
 // (weighted sampling without replacement, Efraimidis and Spirakis, Information
 // Processing Letters 97(5), 2006).
-func sample(group []candidate, random func() float64) []candidate {
+func sample(now time.Time, group []candidate, random func() float64) []candidate {
 	if len(group) <= maxCompared {
 		return group
 	}
@@ -41,7 +42,8 @@
 		if hold == 0 {
 			hold = defaultHold
 		}
-		capacity := float64(max(group[i].entry.Slots, 1)) / hold
+		slots, hold := group[i].peer.capacity(now, float64(max(group[i].entry.Slots, 1)), hold)
+		capacity := slots / hold
 		// 1-random() is above 0, so its logarithm is finite.
 		group[i].key = -math.Log(1-random()) / capacity
 	}
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -35,6 +35,7 @@
 var testHeaders = HeaderNames{
 	RequestID: "X-Id", DeadlineMs: "X-Deadline", Signature: "X-Signature", ExpectedServer: "X-Expected",
 	NotExecuted: "X-Not-Executed", CallerService: "X-Caller", ServerID: "X-Server", ServerLoad: "X-Load",
+	ServerLimit: "X-Limit",
 }
 
 // testNode is one node with a backend server.
--- a/internal/proxy/header_names.go
+++ b/internal/proxy/header_names.go
@@ -22,4 +22,7 @@
 	// ServerLoad holds the running requests, the waiting requests and the slots of a
 	// server, separated by commas.
 	ServerLoad string
+	// ServerLimit is the number of requests a second that a server takes from all hosts
+	// together, a decimal number. It holds until a response lacks it.
+	ServerLimit string
 }
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -14,6 +14,7 @@
 	"rosemaryladder.dev/rosemaryladder/internal/balance"
 	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+	"rosemaryladder.dev/rosemaryladder/internal/instance"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 	"rosemaryladder.dev/rosemaryladder/internal/slots"
 	"rosemaryladder.dev/rosemaryladder/internal/uplink"
@@ -78,7 +79,7 @@
 		return nil, refusal, 0
 	}
 	forwardedAt := in.deps.Now()
-	response, refusal := in.forward(ctx, req, server.ID)
+	response, refusal := in.forward(ctx, req, server)
 	if refusal != nil {
 		release(false)
 		cancel()
@@ -128,24 +129,28 @@
 }
 
 // forward sends the request to the server and reads the head of the response.
-func (in *inbound) forward(ctx context.Context, req *upstreamRequest, server string) (*serverResponse, *refusalReason) {
+func (in *inbound) forward(ctx context.Context, req *upstreamRequest, server instance.Server) (*serverResponse, *refusalReason) {
 	out := &exchange.Request{
 		Method: req.method, URI: req.uri, Host: req.host, Header: req.header, SkipHeader: in.setsHeader, Body: req.body,
-		AddedHeaders: in.serverFields(req, server),
+		AddedHeaders: in.serverFields(req, server.ID),
 		Matches:      func(response *http.Response) bool { return in.isResponseTo(req, response) },
 		OnSent:       func() { in.sending.Add(-1) },
-		MayResend:    func() bool { return in.mayResend(req, server) },
+		MayResend:    func() bool { return in.mayResend(req, server.ID) },
 	}
 	e, exchangeErr := in.client.Do(ctx, in.config.Server, out)
 	if exchangeErr != nil {
-		return nil, in.exchangeRefusal(ctx, req, server, exchangeErr)
+		return nil, in.exchangeRefusal(ctx, req, server.ID, exchangeErr)
 	}
-	if refusal := in.checkResponse(req, e); refusal != nil {
+	refusal := in.checkResponse(req, e)
+	if refusal == nil || refusal.code == result.ServerRefused {
+		in.observeServer(server, e.Response.Header)
+	}
+	if refusal != nil {
 		in.failures.add(in.deps.Now(), true)
 		e.Finish(false)
 		return nil, refusal
 	}
-	return in.newResponse(ctx, req, server, e), nil
+	return in.newResponse(ctx, req, server.ID, e), nil
 }
 
 // mayResend counts a request as being written once more, unless the server has changed
@@ -154,6 +159,7 @@
 	in.sending.Add(1)
 	current := in.deps.Server.Server()
 	if current.ID == server && in.checkRunnable(req, current.State) == nil {
+		in.deps.Slots.Charge()
 		return true
 	}
 	in.sending.Add(-1)
@@ -268,7 +274,7 @@
 	now := in.deps.Now()
 	load := in.deps.Slots.Load()
 	return balance.Report{
-		Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, HoldTime: load.HoldTime,
+		Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, HoldTime: load.HoldTime, Limit: load.Limit,
 		FailureRate: in.failures.value(now), TotalTime: now.Sub(receivedAt),
 	}
 }
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -21,6 +21,7 @@
 	retriesDenied    tally.Counter
 	broken           tally.Counter
 	invalidResponses tally.Counter
+	invalidLimits    tally.Counter
 	cancelled        tally.Counter
 	inboundRequests  tally.Counter
 	latency          tally.Histogram
@@ -35,6 +36,7 @@
 		retriesDenied:    scope.Counter("repeats_denied"),
 		broken:           scope.Counter("broken"),
 		invalidResponses: scope.Counter("spoiled"),
+		invalidLimits:    scope.Counter("invalid_limits"),
 		cancelled:        scope.Counter("cancelled"),
 		inboundRequests:  scope.Counter("gated"),
 		latency:          scope.Histogram("latency", latencyBuckets),
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -13,6 +13,7 @@
 	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 	"rosemaryladder.dev/rosemaryladder/internal/routing"
+	"rosemaryladder.dev/rosemaryladder/internal/slots"
 	"rosemaryladder.dev/rosemaryladder/internal/uplink"
 )
 
@@ -119,10 +120,11 @@
 // InFlight returns the number of requests in flight, outbound and inbound.
 func (p *Proxy) InFlight() int64 { return p.inFlight.Load() }
 
-// ServerChanged drops the failure rate of and the idle connections to a previous
-// server.
+// ServerChanged drops the failure rate and the limit of a previous server, and the idle
+// connections to it.
 func (p *Proxy) ServerChanged() {
 	p.inbound.failures.reset()
+	p.inbound.deps.Slots.SetLimit(slots.NoLimit)
 	p.inbound.client.CloseIdle(p.inbound.config.Server)
 }
 
--- a/internal/sidecar/prober.go
+++ b/internal/sidecar/prober.go
@@ -10,6 +10,7 @@
 
 	"rosemaryladder.dev/rosemaryladder/internal/dial"
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+	"rosemaryladder.dev/rosemaryladder/internal/proxy"
 )
 
 const (
@@ -92,6 +93,7 @@
 		p.sidecar.log.WithError(err).Warn("cannot build the health check request from the health path of the service")
 		return
 	}
+	p.sidecar.slots.Charge()
 	response, err := p.client.Do(request)
 	if err != nil {
 		return
@@ -117,12 +119,19 @@
 func (p *prober) recordServer(response *http.Response) {
 	headers := p.sidecar.adapter.HeaderNames
 	id := response.Header.Get(headers.ServerID)
+	notice, err := proxy.ReadServerNotice(headers, response.Header)
+	if err != nil {
+		p.sidecar.log.WithError(err).Info("health check response of the backend server has an invalid limit")
+	}
 	slots, ok := parseSlots(response.Header.Get(headers.ServerLoad))
 	if response.StatusCode != http.StatusOK || id == "" || !ok {
 		p.sidecar.log.WithFields(map[string]any{"status": response.StatusCode, "server": id}).Info("health check response of the backend server lacks status 200, a server ID or a slot count")
 		return
 	}
 	outcome := p.sidecar.tracker.ObserveHealthy(id, slots)
+	if err == nil {
+		p.sidecar.slots.SetLimit(notice.Limit)
+	}
 	p.sidecar.log.WithFields(map[string]any{"server": id, "slots": slots, "outcome": outcome}).Info("backend server identified by its health check")
 }
 
--- a/internal/slots/controller.go
+++ b/internal/slots/controller.go
@@ -15,6 +15,8 @@
 
 	mu    sync.Mutex
 	queue *queue
+	// limitTimer fires when the rate limit lets the next waiting request start.
+	limitTimer *time.Timer
 }
 
 // NewController returns a controller that refuses every request until Open is
@@ -30,6 +32,48 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.queue.open(c.now(), slots)
+	c.scheduleStart()
+}
+
+// SetLimit bounds the rate at which requests start, in requests a second, or ends the
+// bound with NoLimit. Waiting requests that can't be served in time at the new rate are
+// refused. It reports whether a bound has begun or ended.
+func (c *Controller) SetLimit(perSecond float64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := c.queue.limit != nil
+	if c.queue.setLimit(c.now(), perSecond) {
+		c.scheduleStart()
+	}
+	return before != (c.queue.limit != nil)
+}
+
+// Charge counts a request that is sent to the server without a slot of its own.
+func (c *Controller) Charge() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queue.charge(c.now())
+}
+
+// scheduleStart sets the timer to the next start that only the rate limit delays. The
+// caller holds the lock.
+func (c *Controller) scheduleStart() {
+	wait, ok := c.queue.nextStart(c.now())
+	switch {
+	case !ok:
+	case c.limitTimer == nil:
+		c.limitTimer = time.AfterFunc(wait, c.startDue)
+	default:
+		c.limitTimer.Reset(wait)
+	}
+}
+
+// startDue starts the requests that the rate limit lets start by now.
+func (c *Controller) startDue() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queue.dispatch(c.now())
+	c.scheduleStart()
 }
 
 // Close refuses waiting and new requests with reason. Running requests continue.
@@ -45,6 +89,7 @@
 func (c *Controller) Acquire(ctx context.Context, request Request) (release func(complete bool), err error) {
 	c.mu.Lock()
 	t, err := c.queue.submit(c.now(), request)
+	c.scheduleStart()
 	c.mu.Unlock()
 	if err != nil {
 		return nil, err
@@ -59,6 +104,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.queue.finish(c.now(), t, complete)
+		c.scheduleStart()
 	}, nil
 }
 
--- a/internal/slots/load.go
+++ b/internal/slots/load.go
@@ -9,4 +9,7 @@
 	Slots   int
 	// HoldTime is the average time that a request holds a slot.
 	HoldTime time.Duration
+	// Limit is the rate at which requests start, in requests a second; 0 without a
+	// limit.
+	Limit float64
 }
--- a/internal/slots/queue.go
+++ b/internal/slots/queue.go
@@ -35,6 +35,8 @@
 	// onTime, late and short relate the waits of requests that can meet their objective,
 	// of those that can't any more, and of short ones to their predictions.
 	onTime, late, short waitRatio
+	// limit is the rate at which requests start; nil without a limit.
+	limit *rateLimit
 	// closeReason is the error with which every request is refused; nil while open.
 	closeReason error
 }
@@ -53,15 +55,16 @@
 		request.MaxWait = max(request.MaxWait, request.Deadline.Sub(now)-time.Duration(q.predictHoldTime(now, request.Route)))
 	}
 	t := &ticket{request: request, expected: q.predictHoldTime(now, request.Route), admitted: make(chan struct{})}
-	if q.running < q.slots && q.countAhead(request) == 0 {
+	if q.running < q.slots && q.countAhead(request) == 0 && q.takeToken(now) {
 		q.start(now, t)
 		return t, nil
 	}
 	if len(q.waiting) >= maxWaitingPerSlot*q.slots {
 		return nil, result.Errorf(result.Overloaded, "the queue is full: %d requests wait for %d slots", len(q.waiting), q.slots)
 	}
-	t.queued, t.predicted = now, q.predictWait(request)
-	if wait := q.ratioOf(request).apply(now, t.predicted); wait > request.MaxWait {
+	byLimit := q.waitByLimit(now, q.countAhead(request))
+	t.queued, t.predicted = now, max(q.predictWait(request), byLimit)
+	if wait := max(q.ratioOf(request).apply(now, t.predicted), byLimit); wait > request.MaxWait {
 		return nil, result.Errorf(result.Overloaded, "the predicted wait of %s exceeds %s", wait.Round(time.Millisecond), request.MaxWait.Round(time.Millisecond))
 	}
 	q.insert(t)
@@ -120,7 +123,7 @@
 	if q.running < q.slots && len(q.waiting) > 0 {
 		q.demote(now)
 	}
-	for q.running < q.slots && len(q.waiting) > 0 {
+	for q.running < q.slots && len(q.waiting) > 0 && q.takeToken(now) {
 		next := q.waiting[0]
 		q.waiting = slices.Delete(q.waiting, 0, 1)
 		q.ratioOf(next.request).observe(now, next.predicted, now.Sub(next.queued), q.slotInterval(now))
@@ -152,9 +155,9 @@
 	}
 	slices.SortStableFunc(q.waiting, func(a, b *ticket) int { return a.request.compare(b.request) })
 	work := q.busySlot.holdTime
-	for _, t := range q.waiting {
+	for ahead, t := range q.waiting {
 		if slices.Contains(demoted, t) {
-			t.queued, t.predicted = now, q.waitBehind(work, false)
+			t.queued, t.predicted = now, max(q.waitBehind(work, false), q.waitByLimit(now, ahead))
 		}
 		work += t.expected
 	}
@@ -168,7 +171,7 @@
 	work := q.busySlot.holdTime
 	remaining := q.waiting[:0]
 	for _, t := range q.waiting {
-		wait := q.late.apply(now, q.waitBehind(work, false))
+		wait := max(q.late.apply(now, q.waitBehind(work, false)), q.waitByLimit(now, len(remaining)))
 		expectedEnd := now.Add(wait + time.Duration(q.predictHoldTime(now, t.request.Route)))
 		if t.request.Late && expectedEnd.After(t.request.Deadline) {
 			q.late.observe(now, t.predicted, now.Sub(t.queued), interval)
@@ -278,10 +281,14 @@
 }
 
 func (q *queue) load(now time.Time) Load {
-	return Load{
+	load := Load{
 		Running:  q.running,
 		Waiting:  len(q.waiting),
 		Slots:    q.slots,
 		HoldTime: time.Duration(q.overall.at(now)),
 	}
+	if q.limit != nil {
+		load.Limit = q.limit.perSecond
+	}
+	return load
 }
