Send nothing to a server whose responses say that it leaves

A server that leaves says so in all its responses (Server-Leaving: 1).

The inbound proxy, and the health check of a sidecar that starts, take such a response as an announcement of leaving, so the server's entry says so, too. The start time of the run that was asked keeps a late response from ending the next run under the same ID. While the store is away, the entry that other nodes hold may still say that the server is ready, and a restarted sidecar beside it has forgotten the response; so an outbound proxy also remembers the servers whose responses it has forwarded, in a map that is read without a lock.

TestLeavingResponseStopsTheServer guards the failure response and the memory of the outbound proxy.

--- a/internal/proxy/deps.go
+++ b/internal/proxy/deps.go
@@ -36,7 +36,10 @@
 	Suspect func(fleet.Entry)
 	// ServerLost is called when the local server accepts no connections.
 	ServerLost func(server string)
-	Now        func() time.Time
+	// ServerLeaves is called when a response says that its server leaves. startTime is
+	// that of the server's run, 0 when unknown.
+	ServerLeaves func(server string, startTime int64)
+	Now          func() time.Time
 	// Random returns a random number in [0, 1).
 	Random func() float64
 }
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -35,7 +35,7 @@
 var testHeaders = HeaderNames{
 	RequestID: "X-Id", DeadlineMs: "X-Deadline", Signature: "X-Signature", ExpectedServer: "X-Expected",
 	NotExecuted: "X-Not-Executed", CallerService: "X-Caller", ServerID: "X-Server", ServerLoad: "X-Load",
-	ServerLimit: "X-Limit",
+	ServerLimit: "X-Limit", ServerLeaving: "X-Leaving",
 }
 
 // testNode is one node with a backend server.
@@ -205,7 +205,8 @@
 		Headers: testHeaders, Routes: routes, View: f.table.View, Balancer: balancer,
 		Server: n.tracker, Slots: n.slots, Crashes: &n.crashes, CrashesChanged: func() { f.publish(n) }, Dial: dial, Scope: tally.NoopScope, Log: log,
 		NewerVersion: func(routing.Version) {}, Suspect: func(fleet.Entry) {}, ServerLost: func(id string) { n.tracker.MarkAbsent(id) },
-		Now: f.now, Random: random,
+		ServerLeaves: func(id string, startTime int64) { n.tracker.Leave(id, startTime) },
+		Now:          f.now, Random: random,
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/proxy/header_names.go
+++ b/internal/proxy/header_names.go
@@ -25,4 +25,6 @@
 	// ServerLimit is the number of requests a second that a server takes from all hosts
 	// together, a decimal number. It holds until a response lacks it.
 	ServerLimit string
+	// ServerLeaving is 1 in the responses of a server that leaves.
+	ServerLeaving string
 }
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -22,6 +22,7 @@
 	retryBudgets   *retryBudgets
 	callerTimeouts *callerTimeouts
 	streamed       streamedRoutes
+	leaving        leavingServers
 	// clockID identifies the clock of the timestamps in hop headers.
 	clockID string
 	// draining is set once the node stops.
--- a/internal/proxy/outbound_attempts.go
+++ b/internal/proxy/outbound_attempts.go
@@ -108,20 +108,27 @@
 func (o *outbound) chooseNode(c *call) (fleet.Entry, bool) {
 	now := o.deps.Now()
 	candidates := o.deps.View().Candidates(c.request.service)
-	choice, ok := o.deps.Balancer.Choose(now, candidates, balance.Request{
-		Route:     c.request.route,
-		Remaining: c.request.due.Sub(now),
-		Objective: c.route.Objective,
-		Excluded:  c.excluded,
-		Random:    o.deps.Random,
-	})
-	if !ok {
-		return fleet.Entry{}, false
-	}
-	c.choice = choice
-	c.excluded = append(c.excluded, choice.Entry.Node)
-	c.request.maxWait = o.maxQueueWait(c, now)
-	return choice.Entry, true
+	for {
+		choice, ok := o.deps.Balancer.Choose(now, candidates, balance.Request{
+			Route:     c.request.route,
+			Remaining: c.request.due.Sub(now),
+			Objective: c.route.Objective,
+			Excluded:  c.excluded,
+			Random:    o.deps.Random,
+		})
+		if !ok {
+			return fleet.Entry{}, false
+		}
+		c.excluded = append(c.excluded, choice.Entry.Node)
+		// The entry of a server that leaves may be out of date while the store is away.
+		if o.leaving.contains(choice.Entry.Server) {
+			o.deps.Balancer.Done(now, choice.Entry.Node, c.request.route, nil, 0)
+			continue
+		}
+		c.choice = choice
+		c.request.maxWait = o.maxQueueWait(c, now)
+		return choice.Entry, true
+	}
 }
 
 // maxQueueWait returns the predicted wait above which the inbound proxy refuses the
@@ -165,6 +172,9 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	if response.header.Get(o.deps.Headers.ServerLeaving) == leavingValue {
+		o.leaving.add(now, entry.Server)
+	}
 	limit := ingress.BufferLimit(ctx, o.config.MaxBufferedBytes)
 	buffered, refusal := bufferResponse(response, limit, o.inbound.buffers)
 	if refusal == nil && !buffered.buffered && (buffered.length < 0 || buffered.length > int64(limit)) {
--- a/internal/proxy/server_notice_test.go
+++ b/internal/proxy/server_notice_test.go
@@ -10,6 +10,8 @@
 	"github.com/onsi/gomega"
 
 	"rosemaryladder.dev/rosemaryladder/internal/balance"
+	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+	"rosemaryladder.dev/rosemaryladder/internal/instance"
 	"rosemaryladder.dev/rosemaryladder/internal/slots"
 )
 
@@ -29,6 +31,7 @@
 		_, err := read(text)
 		g.Expect(err).To(gomega.HaveOccurred(), text)
 	}
+	g.Expect(ReadServerNotice(testHeaders, http.Header{testHeaders.ServerLeaving: {"1"}})).To(gomega.Equal(ServerNotice{Limit: slots.NoLimit, Leaving: true}))
 }
 
 // limitedFleet starts nodes whose first server adds headers to its responses, which the
@@ -106,18 +109,47 @@
 	g.Expect(n.slots.Load().Limit).To(gomega.BeZero())
 }
 
-// TestUnsignedResponseChangesNothing guards against a limit that bytes bring which are
-// not a response of the server to this request.
+// TestLeavingResponseStopsTheServer guards against a server that gets requests after a
+// response has said that it leaves, also when that response is a failure, and also while
+// the entry of the server still says that it is ready.
+func TestLeavingResponseStopsTheServer(t *testing.T) {
+	for _, path := range []string{"/post/x", "/post/failure"} {
+		t.Run(path, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f, setHeader := limitedFleet(t, 2)
+			n := f.nodes[0]
+			setHeader(testHeaders.ServerLeaving, "1")
+			for i := 0; totalRuns(n) == 0; i++ {
+				f.send(t.Context(), http.MethodPost, path, string(rune('A'+i)), "body")
+			}
+			g.Eventually(func() fleet.State { return n.tracker.Server().State }).Should(gomega.Equal(fleet.Draining))
+			runs := totalRuns(n)
+			// A new process of the node knows nothing of the response.
+			_, err := n.tracker.Announce(instance.Announcement{Server: "server-a", Service: testService, Slots: 8, StartTime: 2})
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(n.tracker.Server().State).To(gomega.Equal(fleet.Ready))
+			for i := range 20 {
+				f.send(t.Context(), http.MethodPost, path, string(rune('a'+i)), "body")
+			}
+			g.Expect(totalRuns(n)).To(gomega.Equal(runs))
+		})
+	}
+}
+
+// TestUnsignedResponseChangesNothing guards against a limit or a leaving that bytes bring
+// which are not a response of the server to this request.
 func TestUnsignedResponseChangesNothing(t *testing.T) {
 	g := gomega.NewWithT(t)
 	f := newTestFleet(t, 1, 8)
 	n := f.nodes[0]
 	n.backend.handle = func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set(testHeaders.ServerLimit, "0")
+		w.Header().Set(testHeaders.ServerLeaving, "1")
 		w.Header().Del(testHeaders.Signature)
 	}
 	g.Expect(f.post("a", "body").status).To(gomega.Equal(http.StatusBadGateway))
 	g.Expect(n.slots.Load().Limit).To(gomega.BeZero())
+	g.Consistently(func() fleet.State { return n.tracker.Server().State }).WithTimeout(100 * time.Millisecond).Should(gomega.Equal(fleet.Ready))
 }
 
 // TestReportsOfEarlierVersionsAreRead guards against responses of nodes without limits in
@@ -134,6 +166,21 @@
 	}
 }
 
+// TestLeavingServersStayBounded guards against a list of leaving servers that grows
+// without bound.
+func TestLeavingServersStayBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var l leavingServers
+	now := time.Unix(1000, 0)
+	for i := range 2 * maxLeavingServers {
+		l.add(now.Add(time.Duration(i)*time.Millisecond), string(rune(i)))
+	}
+	g.Expect(*l.servers.Load()).To(gomega.HaveLen(maxLeavingServers))
+	g.Expect(l.contains(string(rune(2*maxLeavingServers - 1)))).To(gomega.BeTrue())
+	l.add(now.Add(2*leavingRetention), "last")
+	g.Expect(*l.servers.Load()).To(gomega.HaveLen(1))
+}
+
 // totalRuns returns the number of requests that the server of a node has run.
 func totalRuns(n *testNode) int {
 	n.backend.mu.Lock()
--- a/internal/sidecar/prober.go
+++ b/internal/sidecar/prober.go
@@ -123,6 +123,10 @@
 	if err != nil {
 		p.sidecar.log.WithError(err).Info("health check response of the backend server has an invalid limit")
 	}
+	if notice.Leaving && id != "" {
+		p.sidecar.serverLeaves(id, 0)
+		return
+	}
 	slots, ok := parseSlots(response.Header.Get(headers.ServerLoad))
 	if response.StatusCode != http.StatusOK || id == "" || !ok {
 		p.sidecar.log.WithFields(map[string]any{"status": response.StatusCode, "server": id}).Info("health check response of the backend server lacks status 200, a server ID or a slot count")
--- a/internal/sidecar/server_change.go
+++ b/internal/sidecar/server_change.go
@@ -65,3 +65,10 @@
 		s.prober.wake()
 	}
 }
+
+// serverLeaves records that a response says that the backend server leaves.
+func (s *Sidecar) serverLeaves(server string, startTime int64) {
+	if outcome := s.tracker.Leave(server, startTime); outcome == instance.Applied {
+		s.log.WithFields(map[string]any{"server": server, "born": startTime}).Info("server says in a response that it leaves")
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -124,7 +124,7 @@
 	s.proxy, err = proxy.New(config, proxy.Deps{
 		Headers: s.adapter.HeaderNames, Routes: s.routes, View: s.fleet.View, Balancer: s.balancer,
 		Server: s.tracker, Slots: s.slots, Crashes: &s.crashes, CrashesChanged: s.publishCrashes, Dial: dialer.DialContext, Scope: s.metrics.Scope, Log: s.log,
-		NewerVersion: s.registry.ReportNewerVersion, Suspect: s.registry.Suspect, ServerLost: s.serverUnreachable,
+		NewerVersion: s.registry.ReportNewerVersion, Suspect: s.registry.Suspect, ServerLost: s.serverUnreachable, ServerLeaves: s.serverLeaves,
 		Now: time.Now, Random: rand.Float64,
 	})
 	return err
