Reject entries of other writers that no node could have written

Played against the registry with ten entries: deeply nested values, numbers out of range and the key of another node ended nothing. Accepted were a port of 0 or above 65535, slots without bound, which attract all requests, and an incarnation of 2^63-1. Under the key of a live node the last one made its own entry overflow: peers never accepted an entry of that node again.

Entries have bounds for these fields now, must name the node of their key, and an announcement of a server has bounds, too, so that the entry which it causes is accepted.

--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/json"
-	"net"
+	"net/netip"
 
 	"github.com/pkg/errors"
 
@@ -59,15 +59,29 @@
 	return data
 }
 
-// Decode decodes and validates an entry. The error names the invalid field.
-func Decode(data []byte) (Entry, error) {
+// Decode decodes and validates the entry of a node. The error names the invalid field.
+func Decode(node string, data []byte) (Entry, error) {
 	var entry Entry
 	if err := json.Unmarshal(data, &entry); err != nil {
-		return Entry{}, errors.Wrap(err, "decode a node entry")
+		return Entry{}, errors.Wrapf(err, "decode the entry of node %s", node)
+	}
+	if entry.Node != node {
+		return Entry{}, errors.Errorf("entry of node %s names the node %q", node, entry.Node)
 	}
 	return entry, entry.Validate()
 }
 
+const (
+	// MaxNumber bounds the incarnation, which is a Unix time in milliseconds raised by
+	// one at most for each start, and the sequence. Above it a node could not write an
+	// entry that replaces this one.
+	MaxNumber = 1 << 52
+	// MaxSlots and maxLinkMbps are far above those of any server and link. A larger value
+	// would attract all requests.
+	MaxSlots    = 1 << 16
+	maxLinkMbps = 1 << 20
+)
+
 // Validate returns an error that names the first invalid field.
 func (e Entry) Validate() error {
 	switch {
@@ -81,16 +95,20 @@
 		return errors.Errorf("entry of node %s has no service", e.Node)
 	case e.State != Ready && e.State != Draining && e.State != Absent:
 		return errors.Errorf("entry of node %s: state %q, want ready, draining or absent", e.Node, e.State)
-	case e.LinkMbps < 0:
-		return errors.Errorf("entry of node %s: link rate %d, want 0 or more", e.Node, e.LinkMbps)
-	case e.Slots < 0:
-		return errors.Errorf("entry of node %s: %d slots, want 0 or more", e.Node, e.Slots)
+	case e.LinkMbps < 0 || e.LinkMbps > maxLinkMbps:
+		return errors.Errorf("entry of node %s: link rate %d, want 0 to %d", e.Node, e.LinkMbps, maxLinkMbps)
+	case e.Slots < 0 || e.Slots > MaxSlots:
+		return errors.Errorf("entry of node %s: %d slots, want 0 to %d", e.Node, e.Slots, MaxSlots)
+	case e.Incarnation < 0 || e.Incarnation > MaxNumber:
+		return errors.Errorf("entry of node %s: incarnation %d, want 0 to %d", e.Node, e.Incarnation, int64(MaxNumber))
+	case e.Sequence < 0 || e.Sequence > MaxNumber:
+		return errors.Errorf("entry of node %s: sequence %d, want 0 to %d", e.Node, e.Sequence, int64(MaxNumber))
 	}
 	_, err := crash.ParseRecord(e.Crashes)
 	return errors.Wrapf(err, "entry of node %s: crash record", e.Node)
 }
 
 func validAddress(address string) bool {
-	host, _, err := net.SplitHostPort(address)
-	return err == nil && net.ParseIP(host) != nil
+	parsed, err := netip.ParseAddrPort(address)
+	return err == nil && parsed.Port() > 0
 }
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"encoding/json"
 	"fmt"
 	"strconv"
 	"testing"
@@ -82,8 +83,13 @@
 func FuzzDecode(f *testing.F) {
 	f.Add(entry("a", 1, 1, Ready).Encode())
 	f.Fuzz(func(t *testing.T, data []byte) {
-		if decoded, err := Decode(data); err == nil {
-			if again, err := Decode(decoded.Encode()); err != nil || again != decoded {
+		var named struct {
+			Node string `json:"n"`
+		}
+		// Data that is no entry is rejected whatever its node is.
+		_ = json.Unmarshal(data, &named)
+		if decoded, err := Decode(named.Node, data); err == nil {
+			if again, err := Decode(named.Node, decoded.Encode()); err != nil || again != decoded {
 				t.Fatalf("%+v decodes as %+v, %v", decoded, again, err)
 			}
 		}
--- a/internal/instance/announcement.go
+++ b/internal/instance/announcement.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/pkg/errors"
+
+	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 )
 
 // Announcement is the state that a server announces.
@@ -28,10 +30,12 @@
 		return errors.New("announcement has no server identity")
 	case a.Service == "":
 		return errors.Errorf("announcement of %s has no service", a.Server)
-	case a.Slots < 1:
-		return errors.Errorf("announcement of %s: %d slots, want 1 or more", a.Server, a.Slots)
+	case a.Slots < 1 || a.Slots > fleet.MaxSlots:
+		return errors.Errorf("announcement of %s: %d slots, want 1 to %d", a.Server, a.Slots, fleet.MaxSlots)
 	case a.Sequence < 0:
 		return errors.Errorf("announcement of %s: sequence %d, want 0 or more", a.Server, a.Sequence)
+	case a.StartTime < 0 || a.StartTime > fleet.MaxNumber:
+		return errors.Errorf("announcement of %s: start time %d, want 0 to %d", a.Server, a.StartTime, int64(fleet.MaxNumber))
 	default:
 		return nil
 	}
--- a/internal/instance/tracker_test.go
+++ b/internal/instance/tracker_test.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"math"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -93,3 +94,24 @@
 	g.Expect(tracker.ObserveHealthy("j", 6)).To(gomega.Equal(Applied))
 	g.Expect(tracker.Server()).To(gomega.Equal(Server{ID: "j", State: fleet.Ready, Slots: 6}))
 }
+
+// TestImplausibleAnnouncementsAreRejected guards against an announcement of another writer
+// after which the announcements of the server itself count as stale, or whose slots make
+// other nodes reject the entry of this node.
+func TestImplausibleAnnouncementsAreRejected(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tracker := NewTracker("s")
+	valid := Announcement{Server: "i", Service: "s", StartTime: 1, Sequence: 1, Slots: 4}
+	for _, change := range []func(*Announcement){
+		func(a *Announcement) { a.StartTime = math.MaxInt64 },
+		func(a *Announcement) { a.StartTime = -1 },
+		func(a *Announcement) { a.Slots = math.MaxInt64 },
+		func(a *Announcement) { a.Sequence = -1 },
+	} {
+		odd := valid
+		change(&odd)
+		_, err := tracker.Announce(odd)
+		g.Expect(err).To(gomega.HaveOccurred())
+	}
+	g.Expect(tracker.Announce(valid)).To(gomega.Equal(Applied))
+}
--- a/internal/registry/received_entry.go
+++ b/internal/registry/received_entry.go
@@ -2,9 +2,9 @@
 
 import "rosemaryladder.dev/rosemaryladder/internal/fleet"
 
-// applyEntry decodes and merges an entry from the store or a peer.
-func (r *Registry) applyEntry(raw []byte, source string) {
-	entry, err := fleet.Decode(raw)
+// applyEntry decodes and merges the entry of a node from the store.
+func (r *Registry) applyEntry(node string, raw []byte, source string) {
+	entry, err := fleet.Decode(node, raw)
 	if err != nil {
 		r.rejectedValues.Inc(1)
 		r.deps.Log.WithError(err).WithField("source", source).Warn("invalid fleet entry rejected")
--- a/internal/registry/watch_loop.go
+++ b/internal/registry/watch_loop.go
@@ -65,10 +65,11 @@
 	r.recordStoreResponse()
 	var entries []fleet.Entry
 	for _, item := range items {
-		if _, found := r.nodeFromKey(item.Key); !found {
+		node, found := r.nodeFromKey(item.Key)
+		if !found {
 			continue
 		}
-		entry, err := fleet.Decode(item.Value)
+		entry, err := fleet.Decode(node, item.Value)
 		if err != nil {
 			r.rejectedValues.Inc(1)
 			r.deps.Log.WithError(err).WithField("key", item.Key).Warn("invalid fleet entry rejected")
@@ -234,7 +235,7 @@
 		r.deps.Log.WithField("peer", node).Info("fleet entry left the store")
 		r.deps.Fleet.MarkLapsed(node, r.deps.Now())
 	case isEntry:
-		r.applyEntry(event.Value, "store")
+		r.applyEntry(node, event.Value, "store")
 	}
 }
 
