--- a/internal/proxy/late_copy_test.go
+++ b/internal/proxy/late_copy_test.go
@@ -94,6 +94,16 @@
 			return success(id)
 		}
 	}
+	// Every second request is refused with its ID.
+	refusing := func() func(string) string {
+		count := 0
+		return func(id string) string {
+			if count++; count%2 == 0 {
+				return "HTTP/1.1 503 Service Unavailable\r\nX-Id: " + id + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+			}
+			return success(id)
+		}
+	}
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 	const failure = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
 	for name, server := range map[string]*copyingServer{
@@ -105,6 +115,8 @@
 		"refusal without ID":  {response: alternating(refusal), splitAt: 0},
 		"failure without ID":  {response: alternating(failure), splitAt: 0},
 		"failure and copy":    {response: alternating(failure), splitAt: 1 << 20, delay: time.Millisecond},
+		"copy of a refusal":   {response: refusing(), splitAt: 0},
+		"refusal, then copy":  {response: refusing(), splitAt: 1 << 20, delay: time.Millisecond},
 		"refusal and copy":    {response: alternating(refusal), splitAt: 1 << 20, delay: time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
