--- a/internal/ingress/capacity_test.go
+++ b/internal/ingress/capacity_test.go
@@ -160,3 +160,20 @@
 	}
 	g.Expect(time.Since(startedAt)).To(gomega.BeNumerically("<", roomTimeout))
 }
+
+// TestConnectionIsSilentFromItsAcceptance guards against a full server that resets a new
+// connection, with a complete request on it, because no goroutine has served those that
+// it has just accepted, on which nothing has arrived.
+func TestConnectionIsSilentFromItsAcceptance(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const conns = 16
+	s := newTestServer(t, func(c *Config) { c.MaxConns = conns })
+	for range conns {
+		caller, accepted := net.Pipe()
+		defer caller.Close()
+		c := newConn(s.Server, accepted)
+		g.Expect(s.add(c)).To(gomega.BeTrue())
+		defer s.remove(c)
+	}
+	g.Expect(s.awaitRoom()).To(gomega.BeTrue())
+}
