Keep entries at a follower while its leader holds them

A follower dropped a live node for good after a restore of the store: its entry had lapsed there before it followed a leader, the node wrote the entry again without a change, and a leader tells its followers of changes only. The follower's own retention then removed the entry, and callers at that host did not use the server any more.

The leader decides when lapsed entries are removed. A response whose digest equals that of the follower now ends the retention there (Table.Confirm).

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -183,6 +183,19 @@
 	t.publish()
 }
 
+// Confirm ends the retention of lapsed entries. It is called when a node that follows the
+// store holds the same entries: that node sees which of them are written again without a
+// change, and which have to be removed.
+func (t *Table) Confirm() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for node, h := range t.entries {
+		if !h.lapsedAt.IsZero() {
+			t.entries[node] = tableEntry{entry: h.entry, position: h.position}
+		}
+	}
+}
+
 // Remove removes the entries of the given nodes, which another node that follows
 // the store has removed from its table.
 func (t *Table) Remove(nodes []string) {
--- a/internal/registry/follow_loop.go
+++ b/internal/registry/follow_loop.go
@@ -109,15 +109,26 @@
 		wake(r.localChanged)
 	}
 	r.mergeState(remote, "leader "+leader.Node)
+	r.applyRemovals(remote)
+	r.updates.notify()
+	cursor.advance(remote, r.deps.Fleet.View().Digest())
+	return remote.Position != query.Position || remote.Version > query.Version, nil
+}
+
+// applyRemovals removes the entries that the leader does not hold, and keeps the others:
+// the leader decides when lapsed entries are removed.
+func (r *Registry) applyRemovals(remote peerState) {
 	if remote.Complete {
 		r.deps.Fleet.SyncFromPeer(remote.Entries, r.LocalEntry())
-	} else if removed := r.withoutLocal(remote.Removed); len(removed) > 0 {
+		return
+	}
+	if removed := r.withoutLocal(remote.Removed); len(removed) > 0 {
 		r.deps.Log.WithField("peers", removed).Info("fleet entries removed")
 		r.deps.Fleet.Remove(removed)
 	}
-	r.updates.notify()
-	cursor.advance(remote, r.deps.Fleet.View().Digest())
-	return remote.Position != query.Position || remote.Version > query.Version, nil
+	if remote.Digest == r.deps.Fleet.View().Digest() {
+		r.deps.Fleet.Confirm()
+	}
 }
 
 // storeProbeTimeout is how long the store has to respond before a node counts as
