Tell a node that queries a peer that its entry has left the store

Trace of such a run: leader c notes that b's entry has left the store; b queries c as a peer, for a newer configuration, before its next poll; the query shows c that b is alive and ends the retention, and only polls were told of the loss. Another reader removes b 0.5 s later and never takes it back.

Both kinds of request are told now.

--- a/internal/registry/follow_loop.go
+++ b/internal/registry/follow_loop.go
@@ -104,10 +104,7 @@
 	if !leaderDisconnected {
 		r.recordContact()
 	}
-	if remote.EntryLapsed {
-		r.entryLapsed.Store(true)
-		wake(r.localChanged)
-	}
+	r.rewriteLapsed(remote)
 	r.mergeState(remote, "leader "+leader.Node)
 	r.applyRemovals(remote)
 	r.updates.notify()
@@ -115,6 +112,15 @@
 	return remote.Position != query.Position || remote.Version > query.Version, nil
 }
 
+// rewriteLapsed has the local entry written again when another node knows that it has
+// left the store.
+func (r *Registry) rewriteLapsed(remote peerState) {
+	if remote.EntryLapsed {
+		r.entryLapsed.Store(true)
+		wake(r.localChanged)
+	}
+}
+
 // applyRemovals removes the entries that the leader does not hold, and keeps the others:
 // the leader decides when lapsed entries are removed.
 func (r *Registry) applyRemovals(remote peerState) {
--- a/internal/registry/peer_loop.go
+++ b/internal/registry/peer_loop.go
@@ -138,6 +138,7 @@
 	if err != nil {
 		return false
 	}
+	r.rewriteLapsed(remote)
 	source := "peer " + entry.Node
 	r.mergeState(r.mergeReported(remote, entry.Node, source), source)
 	if routing.Version(remote.Version) < r.deps.Routes.Version() {
@@ -275,8 +276,9 @@
 		return
 	}
 	// Only the store tells a reader of it, and a follower that renews its lease would never
-	// write the entry again.
-	lapsed := remote.WaitMs > 0 && slices.ContainsFunc(remote.Entries, r.deps.Fleet.HasDeparted)
+	// write the entry again. The merge ends the retention, so it must be told now, whether
+	// the node polls or queries.
+	lapsed := slices.ContainsFunc(remote.Entries, r.deps.Fleet.HasDeparted)
 	source := "peer " + request.RemoteAddr
 	r.mergeState(r.mergeReported(remote, "", source), source)
 	if !lapsed {
--- a/internal/registry/peer_state.go
+++ b/internal/registry/peer_state.go
@@ -29,7 +29,7 @@
 	Position uint64 `json:"p,omitempty"`
 	// Digest is the hash of the entries that the sender holds.
 	Digest uint64 `json:"d"`
-	// EntryLapsed tells a follower that its entry has left the store.
+	// EntryLapsed tells the node that polled or queried that its entry has left the store.
 	EntryLapsed bool `json:"o,omitempty"`
 	// WaitMs is set in the request of a follower: how long the leader may wait for a
 	// change before it responds, in milliseconds.
