--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -53,15 +53,14 @@
 	waiting bool
 	// headSince is when the head that is being read began; zero while none is read.
 	headSince time.Time
-	// idleSince is when the last exchange ended, or the connection was accepted; zero while
-	// an exchange runs.
+	// idleSince is when the last exchange ended; zero while one runs.
 	idleSince time.Time
 	// expiring is set when the connection makes room for others.
 	expiring bool
 }
 
 func newConn(s *Server, netConn net.Conn) *conn {
-	c := &conn{server: s, net: netConn, finished: make(chan struct{}, 1), idleSince: time.Now()}
+	c := &conn{server: s, net: netConn, finished: make(chan struct{}, 1)}
 	c.reader = bufio.NewReaderSize(netConn, readBufferBytes)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
