Write an entry again that another writer has replaced by an invalid value

Cause: a value that does not decode was logged and dropped. The node whose entry it had replaced did not write it again as long as its entry did not change, so the store did not hold the node any more: a node that started later and watched the store itself never learned of a live one, and sent it no requests. In the test, c stays at two nodes whenever it is the one that watches.

Why this works: an invalid value under the key of a node is now what it is, the loss of the node's entry. The node that watches writes its own entry again; the entry of another one lapses, its leader tells it on the next poll (EntryLapsed), and it writes it again, as after a removal.

The test waits for it now, and then still checks that it stays so; it fails when a never learns of c, which the old line did not wait to see.

--- a/internal/registry/fake_store_test.go
+++ b/internal/registry/fake_store_test.go
@@ -183,6 +183,12 @@
 	return s.values[key] != nil
 }
 
+func (s *fakeStore) value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.values[key]
+}
+
 // keys returns the keys under a prefix.
 func (s *fakeStore) keys(prefix string) []string {
 	s.mu.Lock()
--- a/internal/registry/odd_entry_test.go
+++ b/internal/registry/odd_entry_test.go
@@ -50,6 +50,7 @@
 				return entry
 			}
 			g.Eventually(func() int { return entryOfA().Slots }).WithTimeout(settleTime).Should(gomega.Equal(5), "the entry of a goes on changing")
+			g.Eventually(a.readyNodes).WithTimeout(settleTime).Should(gomega.Equal(3), "a learns of a node that starts later")
 			g.Consistently(a.readyNodes).WithTimeout(100 * time.Millisecond).Should(gomega.Equal(3))
 			g.Expect(entryOfA().Incarnation).To(gomega.BeNumerically(">", 0))
 		})
--- a/internal/registry/received_entry.go
+++ b/internal/registry/received_entry.go
@@ -2,15 +2,33 @@
 
 import "rosemaryladder.dev/rosemaryladder/internal/fleet"
 
-// applyEntry decodes and merges the entry of a node from the store.
-func (r *Registry) applyEntry(node string, raw []byte, source string) {
+// applyEntry decodes and merges the entry of a node from the store. A value that is not a
+// valid entry has replaced the one that the node wrote, which has thereby left the store.
+func (r *Registry) applyEntry(node string, raw []byte) {
 	entry, err := fleet.Decode(node, raw)
 	if err != nil {
-		r.rejectedValues.Inc(1)
-		r.deps.Log.WithError(err).WithField("source", source).Warn("invalid fleet entry rejected")
+		r.rejectEntry(node, err)
+		r.applyRemoval(node)
 		return
 	}
-	r.mergeEntry(entry, source)
+	r.mergeEntry(entry, "store")
+}
+
+// rejectEntry records that the store holds an invalid value under the key of a node.
+func (r *Registry) rejectEntry(node string, err error) {
+	r.rejectedValues.Inc(1)
+	r.deps.Log.WithError(err).WithFields(map[string]any{"peer": node, "source": "store"}).Warn("invalid fleet entry rejected")
+}
+
+// applyRemoval records that the entry of a node has left the store. The local entry is
+// written again.
+func (r *Registry) applyRemoval(node string) {
+	if node == r.LocalEntry().Node {
+		r.clearStored()
+		return
+	}
+	r.deps.Log.WithField("peer", node).Info("fleet entry left the store")
+	r.deps.Fleet.MarkLapsed(node, r.deps.Now())
 }
 
 // mergeEntry merges an entry of another node. An entry of this node only raises the
--- a/internal/registry/watch_loop.go
+++ b/internal/registry/watch_loop.go
@@ -71,8 +71,10 @@
 		}
 		entry, err := fleet.Decode(node, item.Value)
 		if err != nil {
-			r.rejectedValues.Inc(1)
-			r.deps.Log.WithError(err).WithField("key", item.Key).Warn("invalid fleet entry rejected")
+			r.rejectEntry(node, err)
+			if node == r.LocalEntry().Node {
+				r.clearStored()
+			}
 			continue
 		}
 		if entry.Node == r.LocalEntry().Node {
@@ -229,13 +231,10 @@
 func (r *Registry) applyEntryEvent(event store.Event) {
 	node, isEntry := r.nodeFromKey(event.Key)
 	switch {
-	case isEntry && event.Removed && node == r.LocalEntry().Node:
-		r.clearStored()
 	case isEntry && event.Removed:
-		r.deps.Log.WithField("peer", node).Info("fleet entry left the store")
-		r.deps.Fleet.MarkLapsed(node, r.deps.Now())
+		r.applyRemoval(node)
 	case isEntry:
-		r.applyEntry(node, event.Value, "store")
+		r.applyEntry(node, event.Value)
 	}
 }
 
