Write an entry again that the list of the store lacks

What callers see: a live node that other nodes drop, and that gets no request of theirs until it restarts or changes its entry.

Cause: a node that watches the store learns that its own entry is gone only from an event. When the removal is in the part of the history that the store compacted, the node lists the store again and merges its own entry into the list whether the store holds it or not; its lease lives, so nothing writes the entry again.

TestEntryLostWithTheHistoryIsWrittenAgain: the entry is removed while watches report nothing and end as compacted.

Why this works: a list that was requested after the entry was written holds it; a list without it is a loss, which the lease loop answers as it answers the event. A node that has not written its entry yet is not affected.

--- a/internal/registry/lease_loop.go
+++ b/internal/registry/lease_loop.go
@@ -124,6 +124,14 @@
 	return r.local, r.local == r.stored
 }
 
+// hasStored reports whether the store has been given the local entry and is not known to
+// have lost it.
+func (r *Registry) hasStored() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stored != fleet.Entry{}
+}
+
 func (r *Registry) setStored(entry fleet.Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/registry/watch_loop.go
+++ b/internal/registry/watch_loop.go
@@ -58,6 +58,7 @@
 func (r *Registry) loadFleet(ctx context.Context) (store.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.config.CallTimeout)
 	defer cancel()
+	wasStored, listed := r.hasStored(), false
 	items, revision, err := r.deps.Store.List(ctx, r.config.EntriesPrefix)
 	if err != nil {
 		return 0, err
@@ -72,17 +73,19 @@
 		entry, err := fleet.Decode(node, item.Value)
 		if err != nil {
 			r.rejectEntry(node, err)
-			if node == r.LocalEntry().Node {
-				r.clearStored()
-			}
 			continue
 		}
 		if entry.Node == r.LocalEntry().Node {
+			listed = true
 			r.raiseIncarnation(entry)
 			entry = r.LocalEntry()
 		}
 		entries = append(entries, entry)
 	}
+	if wasStored && !listed {
+		r.deps.Log.Info("local entry is missing in the store; writing it again")
+		r.clearStored()
+	}
 	r.syncFleet(append(entries, r.LocalEntry()), revision.Epoch())
 	r.updates.notify()
 	if !r.fleetKnown.Swap(true) {
