Delete the entry of a node once its lease loop has ended

What callers see: a node that stopped stays in the fleet until its lease ends, and requests go to a server that has left and come back as refusals.

Cause: DeleteLocalEntry cancelled the loops of Run and deleted the entry at once. A write that the lease loop had begun, or began before it noticed, came after the deletion.

Why this works: DeleteLocalEntry waits until Run has returned, for as long as its context allows. The loops' calls end with their context, so the wait is short.

--- a/internal/registry/lease_loop.go
+++ b/internal/registry/lease_loop.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 	"rosemaryladder.dev/rosemaryladder/internal/store"
 )
@@ -109,11 +110,16 @@
 	return lease, nil
 }
 
-// DeleteLocalEntry deletes the local entry from the store. It ends Run before: a node that
+// DeleteLocalEntry ends Run and then deletes the local entry from the store: a node that
 // learns of the removal of its entry would write it again, and its polls would keep it in
-// the fleet of its leader.
+// the fleet of its leader. It fails when Run does not return before the context ends.
 func (r *Registry) DeleteLocalEntry(ctx context.Context) error {
 	r.leave()
+	select {
+	case <-r.ended:
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "wait for the end of the lease loop")
+	}
 	return r.deps.Store.Delete(ctx, r.config.EntriesPrefix+r.LocalEntry().Node)
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -48,6 +48,8 @@
 	// left ends when the node deletes its entry, and leave ends it.
 	left  context.Context
 	leave context.CancelFunc
+	// ended is closed when Run returns.
+	ended chan struct{}
 	// updates wakes the pending long polls of followers.
 	updates *notifier
 	// runID identifies this run of the process to followers.
@@ -106,7 +108,7 @@
 	deps.Fleet.Merge(local)
 	left, leave := context.WithCancel(context.Background())
 	return &Registry{
-		left: left, leave: leave,
+		left: left, leave: leave, ended: make(chan struct{}),
 		config: config, deps: deps, local: local, startedAt: deps.Now(), runID: deps.Now().UnixNano(),
 		peerTrigger: make(chan struct{}, 1), localChanged: make(chan struct{}, 1),
 		updates: newNotifier(), leaderCooldownUntil: make(map[string]time.Time), suspects: make(map[string]fleet.Entry),
@@ -116,8 +118,9 @@
 }
 
 // Run keeps the view and the entry current until the context ends or DeleteLocalEntry is
-// called.
+// called. It is called once.
 func (r *Registry) Run(ctx context.Context) {
+	defer close(r.ended)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(r.left, cancel)()
