End the lease of a node that leaves

What callers see: a node that stopped comes back into the fleet until its lease ends, when the store is slow at its end; requests go to a server that has left.

Cause: a node that leaves deleted its entry by key. A write of the entry that was cancelled on the way, and that the store executes after the deletion, is valid, since the lease lives. Found by asking what else may write the entry after the deletion.

Why this works: the end of the lease deletes its keys, and the store refuses a later write under it. It is one call, as before. A node whose lease has expired, or that has written nothing, still deletes the key.

--- a/internal/registry/fake_store_test.go
+++ b/internal/registry/fake_store_test.go
@@ -159,16 +159,34 @@
 	s.values[event.Key] = event.Value
 }
 
-// revoke ends all leases and removes the keys bound to them.
-func (s *fakeStore) revoke() {
+func (s *fakeStore) Revoke(_ context.Context, lease store.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, keys := range s.leases {
-		for _, key := range keys {
-			s.write(store.Event{Key: key, Removed: true})
-		}
+	if err := s.startCall(); err != nil {
+		return err
+	}
+	if _, found := s.leases[lease]; !found {
+		return store.ErrLeaseExpired
+	}
+	s.endLease(lease)
+	return nil
+}
+
+// revokeAll ends all leases and removes the keys bound to them.
+func (s *fakeStore) revokeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for lease := range s.leases {
+		s.endLease(lease)
+	}
+}
+
+// endLease ends a lease and removes the keys bound to it.
+func (s *fakeStore) endLease(lease store.LeaseID) {
+	for _, key := range s.leases[lease] {
+		s.write(store.Event{Key: key, Removed: true})
 	}
-	clear(s.leases)
+	delete(s.leases, lease)
 }
 
 func (s *fakeStore) modify(change func(*fakeStore)) {
--- a/internal/registry/late_write_test.go
+++ b/internal/registry/late_write_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -42,3 +43,40 @@
 	g.Eventually(deleted).WithTimeout(settleTime).Should(gomega.Receive(gomega.BeNil()))
 	g.Consistently(func() bool { return shared.hasKey("nodes/a") }).WithTimeout(100 * time.Millisecond).Should(gomega.BeFalse())
 }
+
+// lateWriteStore responds to a write when its context ends, and executes it later.
+type lateWriteStore struct {
+	*fakeStore
+	late, executed chan struct{}
+}
+
+func (s lateWriteStore) Put(ctx context.Context, key string, value []byte, lease store.LeaseID) error {
+	select {
+	case s.late <- struct{}{}:
+	default:
+		return s.fakeStore.Put(ctx, key, value, lease)
+	}
+	<-ctx.Done()
+	time.AfterFunc(50*time.Millisecond, func() {
+		if err := s.fakeStore.Put(context.Background(), key, value, lease); err != nil && !errors.Is(err, store.ErrLeaseExpired) {
+			panic(err)
+		}
+		close(s.executed)
+	})
+	return ctx.Err()
+}
+
+// TestLateWriteDoesNotBringTheEntryBack guards against a node that left and is in the fleet
+// again, because a slow store executes the last write of its entry after the deletion.
+func TestLateWriteDoesNotBringTheEntryBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	shared := newFakeStore()
+	late := lateWriteStore{shared, make(chan struct{}), make(chan struct{})}
+	a := startRegistry(t, late, "a")
+	g.Eventually(func() bool { return shared.hasKey("nodes/a") }).WithTimeout(settleTime).Should(gomega.BeTrue())
+	a.UpdateLocalEntry(func(e *fleet.Entry) { e.State = fleet.Draining })
+	<-late.late
+	g.Expect(a.DeleteLocalEntry(context.Background())).To(gomega.Succeed())
+	<-late.executed
+	g.Expect(shared.hasKey("nodes/a")).To(gomega.BeFalse())
+}
--- a/internal/registry/lease_loop.go
+++ b/internal/registry/lease_loop.go
@@ -13,7 +13,6 @@
 // leaseLoop keeps the local entry in the store, bound to a lease.
 func (r *Registry) leaseLoop(ctx context.Context) {
 	retry := r.newBackoff()
-	var lease store.LeaseID
 	for ctx.Err() == nil {
 		if r.LocalEntry().Server == "" {
 			// An entry without a server contains nothing that the fleet needs, and
@@ -23,15 +22,14 @@
 			}
 			continue
 		}
-		var err error
-		lease, err = r.refreshLease(ctx, lease)
+		err := r.refreshLease(ctx)
 		wait := r.renewalInterval()
 		switch {
 		case err == nil:
 			retry.reset()
 		case errors.Is(err, store.ErrLeaseExpired):
-			r.deps.Log.WithField("lease", lease.Number()).Info("lease expired or was revoked; writing the local entry again")
-			lease = 0
+			r.deps.Log.WithField("lease", r.lease.Number()).Info("lease expired or was revoked; writing the local entry again")
+			r.lease = 0
 			r.setStored(fleet.Entry{})
 			// A change of the local entry does not shorten this wait: readers are told of
 			// the removal of their entries together.
@@ -77,42 +75,44 @@
 	return r.config.KeepInterval
 }
 
-// refreshLease renews the lease, or grants one when lease is 0, and writes the local
-// entry when the store has an older one. It returns the lease in use.
-func (r *Registry) refreshLease(ctx context.Context, lease store.LeaseID) (store.LeaseID, error) {
+// refreshLease renews the lease, or grants one when there is none, and writes the local
+// entry when the store has an older one.
+func (r *Registry) refreshLease(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*r.config.CallTimeout)
 	defer cancel()
 	local, current := r.localEntryState()
-	if lease != 0 && current {
-		err := r.deps.Store.KeepAlive(ctx, lease)
+	if r.lease != 0 && current {
+		err := r.deps.Store.KeepAlive(ctx, r.lease)
 		if err == nil {
 			r.recordStoreResponse()
 		}
 		if err != nil || !r.entryLapsed.Swap(false) {
-			return lease, err
+			return err
 		}
 		r.deps.Log.Info("local entry left the store although its lease is renewed; writing it again")
 		r.setStored(fleet.Entry{})
 	}
-	if lease == 0 {
+	if r.lease == 0 {
 		r.entryLapsed.Store(false)
 		granted, err := r.deps.Store.Grant(ctx, r.config.LeaseTTL)
 		if err != nil {
-			return 0, err
+			return err
 		}
-		lease = granted
+		r.lease = granted
 	}
-	if err := r.deps.Store.Put(ctx, r.config.EntriesPrefix+local.Node, local.Encode(), lease); err != nil {
-		return lease, err
+	if err := r.deps.Store.Put(ctx, r.config.EntriesPrefix+local.Node, local.Encode(), r.lease); err != nil {
+		return err
 	}
 	r.recordStoreResponse()
 	r.setStored(local)
-	return lease, nil
+	return nil
 }
 
 // DeleteLocalEntry ends Run and then deletes the local entry from the store: a node that
 // learns of the removal of its entry would write it again, and its polls would keep it in
-// the fleet of its leader. It fails when Run does not return before the context ends.
+// the fleet of its leader. It fails when Run does not return before the context ends. The
+// entry is deleted by the end of its lease, so that a write that the store executes later
+// fails.
 func (r *Registry) DeleteLocalEntry(ctx context.Context) error {
 	r.leave()
 	select {
@@ -120,6 +120,15 @@
 	case <-ctx.Done():
 		return errors.Wrap(ctx.Err(), "wait for the end of the lease loop")
 	}
+	if r.lease != 0 {
+		switch err := r.deps.Store.Revoke(ctx, r.lease); {
+		case err == nil && r.hasStored():
+			return nil
+		case err != nil && !errors.Is(err, store.ErrLeaseExpired):
+			return err
+		}
+	}
+	// The entry may be that of an earlier process of this node, under another lease.
 	return r.deps.Store.Delete(ctx, r.config.EntriesPrefix+r.LocalEntry().Node)
 }
 
--- a/internal/registry/lease_loop_test.go
+++ b/internal/registry/lease_loop_test.go
@@ -44,7 +44,7 @@
 	shared.times = nil
 	shared.mu.Unlock()
 	revokedAt := time.Now()
-	shared.revoke()
+	shared.revokeAll()
 	g.Eventually(func() int { return len(shared.keys("nodes/")) }).WithTimeout(settleTime).Should(gomega.Equal(count))
 	shared.mu.Lock()
 	defer shared.mu.Unlock()
@@ -65,7 +65,7 @@
 	}
 	g.Eventually(func() int { return len(shared.keys("nodes/")) }).WithTimeout(settleTime).Should(gomega.Equal(1))
 	revokedAt := time.Now()
-	shared.revoke()
+	shared.revokeAll()
 	g.Eventually(func() int {
 		a.UpdateLocalEntry(func(*fleet.Entry) {})
 		return len(shared.keys("nodes/"))
--- a/internal/registry/leave_test.go
+++ b/internal/registry/leave_test.go
@@ -6,13 +6,23 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"rosemaryladder.dev/rosemaryladder/internal/store"
 )
 
-// lateDeleteStore executes deletions at once and responds to them late.
+// lateDeleteStore executes deletions and ends of leases at once and responds to them late.
 type lateDeleteStore struct{ *fakeStore }
 
 func (s lateDeleteStore) Delete(ctx context.Context, key string) error {
-	if err := s.fakeStore.Delete(ctx, key); err != nil {
+	return respondLate(ctx, s.fakeStore.Delete(ctx, key))
+}
+
+func (s lateDeleteStore) Revoke(ctx context.Context, lease store.LeaseID) error {
+	return respondLate(ctx, s.fakeStore.Revoke(ctx, lease))
+}
+
+func respondLate(ctx context.Context, err error) error {
+	if err != nil {
 		return err
 	}
 	<-ctx.Done()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -50,6 +50,9 @@
 	leave context.CancelFunc
 	// ended is closed when Run returns.
 	ended chan struct{}
+	// lease is the lease of the local entry; 0 while there is none. Only the lease loop
+	// uses it until Run returns.
+	lease store.LeaseID
 	// updates wakes the pending long polls of followers.
 	updates *notifier
 	// runID identifies this run of the process to followers.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -134,7 +134,7 @@
 	shared := newFakeStore()
 	a, b := startRegistry(t, shared, "a"), startRegistry(t, shared, "b")
 	g.Eventually(a.readyNodes).WithTimeout(settleTime).Should(gomega.Equal(2))
-	shared.revoke()
+	shared.revokeAll()
 	g.Eventually(func() bool { return shared.hasKey("nodes/a") && shared.hasKey("nodes/b") }).WithTimeout(2 * time.Second).Should(gomega.BeTrue())
 	g.Consistently(b.readyNodes).WithTimeout(700 * time.Millisecond).Should(gomega.Equal(2))
 }
@@ -186,7 +186,7 @@
 	for _, r := range all {
 		g.Eventually(r.routes.Version).WithTimeout(settleTime).Should(gomega.Equal(routing.Version(9)))
 	}
-	shared.revoke()
+	shared.revokeAll()
 	for _, r := range all {
 		g.Eventually(r.readyNodes).WithTimeout(settleTime).Should(gomega.Equal(len(all)))
 	}
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -24,4 +24,6 @@
 	Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error)
 	// KeepAlive renews a lease for its full time to live.
 	KeepAlive(ctx context.Context, lease store.LeaseID) error
+	// Revoke ends a lease and deletes the keys bound to it.
+	Revoke(ctx context.Context, lease store.LeaseID) error
 }
--- a/internal/registry/store_calls_test.go
+++ b/internal/registry/store_calls_test.go
@@ -58,7 +58,7 @@
 		leaders := leadersPerDomain * 4 * int(outage/time.Second)
 		g.Expect(s.calls).To(gomega.BeNumerically("<=", (count-leadersPerDomain)*(1+int(outage/DefaultConfig().OutageRetry))+leaders))
 	})
-	shared.revoke()
+	shared.revokeAll()
 	shared.modify(func(s *fakeStore) { s.down = false })
 	back := func() bool {
 		for i := range count {
