Keep a node that a leader's complete list lacks for the retention

What callers see: a node sends nothing to a live server for up to a second after the store was restored, or longer while the store is away.

Cause: a follower dropped at once every node that a complete list of its leader lacks. The comment said that the leader has kept it for the retention before; a leader that has just started has not, and lists what the store holds, which may be fewer: the node is about to write its entry again.

Why this works: the missing entries lapse, as those do that a list of the store lacks. A follower expires them after the retention while the store responds; a node that writes its entry again, or is listed again, stays without a gap. Until then the digests differ and the follower asks for a complete list at every third poll, for 2.5 s at most.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -97,11 +97,7 @@
 		listed[entry.Node] = true
 		t.merge(entry)
 	}
-	for node := range t.entries {
-		if !listed[node] {
-			t.lapse(node, now)
-		}
-	}
+	t.lapseUnlisted(listed, now)
 	t.publish()
 }
 
@@ -161,10 +157,11 @@
 	return false
 }
 
-// SyncFromPeer merges the list of a node that follows the store: entries that it
-// lacks are removed, because that node has already kept them for the retention.
-// local is the entry of this node, which stays.
-func (t *Table) SyncFromPeer(entries []Entry, local Entry) {
+// SyncFromPeer merges the list of a node that follows the store: entries that it lacks
+// count as lapsed from now on. That node has usually kept them for the retention already,
+// but one that has just started may not have seen an entry that its node is about to write
+// again. local is the entry of this node, which stays.
+func (t *Table) SyncFromPeer(entries []Entry, local Entry, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	listed := map[string]bool{local.Node: true}
@@ -175,11 +172,7 @@
 		}
 	}
 	t.merge(local)
-	for node := range t.entries {
-		if !listed[node] {
-			t.remove(node)
-		}
-	}
+	t.lapseUnlisted(listed, now)
 	t.publish()
 }
 
@@ -311,6 +304,15 @@
 	}
 }
 
+// lapseUnlisted has the entries of all nodes that are not listed count as lapsed.
+func (t *Table) lapseUnlisted(listed map[string]bool, now time.Time) {
+	for node := range t.entries {
+		if !listed[node] {
+			t.lapse(node, now)
+		}
+	}
+}
+
 // publish publishes a view of the entries unless the published one has the same.
 func (t *Table) publish() {
 	previous := t.view.Load()
--- a/internal/registry/follow_loop.go
+++ b/internal/registry/follow_loop.go
@@ -121,11 +121,12 @@
 	}
 }
 
-// applyRemovals removes the entries that the leader does not hold, and keeps the others:
-// the leader decides when lapsed entries are removed.
+// applyRemovals removes the entries that the leader has removed, has those lapse that a
+// complete list of the leader lacks, and keeps the others: the leader decides when lapsed
+// entries are removed.
 func (r *Registry) applyRemovals(remote peerState) {
 	if remote.Complete {
-		r.deps.Fleet.SyncFromPeer(remote.Entries, r.LocalEntry())
+		r.deps.Fleet.SyncFromPeer(remote.Entries, r.LocalEntry(), r.deps.Now())
 		return
 	}
 	if removed := r.withoutLocal(remote.Removed); len(removed) > 0 {
