Let a full server wait for connections that it has just accepted

What callers saw: a reset in place of a response, with a complete request sent on a new connection, while many callers open connections at once.

Cause: to make room, the server ends connections that are idle. One counts as idle once its goroutine waits for a request. While the goroutines of those that were just accepted had not run, the server found none to end, none that was ending, and refused the next connection at once.

Why this works: the accepting goroutine waits, for roomTimeout at most, also while accepted connections are unserved; their goroutines wake it. What was pending is read before the search for room, so that a connection which becomes idle or ends between the two is not missed. A server on whose connections requests run refuses at once as before (TestFullServerRefusesAtOnce).

--- a/internal/ingress/capacity.go
+++ b/internal/ingress/capacity.go
@@ -29,22 +29,26 @@
 }
 
 // awaitRoom waits until another connection can be accepted; false when there is no room.
-// The connections that makeRoom expires end within moments. A new one that was closed
-// meanwhile would be reset, together with a request that has arrived on it.
+// The connections that makeRoom expires end within moments, and those that were just
+// accepted are served within moments, after which they may be expired. A new connection
+// that was closed meanwhile would be reset, together with a request that has arrived on it.
 func (s *Server) awaitRoom() bool {
+	pending := s.isRoomPending()
 	if s.makeRoom() {
 		return true
 	}
 	deadline := time.Now().Add(roomTimeout)
 	ticker := time.NewTicker(roomPollInterval)
 	defer ticker.Stop()
-	for !s.full.Load() && s.isExpiring() {
+	// What was pending before makeRoom may have given room since.
+	for !s.full.Load() && (pending || s.isRoomPending()) {
 		select {
 		case <-s.roomMade:
 		case <-ticker.C:
 		case <-s.stop:
 			return false
 		}
+		pending = s.isRoomPending()
 		if s.makeRoom() {
 			return true
 		}
@@ -56,11 +60,12 @@
 	return false
 }
 
-// isExpiring reports whether connections that makeRoom has expired have not ended.
-func (s *Server) isExpiring() bool {
+// isRoomPending reports whether connections that makeRoom has expired have not ended, or
+// accepted ones have not been served.
+func (s *Server) isRoomPending() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.expiring > 0
+	return s.expiring > 0 || s.unserved.Load() > 0
 }
 
 // makeRoom reports whether another connection can be accepted. With MaxConns open, it
--- a/internal/ingress/capacity_test.go
+++ b/internal/ingress/capacity_test.go
@@ -161,19 +161,25 @@
 	g.Expect(time.Since(startedAt)).To(gomega.BeNumerically("<", roomTimeout))
 }
 
-// TestConnectionIsSilentFromItsAcceptance guards against a full server that resets a new
+// TestFullServerWaitsForAcceptedConnections guards against a full server that resets a new
 // connection, with a complete request on it, because no goroutine has served those that
 // it has just accepted, on which nothing has arrived.
-func TestConnectionIsSilentFromItsAcceptance(t *testing.T) {
+func TestFullServerWaitsForAcceptedConnections(t *testing.T) {
 	g := gomega.NewWithT(t)
-	const conns = 16
+	const conns, delay = 16, 50 * time.Millisecond
 	s := newTestServer(t, func(c *Config) { c.MaxConns = conns })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer listener.Close()
 	for range conns {
-		caller, accepted := net.Pipe()
+		caller, err := net.Dial("tcp", listener.Addr().String())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
 		defer caller.Close()
+		accepted, err := listener.Accept()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
 		c := newConn(s.Server, accepted)
 		g.Expect(s.add(c)).To(gomega.BeTrue())
-		defer s.remove(c)
+		time.AfterFunc(delay, c.serve)
 	}
 	g.Expect(s.awaitRoom()).To(gomega.BeTrue())
 }
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -53,7 +53,8 @@
 	waiting bool
 	// headSince is when the head that is being read began; zero while none is read.
 	headSince time.Time
-	// idleSince is when the last exchange ended; zero while one runs.
+	// idleSince is when the last exchange ended, or the connection was first served; zero
+	// before, and while an exchange runs.
 	idleSince time.Time
 	// expiring is set when the connection makes room for others.
 	expiring bool
@@ -77,6 +78,8 @@
 			c.server.config.Log.WithField("cause", cause).WithField("stack", string(debug.Stack())).Error("panic while reading a request; its connection is closed")
 		}
 	}()
+	c.beginIdle()
+	c.server.markServed()
 	for c.awaitRequest() && c.startNext() {
 	}
 	// An expired connection is closed at once: nothing that is read from it now can be
--- a/internal/ingress/conn_wait.go
+++ b/internal/ingress/conn_wait.go
@@ -76,11 +76,8 @@
 // The idle time begins anew: a connection that is closed before, and on which bytes of
 // the caller arrive, is reset, which destroys the rest of the response.
 func (c *conn) awaitReceived() {
-	now := time.Now()
-	c.mu.Lock()
-	c.idleSince = now
-	c.mu.Unlock()
-	c.setReadDeadline(now.Add(leavePollInterval))
+	c.beginIdle()
+	c.setReadDeadline(time.Now().Add(leavePollInterval))
 	// The next wait for a request meets an error again.
 	_, _ = c.reader.Peek(1)
 }
@@ -148,6 +145,13 @@
 	}
 }
 
+// beginIdle has the connection count as idle from now on.
+func (c *conn) beginIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince = time.Now()
+}
+
 func (c *conn) startWaiting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -24,8 +24,10 @@
 	draining atomic.Bool
 	// ending is set once connections without a request are closed.
 	ending atomic.Bool
+	// unserved is the number of accepted connections whose goroutine has not run yet.
+	unserved atomic.Int64
 	// removed is signalled after a connection has ended, for Shutdown, and roomMade for
-	// the accepting goroutine.
+	// the accepting goroutine, also when a connection has become served.
 	removed, roomMade chan struct{}
 	// full is set while connections without room are refused at once, since none has
 	// ended for roomTimeout.
@@ -193,6 +195,7 @@
 		return false
 	}
 	s.conns[c] = struct{}{}
+	s.unserved.Add(1)
 	return true
 }
 
@@ -204,11 +207,21 @@
 		s.expiring--
 	}
 	s.full.Store(false)
-	for _, removed := range []chan struct{}{s.removed, s.roomMade} {
-		select {
-		case removed <- struct{}{}:
-		default:
-		}
+	signal(s.removed)
+	signal(s.roomMade)
+}
+
+// markServed records that the goroutine of a connection runs.
+func (s *Server) markServed() {
+	s.unserved.Add(-1)
+	signal(s.roomMade)
+}
+
+// signal wakes the receiver of a channel of capacity 1; a pending signal is enough.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
 	}
 }
 
