Write an entry again that is lost while it is written

What callers see: a live node that no other node knows, until its entry changes.

Cause: the watch may report the removal of an entry before the store's response to its write arrives, as with a slow store or with a lease of the copy that ends after a restore. The response then marked the entry as stored, and nothing wrote it again.

Why this works: losses are counted, and a write marks the entry as stored only if none was found since it began. A removal that was executed before the write and reported during it costs one more write.

--- a/internal/registry/late_write_test.go
+++ b/internal/registry/late_write_test.go
@@ -80,3 +80,38 @@
 	<-late.executed
 	g.Expect(shared.hasKey("nodes/a")).To(gomega.BeFalse())
 }
+
+// lateResponseStore executes a write at once and responds to it once it may.
+type lateResponseStore struct {
+	*fakeStore
+	executed, respond chan struct{}
+}
+
+func (s lateResponseStore) Put(ctx context.Context, key string, value []byte, lease store.LeaseID) error {
+	err := s.fakeStore.Put(ctx, key, value, lease)
+	select {
+	case s.executed <- struct{}{}:
+		<-s.respond
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// TestEntryLostDuringItsWriteIsWrittenAgain guards against a live node that is not in the
+// store, because its entry was removed before the store responded to the write of it.
+func TestEntryLostDuringItsWriteIsWrittenAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	shared := newFakeStore()
+	late := lateResponseStore{shared, make(chan struct{}), make(chan struct{})}
+	startRegistry(t, late, "a")
+	<-late.executed
+	// The watch has started by then.
+	time.Sleep(200 * time.Millisecond)
+	shared.modify(func(s *fakeStore) { s.write(store.Event{Key: "nodes/a", Removed: true}) })
+	time.Sleep(200 * time.Millisecond)
+	late.respond <- struct{}{}
+	g.Eventually(late.executed).WithTimeout(settleTime).Should(gomega.Receive(), "the entry is written again")
+	late.respond <- struct{}{}
+	g.Eventually(func() bool { return shared.hasKey("nodes/a") }).WithTimeout(settleTime).Should(gomega.BeTrue())
+}
--- a/internal/registry/lease_loop.go
+++ b/internal/registry/lease_loop.go
@@ -30,7 +30,7 @@
 		case errors.Is(err, store.ErrLeaseExpired):
 			r.deps.Log.WithField("lease", r.lease.Number()).Info("lease expired or was revoked; writing the local entry again")
 			r.lease = 0
-			r.setStored(fleet.Entry{})
+			r.markLost()
 			// A change of the local entry does not shorten this wait: readers are told of
 			// the removal of their entries together.
 			if !pause(ctx, rewriteDelay(r.deps.Fleet.View().Len(), r.deps.Random())) {
@@ -80,7 +80,7 @@
 func (r *Registry) refreshLease(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*r.config.CallTimeout)
 	defer cancel()
-	local, current := r.localEntryState()
+	local, current, losses := r.localEntryState()
 	if r.lease != 0 && current {
 		err := r.deps.Store.KeepAlive(ctx, r.lease)
 		if err == nil {
@@ -90,7 +90,7 @@
 			return err
 		}
 		r.deps.Log.Info("local entry left the store although its lease is renewed; writing it again")
-		r.setStored(fleet.Entry{})
+		losses = r.markLost()
 	}
 	if r.lease == 0 {
 		r.entryLapsed.Store(false)
@@ -104,7 +104,7 @@
 		return err
 	}
 	r.recordStoreResponse()
-	r.setStored(local)
+	r.markStored(local, losses)
 	return nil
 }
 
@@ -132,11 +132,12 @@
 	return r.deps.Store.Delete(ctx, r.config.EntriesPrefix+r.LocalEntry().Node)
 }
 
-// localEntryState returns the local entry and whether the store has it.
-func (r *Registry) localEntryState() (fleet.Entry, bool) {
+// localEntryState returns the local entry, whether the store has it, and the number of
+// its losses.
+func (r *Registry) localEntryState() (local fleet.Entry, current bool, losses int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.local, r.local == r.stored
+	return r.local, r.local == r.stored, r.losses
 }
 
 // hasStored reports whether the store has been given the local entry and is not known to
@@ -147,15 +148,29 @@
 	return r.stored != fleet.Entry{}
 }
 
-func (r *Registry) setStored(entry fleet.Entry) {
+// markStored records that the store has an entry, unless it has lost one since the write
+// began: the lost one may be this one.
+func (r *Registry) markStored(entry fleet.Entry, lossesBefore int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stored = entry
+	if r.losses == lossesBefore {
+		r.stored = entry
+	}
+}
+
+// markLost records that the store has lost the local entry, and returns the number of its
+// losses.
+func (r *Registry) markLost() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stored = fleet.Entry{}
+	r.losses++
+	return r.losses
 }
 
-// clearStored has the local entry written again.
-func (r *Registry) clearStored() {
-	r.setStored(fleet.Entry{})
+// rewriteEntry has the local entry written again.
+func (r *Registry) rewriteEntry() {
+	r.markLost()
 	wake(r.localChanged)
 }
 
--- a/internal/registry/received_entry.go
+++ b/internal/registry/received_entry.go
@@ -24,7 +24,7 @@
 // written again.
 func (r *Registry) applyRemoval(node string) {
 	if node == r.LocalEntry().Node {
-		r.clearStored()
+		r.rewriteEntry()
 		return
 	}
 	r.deps.Log.WithField("peer", node).Info("fleet entry left the store")
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -93,8 +93,10 @@
 	configuration configurationHistory
 	// local is the entry of this node.
 	local fleet.Entry
-	// stored is the newest version of the local entry that the store has.
+	// stored is the newest version of the local entry that the store has, and losses counts
+	// how often the store was found to have lost it.
 	stored fleet.Entry
+	losses int
 	// suspects are the nodes that could not be reached, by node.
 	suspects map[string]fleet.Entry
 	// storeUnresponsive is set while calls to the store fail, so that only the start
--- a/internal/registry/watch_loop.go
+++ b/internal/registry/watch_loop.go
@@ -84,7 +84,7 @@
 	}
 	if wasStored && !listed {
 		r.deps.Log.Info("local entry is missing in the store; writing it again")
-		r.clearStored()
+		r.rewriteEntry()
 	}
 	r.syncFleet(append(entries, r.LocalEntry()), revision.Epoch())
 	r.updates.notify()
