Charge a crash to requests whose callers left before it

What callers see: a request that crashes servers goes on to do so, and other callers of the service are refused meanwhile, when its caller is less patient than the server needs to crash.

Cause: a crash was charged to the exchanges that it broke. One that was cancelled, or whose deadline passed, breaks before the crash; the server may go on with the request, and its crash then counted as unexplained.

What excuses content stays: the same run finished it, or any server did just before or later; a crash is still dated by an exchange that broke.

--- a/internal/crash/record.go
+++ b/internal/crash/record.go
@@ -23,16 +23,20 @@
 	// refused after its last crash.
 	retention = 10 * time.Minute
 	// maxOccurrences bounds the occurrences of a record, crashed and served each.
-	// A crash adds at most one for each slot of the server.
+	// A crash adds at most one for each slot of the server, and maxAbandoned.
 	maxOccurrences = 32
+	// maxAbandoned bounds the contents that a crash is charged to although their exchanges
+	// did not break. The newest are kept: the longer ago a caller left, the more probably
+	// the server has finished the request since.
+	maxAbandoned = 8
 )
 
 // Record is what one inbound proxy observed of its server. It is safe for
 // concurrent use.
 type Record struct {
 	mu sync.Mutex
-	// broken lists the recent broken exchanges of servers that are not known to have
-	// ended.
+	// broken lists the recent broken and abandoned exchanges of servers that are not known
+	// to have ended, oldest first.
 	broken []brokenExchange
 	// finished holds what the current run of the server has finished.
 	finished recentContents
@@ -56,14 +60,37 @@
 		defer r.dropLeastSuspect()
 		return r.charge(server, content)
 	}
-	r.broken = slices.DeleteFunc(r.broken, func(b brokenExchange) bool { return now.Sub(b.at) > attributionWindow })
-	if len(r.broken) >= maxOccurrences {
-		r.broken = r.broken[1:]
-	}
-	r.broken = append(r.broken, brokenExchange{server, content, now})
+	r.addExchange(brokenExchange{server: server, content: content, at: now}, maxOccurrences)
 	return false
 }
 
+// AddAbandoned records that the caller of a request left, or its deadline passed, while a
+// server was running it. The server may go on with it, and crash.
+func (r *Record) AddAbandoned(now time.Time, server string, content Fingerprint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.broken = slices.DeleteFunc(r.broken, func(b brokenExchange) bool { return b.abandoned && b.server == server && b.content == content })
+	r.addExchange(brokenExchange{server: server, content: content, at: now, abandoned: true}, maxAbandoned)
+}
+
+// addExchange adds an exchange and drops those that no crash is charged to any more, and
+// the oldest of its kind beyond a limit.
+func (r *Record) addExchange(added brokenExchange, limit int) {
+	r.broken = slices.DeleteFunc(r.broken, func(b brokenExchange) bool { return added.at.Sub(b.at) > attributionWindow })
+	isSameKind := func(b brokenExchange) bool { return b.abandoned == added.abandoned }
+	count := 0
+	for _, b := range r.broken {
+		if isSameKind(b) {
+			count++
+		}
+	}
+	if count >= limit {
+		oldest := slices.IndexFunc(r.broken, isSameKind)
+		r.broken = slices.Delete(r.broken, oldest, oldest+1)
+	}
+	r.broken = append(r.broken, added)
+}
+
 // AddCrash records that a server has ended without notice, and reports whether content
 // is charged with it. A crash is dated by its first broken exchange, because it may be
 // noticed only when the server is back.
@@ -82,8 +109,8 @@
 	}
 	r.broken = others
 	r.endedServer, r.noticedAt, r.crashedAt = server, now, now
-	if len(running) > 0 {
-		r.crashedAt = running[0].at
+	if first := slices.IndexFunc(running, func(b brokenExchange) bool { return !b.abandoned }); first >= 0 {
+		r.crashedAt = running[first].at
 	}
 	charged := false
 	for _, b := range running {
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -236,6 +236,8 @@
 			}
 			if complete || ctx.Err() == nil {
 				in.recordContent(req, server, complete)
+			} else {
+				in.recordAbandoned(req, server)
 			}
 		},
 	}
@@ -244,6 +246,9 @@
 // exchangeRefusal returns the outcome of a request whose exchange with the server
 // failed before the head of the response was read.
 func (in *inbound) exchangeRefusal(ctx context.Context, req *upstreamRequest, server string, exchangeErr *exchange.Error) *refusalReason {
+	if ctx.Err() != nil && exchangeErr.MaybeDelivered {
+		in.recordAbandoned(req, server)
+	}
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		return &refusalReason{code: result.OutcomeUnknown, message: "the caller cancelled the request", cancelled: true, maybeDelivered: exchangeErr.MaybeDelivered}
--- a/internal/proxy/inbound_crash.go
+++ b/internal/proxy/inbound_crash.go
@@ -22,6 +22,12 @@
 	}
 }
 
+// recordAbandoned records that a request was cancelled, or its deadline passed, while the
+// server may have been running it.
+func (in *inbound) recordAbandoned(req *upstreamRequest, server string) {
+	in.deps.Crashes.AddAbandoned(in.deps.Now(), server, req.content())
+}
+
 // crashCheckTimeout bounds the check for a crash after a broken exchange. A server
 // that exits closes its listener within milliseconds of its connections.
 const crashCheckTimeout = 200 * time.Millisecond
--- a/internal/standin/app/app.go
+++ b/internal/standin/app/app.go
@@ -32,7 +32,8 @@
 	// sent, for a server behind a proxy that delays them. If it is nil, a request counts
 	// as sent when the kernel received its bytes.
 	SentAt func(remote string) time.Time
-	// PoisonPath is the path of requests that crash the server; empty for none.
+	// PoisonPath is the path of requests that crash the server, after the duration in the
+	// query parameter "after"; empty for none.
 	PoisonPath string
 	// OnRun is called with the id of each request that starts to run.
 	OnRun func(id string)
@@ -143,8 +144,7 @@
 	}
 	a.options.OnRun(id)
 	if a.options.PoisonPath != "" && r.URL.Path == a.options.PoisonPath {
-		a.crashed.Store(true)
-		go a.Stop()
+		a.crashAfter(r.URL.Query().Get("after"))
 		<-r.Context().Done()
 		return
 	}
@@ -157,6 +157,19 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s", id, r.Header.Get("X-Rosemaryladder-Caller-Service"), body)
 }
 
+// crashAfter crashes the server after a duration, or at once without one, whether the
+// request is cancelled meanwhile or not.
+func (a *App) crashAfter(delay string) {
+	duration, err := time.ParseDuration(delay)
+	if err != nil {
+		duration = 0
+	}
+	time.AfterFunc(duration, func() {
+		a.crashed.Store(true)
+		a.Stop()
+	})
+}
+
 // sentAt returns when the local node sent a request. On a busy machine its handler starts
 // long after its bytes have arrived.
 func (a *App) sentAt(r *http.Request) time.Time {
--- a/internal/standin/platformscenario/crash_storm_test.go
+++ b/internal/standin/platformscenario/crash_storm_test.go
@@ -29,13 +29,23 @@
 // back at once or, as in the users' record, all together after some seconds.
 func TestRepeatsOfCrashingRequestStop(t *testing.T) {
 	for _, restartDelay := range []time.Duration{quickRestartDelay, 3500 * time.Millisecond} {
-		t.Run(restartDelay.String(), func(t *testing.T) { repeatCrashingRequest(t, restartDelay) })
+		t.Run(restartDelay.String(), func(t *testing.T) {
+			repeatCrashingRequest(t, restartDelay, 5, (*Deployment).sendPoison)
+		})
 	}
 }
 
-func repeatCrashingRequest(t *testing.T, restartDelay time.Duration) {
+// TestRepeatsOfAbandonedCrashingRequestStop guards against a request that goes on to crash
+// servers because its caller leaves before the server that runs it crashes.
+func TestRepeatsOfAbandonedCrashingRequestStop(t *testing.T) {
+	repeatCrashingRequest(t, quickRestartDelay, 1, func(d *Deployment, host, number int) (int, error) {
+		return d.sendSlowPoison(host, number, 300*time.Millisecond, 150*time.Millisecond)
+	})
+}
+
+func repeatCrashingRequest(t *testing.T, restartDelay time.Duration, callers int, send func(d *Deployment, host, number int) (int, error)) {
 	g := gomega.NewWithT(t)
-	const hosts, callers = 8, 5
+	const hosts = 8
 	d := startReady(t, hosts)
 	load := d.StartLoad(6)
 	restarts := startRestarts(d, restartDelay)
@@ -51,7 +61,7 @@
 				mu.Lock()
 				sentAt[fmt.Sprintf("poison-%d", number)] = time.Now()
 				mu.Unlock()
-				status, err := d.sendPoison(caller, number)
+				status, err := send(d, caller, number)
 				if err == nil && status == http.StatusServiceUnavailable {
 					refused.Add(1)
 				}
--- a/internal/standin/platformscenario/load.go
+++ b/internal/standin/platformscenario/load.go
@@ -30,14 +30,21 @@
 // sendPoison sends a request that crashes the backend server running it and returns
 // the status of the response.
 func (d *Deployment) sendPoison(host, number int) (int, error) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+d.OutboundAddress(host)+PoisonPath, strings.NewReader("poison"))
+	return d.sendSlowPoison(host, number, 0, 3*time.Second)
+}
+
+// sendSlowPoison sends a request that crashes the backend server some time after its start,
+// and leaves when the response takes longer than patience.
+func (d *Deployment) sendSlowPoison(host, number int, crashDelay, patience time.Duration) (int, error) {
+	target := fmt.Sprintf("http://%s%s?after=%s", d.OutboundAddress(host), PoisonPath, crashDelay)
+	request, err := http.NewRequest(http.MethodPost, target, strings.NewReader("poison"))
 	if err != nil {
 		return 0, err
 	}
 	request.Host = "orders.example"
 	request.Header.Set("X-Rosemaryladder-Request-Id", fmt.Sprintf("poison-%d", number))
 	request.Header.Set("X-Rosemaryladder-Deadline-Ms", "1500")
-	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, err
