Leave new connections the time to send a request while room is made

What callers saw: the end of a new connection in place of a response, while many callers open connections at once.

Cause: to make room, the server ends those connections whose callers have been silent for longest. In a crowd, a connection of a few milliseconds is among them, and its request has not arrived yet.

Why this works: a connection on which nothing of a request has arrived is ended only after 100 ms; the next one waits in the meantime, as it does for those that are ending. The search for room now tells itself whether room is about to be made, under the lock under which it searched, in place of two reads around it.

--- a/internal/ingress/capacity.go
+++ b/internal/ingress/capacity.go
@@ -17,9 +17,13 @@
 	// callers give up a connection that is not established after a second. A connection
 	// whose caller doesn't read its last response takes longer, and is not waited for.
 	roomTimeout = time.Second
-	// roomPollInterval is the time between two checks for a connection that has become
-	// silent meanwhile, which nothing signals.
+	// roomPollInterval is the time between two checks for a connection that has been silent
+	// for minSilence meanwhile, which nothing signals.
 	roomPollInterval = 20 * time.Millisecond
+	// minSilence is how long a caller sends nothing before its connection is ended to make
+	// room. The request on a new connection follows within a round trip, of up to 30 ms
+	// between regions; a busy caller needs a while more.
+	minSilence = 100 * time.Millisecond
 )
 
 // silentConn is a connection on which no request runs.
@@ -28,28 +32,25 @@
 	since time.Time
 }
 
-// awaitRoom waits until another connection can be accepted; false when there is no room.
-// The connections that makeRoom expires end within moments, and those that were just
-// accepted are served within moments, after which they may be expired. A new connection
-// that was closed meanwhile would be reset, together with a request that has arrived on it.
+// awaitRoom waits until another connection can be accepted; false when there is no room
+// and none is about to be made. A new connection that was closed meanwhile would be reset,
+// together with a request that has arrived on it.
 func (s *Server) awaitRoom() bool {
-	pending := s.isRoomPending()
-	if s.makeRoom() {
+	room, pending := s.makeRoom()
+	if room {
 		return true
 	}
 	deadline := time.Now().Add(roomTimeout)
 	ticker := time.NewTicker(roomPollInterval)
 	defer ticker.Stop()
-	// What was pending before makeRoom may have given room since.
-	for !s.full.Load() && (pending || s.isRoomPending()) {
+	for pending && !s.full.Load() {
 		select {
 		case <-s.roomMade:
 		case <-ticker.C:
 		case <-s.stop:
 			return false
 		}
-		pending = s.isRoomPending()
-		if s.makeRoom() {
+		if room, pending = s.makeRoom(); room {
 			return true
 		}
 		if time.Now().After(deadline) {
@@ -60,27 +61,30 @@
 	return false
 }
 
-// isRoomPending reports whether connections that makeRoom has expired have not ended, or
-// accepted ones have not been served.
-func (s *Server) isRoomPending() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.expiring > 0 || s.unserved.Load() > 0
-}
-
 // makeRoom reports whether another connection can be accepted. With MaxConns open, it
 // expires those whose callers have been silent for longest, requests whose head is
-// incomplete included.
-func (s *Server) makeRoom() bool {
+// incomplete included. pending reports whether room is about to be made: expired
+// connections have not ended, accepted ones have not been served, or callers may be about
+// to send a request.
+func (s *Server) makeRoom() (room, pending bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	limit := s.config.MaxConns
+	maxOpen := limit + limit/overflowShare
 	if len(s.conns)-s.expiring < limit {
-		return len(s.conns) < limit+limit/overflowShare
+		return len(s.conns) < maxOpen, true
 	}
+	// A connection that becomes served after this is found silent by the next search.
+	pending = s.unserved.Load() > 0
+	newest := time.Now().Add(-minSilence)
 	var silent []silentConn
 	for c := range s.conns {
-		if since, ok := c.silentSince(); ok {
+		since, headBegun, ok := c.silentSince()
+		switch {
+		case !ok:
+		case !headBegun && since.After(newest):
+			pending = true
+		default:
 			silent = append(silent, silentConn{c, since})
 		}
 	}
@@ -93,15 +97,15 @@
 	}
 	s.expiring += expired
 	s.metrics.expired.Inc(int64(expired))
-	return expired > 0 && len(s.conns) < limit+limit/overflowShare
+	return expired > 0 && len(s.conns) < maxOpen, pending || s.expiring > 0
 }
 
-// silentSince returns since when no request runs on the connection; false when one
-// does, or when the connection is ending.
-func (c *conn) silentSince() (time.Time, bool) {
+// silentSince returns since when no request runs on the connection, and whether a part of
+// the next one has arrived. ok is false when one runs, or when the connection is ending.
+func (c *conn) silentSince() (since time.Time, headBegun, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idleSince, !c.idleSince.IsZero() && !c.closing && !c.expiring
+	return c.idleSince, !c.headSince.IsZero(), !c.idleSince.IsZero() && !c.closing && !c.expiring
 }
 
 // expire ends a silent connection: at once when nothing of a request has arrived,
--- a/internal/ingress/capacity_test.go
+++ b/internal/ingress/capacity_test.go
@@ -183,3 +183,23 @@
 	}
 	g.Expect(s.awaitRoom()).To(gomega.BeTrue())
 }
+
+// TestNewConnectionMaySendItsRequest guards against a caller whose new connection is ended
+// to make room before its request arrives, because a crowd of other new connections makes
+// it the longest silent one within milliseconds.
+func TestNewConnectionMaySendItsRequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const conns, crowd, delay = 16, 64, 20 * time.Millisecond
+	s := newTestServer(t, func(c *Config) { c.MaxConns = conns })
+	for range conns {
+		s.dial(t, g)
+	}
+	c := s.dial(t, g)
+	for range crowd {
+		s.dial(t, g)
+	}
+	time.Sleep(delay)
+	c.send(get("/new"))
+	status, body, _ := c.receive()
+	g.Expect([]any{status, body}).To(gomega.Equal([]any{200, "/new "}))
+}
