--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -176,10 +176,7 @@
 		c.updateWaiting()
 	}
 	c.mu.Unlock()
-	select {
-	case c.finished <- struct{}{}:
-	default:
-	}
+	signal(c.finished)
 }
 
 // abort cancels the exchanges behind e, whose response can't be completed, and starts
