crash: keep broken and abandoned exchanges in lists of their own

One list with a flag needed a count, a search for the oldest and a search for the first broken one by that flag. Two lists share addRecent and splitByServer, and the date of a crash is again that of the first item. What is charged, the bounds and the dates are the same; within one crash, abandoned contents come before broken ones in the record, where they were mixed by age.

--- a/internal/crash/record.go
+++ b/internal/crash/record.go
@@ -35,9 +35,9 @@
 // concurrent use.
 type Record struct {
 	mu sync.Mutex
-	// broken lists the recent broken and abandoned exchanges of servers that are not known
-	// to have ended, oldest first.
-	broken []brokenExchange
+	// broken and abandoned list the recent broken and abandoned exchanges of servers that
+	// are not known to have ended, oldest first.
+	broken, abandoned []brokenExchange
 	// finished holds what the current run of the server has finished.
 	finished recentContents
 	// endedServer is the last server that ended without notice, noticedAt when that was
@@ -60,7 +60,7 @@
 		defer r.dropLeastSuspect()
 		return r.charge(server, content)
 	}
-	r.addExchange(brokenExchange{server: server, content: content, at: now}, maxOccurrences)
+	r.broken = addRecent(r.broken, brokenExchange{server, content, now}, maxOccurrences)
 	return false
 }
 
@@ -69,26 +69,8 @@
 func (r *Record) AddAbandoned(now time.Time, server string, content Fingerprint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.broken = slices.DeleteFunc(r.broken, func(b brokenExchange) bool { return b.abandoned && b.server == server && b.content == content })
-	r.addExchange(brokenExchange{server: server, content: content, at: now, abandoned: true}, maxAbandoned)
-}
-
-// addExchange adds an exchange and drops those that no crash is charged to any more, and
-// the oldest of its kind beyond a limit.
-func (r *Record) addExchange(added brokenExchange, limit int) {
-	r.broken = slices.DeleteFunc(r.broken, func(b brokenExchange) bool { return added.at.Sub(b.at) > attributionWindow })
-	isSameKind := func(b brokenExchange) bool { return b.abandoned == added.abandoned }
-	count := 0
-	for _, b := range r.broken {
-		if isSameKind(b) {
-			count++
-		}
-	}
-	if count >= limit {
-		oldest := slices.IndexFunc(r.broken, isSameKind)
-		r.broken = slices.Delete(r.broken, oldest, oldest+1)
-	}
-	r.broken = append(r.broken, added)
+	r.abandoned = slices.DeleteFunc(r.abandoned, func(b brokenExchange) bool { return b.server == server && b.content == content })
+	r.abandoned = addRecent(r.abandoned, brokenExchange{server, content, now}, maxAbandoned)
 }
 
 // AddCrash records that a server has ended without notice, and reports whether content
@@ -97,23 +79,15 @@
 func (r *Record) AddCrash(now time.Time, server string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var running, others []brokenExchange
-	for _, b := range r.broken {
-		switch {
-		case now.Sub(b.at) > attributionWindow:
-		case b.server == server:
-			running = append(running, b)
-		default:
-			others = append(others, b)
-		}
-	}
-	r.broken = others
+	var broken, abandoned []brokenExchange
+	broken, r.broken = splitByServer(r.broken, now, server)
+	abandoned, r.abandoned = splitByServer(r.abandoned, now, server)
 	r.endedServer, r.noticedAt, r.crashedAt = server, now, now
-	if first := slices.IndexFunc(running, func(b brokenExchange) bool { return !b.abandoned }); first >= 0 {
-		r.crashedAt = running[first].at
+	if len(broken) > 0 {
+		r.crashedAt = broken[0].at
 	}
 	charged := false
-	for _, b := range running {
+	for _, b := range append(abandoned, broken...) {
 		charged = r.charge(server, b.content) || charged
 	}
 	if !charged {
