--- a/internal/registry/peer_loop.go
+++ b/internal/registry/peer_loop.go
@@ -240,8 +240,7 @@
 func (r *Registry) mergeState(remote peerState, source string) {
 	for _, entry := range remote.Entries {
 		if err := entry.Validate(); err != nil {
-			r.rejectedValues.Inc(1)
-			r.deps.Log.WithError(err).WithField("source", source).Warn("invalid fleet entry rejected")
+			r.rejectEntry(entry.Node, source, err)
 			continue
 		}
 		r.mergeEntry(entry, source)
--- a/internal/registry/received_entry.go
+++ b/internal/registry/received_entry.go
@@ -7,17 +7,17 @@
 func (r *Registry) applyEntry(node string, raw []byte) {
 	entry, err := fleet.Decode(node, raw)
 	if err != nil {
-		r.rejectEntry(node, err)
+		r.rejectEntry(node, "store", err)
 		r.applyRemoval(node)
 		return
 	}
 	r.mergeEntry(entry, "store")
 }
 
-// rejectEntry records that the store holds an invalid value under the key of a node.
-func (r *Registry) rejectEntry(node string, err error) {
+// rejectEntry records that a source holds an invalid entry of a node.
+func (r *Registry) rejectEntry(node, source string, err error) {
 	r.rejectedValues.Inc(1)
-	r.deps.Log.WithError(err).WithFields(map[string]any{"peer": node, "source": "store"}).Warn("invalid fleet entry rejected")
+	r.deps.Log.WithError(err).WithFields(map[string]any{"peer": node, "source": source}).Warn("invalid fleet entry rejected")
 }
 
 // applyRemoval records that the entry of a node has left the store. The local entry is
--- a/internal/registry/watch_loop.go
+++ b/internal/registry/watch_loop.go
@@ -72,7 +72,7 @@
 		}
 		entry, err := fleet.Decode(node, item.Value)
 		if err != nil {
-			r.rejectEntry(node, err)
+			r.rejectEntry(node, "store", err)
 			continue
 		}
 		if entry.Node == r.LocalEntry().Node {
