--- a/internal/standin/app/app.go
+++ b/internal/standin/app/app.go
@@ -144,7 +144,12 @@
 	}
 	a.options.OnRun(id)
 	if a.options.PoisonPath != "" && r.URL.Path == a.options.PoisonPath {
-		a.crashAfter(r.URL.Query().Get("after"))
+		delay, err := time.ParseDuration(r.URL.Query().Get("after"))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		a.crashAfter(delay)
 		<-r.Context().Done()
 		return
 	}
@@ -157,14 +162,10 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s", id, r.Header.Get("X-Rosemaryladder-Caller-Service"), body)
 }
 
-// crashAfter crashes the server after a duration, or at once without one, whether the
-// request is cancelled meanwhile or not.
-func (a *App) crashAfter(delay string) {
-	duration, err := time.ParseDuration(delay)
-	if err != nil {
-		duration = 0
-	}
-	time.AfterFunc(duration, func() {
+// crashAfter crashes the server after a delay, whether the request that causes it is
+// cancelled meanwhile or not.
+func (a *App) crashAfter(delay time.Duration) {
+	time.AfterFunc(delay, func() {
 		a.crashed.Store(true)
 		a.Stop()
 	})
