--- a/review/driver/instance.go
+++ b/review/driver/instance.go
@@ -37,6 +37,7 @@
 	born     int64
 	seq      atomic.Int64
 	draining atomic.Bool
+	silent   atomic.Bool
 	ackedAt  atomic.Pointer[time.Time]
 	running  atomic.Int64
 	waiting  atomic.Int64
@@ -45,6 +46,8 @@
 
 	mu   sync.Mutex
 	runs []run
+	// reached holds when the head of a request arrived.
+	reached map[string]time.Time
 }
 
 func (w *world) startInstance(h *host, id string, slots int, work func(path string) time.Duration) error {
@@ -70,7 +73,9 @@
 // beat sends check-ins.
 func (i *instance) beat(ctx context.Context) {
 	for ctx.Err() == nil {
-		i.checkIn()
+		if !i.silent.Load() {
+			i.checkIn()
+		}
 		select {
 		case <-time.After(heartbeat):
 		case <-ctx.Done():
@@ -78,17 +83,22 @@
 	}
 }
 
+// body returns a check-in.
+func (i *instance) body(state string) map[string]any {
+	return map[string]any{
+		"address": i.host.server, "born": i.born,
+		"info":   map[string]any{"service": i.host.service, "version": "v1", "zone": "svealand-a", "slots": i.slotsN},
+		"status": map[string]any{"state": state, "seq": i.seq.Add(1), "coldLeft": "0ms"},
+	}
+}
+
 func (i *instance) checkIn() {
 	state := "ready"
 	draining := i.draining.Load()
 	if draining {
 		state = "draining"
 	}
-	body := map[string]any{
-		"address": i.host.server, "born": i.born,
-		"info":   map[string]any{"service": i.host.service, "version": "v1", "zone": "svealand-a", "slots": i.slotsN},
-		"status": map[string]any{"state": state, "seq": i.seq.Add(1), "coldLeft": "0ms"},
-	}
+	body := i.body(state)
 	status, err := post(http.MethodPut, "http://"+i.host.announce+"/api/instances/"+i.id, body, time.Second)
 	if err == nil && status == http.StatusOK && draining && i.ackedAt.Load() == nil {
 		now := time.Now()
@@ -127,6 +137,14 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	i.mu.Lock()
+	if i.reached == nil {
+		i.reached = make(map[string]time.Time)
+	}
+	if _, known := i.reached[id]; !known {
+		i.reached[id] = time.Now()
+	}
+	i.mu.Unlock()
 	if expected := r.Header.Get("X-Rosemaryladder-Expected-Instance"); expected != "" && expected != i.id {
 		header.Set("X-Rosemaryladder-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
