proxy: send a partly read request body to no second node

Cause: a request body above 1 MiB is buffered only in its first part; the rest can be read once. run() asked Body.CanSend only where a retry may have run, not after a node had refused the request without running it. The next attempt then sent the buffered part and whatever was left of the rest, while the goroutine of the attempt before could still read from it. With a stated length the caller got 502 although the request had not run.

Change: each new attempt passes the same check, whatever ended the last one. An exchange takes the rest of a body for itself and Do refuses a body whose rest is taken, so no two attempts read it. A request that can't be sent again and has not run gets the refusal of the last node, a 503.

Also: a body that waited longer than 1.5 s in the queue of another node was answered 502, because TCP_USER_TIMEOUT counts unanswered window probes. The timeout is lifted while the rest of a body is sent; the deadline bounds it. The option moved from proxy to exchange, which owns the connections.

Looked at for the same fault: internal/call (buffers whole bodies, and shouldRetry checks CanSend on each retry), the resend of a request on a closed idle connection (mayResend checks it), the local inbound proxy (same loop).

--- a/internal/exchange/body.go
+++ b/internal/exchange/body.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 )
 
 // Body is a request body. Its first part is buffered, so that a failed attempt
@@ -65,6 +66,20 @@
 // CanSend reports whether the body can still be sent from its start.
 func (b *Body) CanSend() bool { return !b.restConsumed }
 
+// errRestConsumed is returned for a body of which an earlier attempt has read a part
+// that is not buffered.
+var errRestConsumed = errors.New("the rest of the request body has been read by an earlier attempt")
+
+// takeRest gives the reader of the part that is not buffered to one attempt, which owns
+// it from then on, also after the attempt has failed: its goroutine may still read.
+func (b *Body) takeRest() (io.Reader, bool) {
+	if b.restConsumed {
+		return nil, false
+	}
+	b.restConsumed = true
+	return b.rest, true
+}
+
 // Release returns the buffer to its pool. The body must not be in use.
 func (b *Body) Release() {
 	if b.buffer == nil {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -57,6 +57,10 @@
 // the returned exchange. A request that certainly did not arrive, because the peer had
 // closed the idle connection, is sent once more on another connection.
 func (c *Client) Do(ctx context.Context, address string, request *Request) (*Exchange, *Error) {
+	if !request.Body.CanSend() {
+		request.reportSent()
+		return nil, &Error{Cause: errRestConsumed}
+	}
 	p := c.pool(address)
 	for {
 		connection, kept, err := p.get(ctx)
@@ -230,13 +234,22 @@
 // Finish keeps the connection for the next request when the exchange is complete,
 // and closes it otherwise. complete says whether the response was read to its end.
 func (e *Exchange) Finish(complete bool) {
-	if e.stopWatch() && complete && e.isReusable() {
+	if e.stopWatch() && complete && e.isReusable() && e.restoreUserTimeout() == nil {
 		e.pool.put(e.conn, announcedIdleTimeout(e.Response))
 		return
 	}
 	e.pool.drop(e.conn)
 }
 
+// restoreUserTimeout undoes the change that sending the rest of a body has made to the
+// connection.
+func (e *Exchange) restoreUserTimeout() error {
+	if e.request.copyResult == nil {
+		return nil
+	}
+	return e.conn.setUserTimeout(e.pool.options.UnackedTimeout)
+}
+
 func (e *Exchange) isReusable() bool {
 	return !e.Response.Close && e.bodySent && e.request.isBodySent() && e.IsDelimited()
 }
--- a/internal/exchange/options.go
+++ b/internal/exchange/options.go
@@ -9,7 +9,7 @@
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Options configures a Client. All fields but MaxOpen are required.
+// Options configures a Client. All fields but MaxOpen and UnackedTimeout are required.
 type Options struct {
 	Dial DialFunc
 	// MaxOpen returns the maximum number of connections to one address, in use
@@ -22,5 +22,9 @@
 	IdleTimeout time.Duration
 	// MaxHeadBytes bounds the head of a response.
 	MaxHeadBytes int
-	Now          func() time.Time
+	// UnackedTimeout is how long sent bytes may stay unacknowledged before the kernel
+	// closes the connection; 0 for the kernel's default. It does not apply while the
+	// rest of a body is sent, which a peer may read only when a server takes it.
+	UnackedTimeout time.Duration
+	Now            func() time.Time
 }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -62,7 +62,14 @@
 		p.release()
 		return nil, err
 	}
-	return newConn(netConn), nil
+	c := newConn(netConn)
+	if p.options.UnackedTimeout > 0 {
+		if err := c.setUserTimeout(p.options.UnackedTimeout); err != nil {
+			p.drop(c)
+			return nil, err
+		}
+	}
+	return c, nil
 }
 
 // put keeps a connection whose exchange has completed. announced is the idle
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -140,25 +140,29 @@
 				return err
 			}
 		}
-		if !r.Body.IsBuffered() {
-			r.copyRest(c, nil)
+		if r.Body.IsBuffered() {
+			return nil
 		}
-		return nil
+		return r.copyRest(c, nil)
 	}
 	chunked := httputil.NewChunkedWriter(c)
 	if _, err := chunked.Write(buffered); err != nil {
 		return err
 	}
-	r.copyRest(c, chunked)
-	return nil
+	return r.copyRest(c, chunked)
 }
 
 // copyRest sends the part of the body that is not buffered. It runs concurrently
 // with reading the response, because a server may respond before it has read the
 // complete body.
-func (r *Request) copyRest(c *conn, chunked io.WriteCloser) {
-	r.Body.restConsumed = true
-	rest := r.Body.rest
+func (r *Request) copyRest(c *conn, chunked io.WriteCloser) error {
+	rest, ok := r.Body.takeRest()
+	if !ok {
+		return errRestConsumed
+	}
+	if err := c.setUserTimeout(0); err != nil {
+		return err
+	}
 	remaining := r.Body.Length - int64(len(r.Body.Buffered))
 	copyResult := make(chan error, 1)
 	r.copyResult = copyResult
@@ -171,6 +175,7 @@
 		}
 		copyResult <- copyChunked(c, chunked, rest, *buffer)
 	}()
+	return nil
 }
 
 func (r *Request) reportSent() {
--- a/internal/proxy/outbound_attempts.go
+++ b/internal/proxy/outbound_attempts.go
@@ -16,6 +16,10 @@
 func (o *outbound) run(ctx context.Context, c *call) (*serverResponse, *refusalReason) {
 	var last *refusalReason
 	for refusals := 0; ; {
+		if !c.request.body.CanSend() {
+			// The attempt before has read a part of the body that is not buffered.
+			return nil, o.finalRefusal(c, last)
+		}
 		entry, ok := o.chooseNode(c)
 		if !ok {
 			return nil, o.finalRefusal(c, last)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/exchange"
@@ -43,12 +42,12 @@
 	m := newMetrics(deps.Scope.SubScope("proxy"))
 	in := &inbound{config: config, deps: deps, metrics: m, transitDelay: newTransitDelay(), link: link, buffers: newBufferBudget(config.MaxBufferedTotalBytes), client: exchange.NewClient(exchange.Options{
 		Dial: dialWithin(deps.Dial, config.ServerConnectTimeout), MaxIdle: maxIdleServerConns, IdleTimeout: config.ServerIdleTimeout,
-		MaxHeadBytes: config.HeadBytes, Now: deps.Now,
+		MaxHeadBytes: config.HeadBytes, UnackedTimeout: unackedTimeout, Now: deps.Now,
 	})}
 	out := &outbound{config: config, deps: deps, metrics: m, inbound: in, splitter: routing.NewSplitter(), retryBudgets: newRetryBudgets(config, deps.Now), callerTimeouts: newCallerTimeouts(), clockID: strconv.FormatUint(rand.Uint64(), 36)}
 	out.client = exchange.NewClient(exchange.Options{
 		Dial: dialWithin(deps.Dial, config.ConnectTimeout), MaxIdle: config.IdlePerPeer, IdleTimeout: config.PeerIdleTimeout,
-		MaxHeadBytes: config.HeadBytes, Now: deps.Now,
+		MaxHeadBytes: config.HeadBytes, UnackedTimeout: unackedTimeout, Now: deps.Now,
 	})
 	deps.Routes.OnPublish(out.splitter.Retain)
 	deps.Routes.OnPublish(out.streamed.retain)
@@ -156,45 +155,14 @@
 }
 
 // unackedTimeout is how long sent bytes may stay unacknowledged before the kernel
-// closes a connection (TCP_USER_TIMEOUT): several round trips between regions.
+// closes a connection: several round trips between regions.
 const unackedTimeout = 1500 * time.Millisecond
 
-// tcpUserTimeout is the socket option of RFC 5482 on Linux.
-const tcpUserTimeout = 18
-
-// dialWithin returns a dial function with a timeout, whose connections have the TCP
-// user timeout set.
+// dialWithin returns a dial function with a timeout.
 func dialWithin(dial exchange.DialFunc, timeout time.Duration) exchange.DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		if err := setUserTimeout(conn); err != nil {
-			conn.Close()
-			return nil, err
-		}
-		return conn, nil
-	}
-}
-
-func setUserTimeout(conn net.Conn) error {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return nil
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var optionErr error
-	err = raw.Control(func(fd uintptr) {
-		optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
+		return dial(ctx, network, address)
 	}
-	return optionErr
 }
