instance: adopt no server by its health response alone

Cause: after a crash the prober took whoever answered the health check at the server's address for the node's own server. Addresses of servers that are gone go to other services, and a health response names an identity but no service. A changed service of the settings reached the health check only; tracker, inbound proxy and entry kept the one of the start.

Change: the service is part of the server's state in the tracker. A health check makes only the known identity ready again; any other becomes known by its announcement, which names the service. A node that restarts takes the identity from the entry that its earlier process left, so a server that lives is still found without an announcement. A changed service is put in force in the whole node: the server is forgotten, waiting requests are refused, and entry, inbound proxy and the caller service of requests follow.

Looked at for the same fault: the leaving notice of a health response (now for the known identity only), the check-in of another service (was and is rejected), requests without an expected identity (a ready server always has one now), Leave of an unknown identity (no requests follow from it).

Two assertions of tracker_test expected that a health check adopts another identity; that is the fault. They are replaced by checks that it does not.

--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -4,6 +4,8 @@
 
 // Server is the state of the backend server at one point in time.
 type Server struct {
+	// Service is the service of the node's server. A change of it ends the identity.
+	Service string
 	// ID identifies the run; empty while it is unknown.
 	ID    string
 	State fleet.State
--- a/internal/instance/tracker.go
+++ b/internal/instance/tracker.go
@@ -20,12 +20,14 @@
 	Unchanged Outcome = "unchanged"
 	// Stale means that the input was older than the known state.
 	Stale Outcome = "stale"
+	// Unknown means that the input names a server that has not announced itself. It may
+	// be one of another service that was given the address.
+	Unknown Outcome = "unknown"
 )
 
 // Tracker holds the state of the node's local server. It is safe for concurrent
 // use; Server takes no lock.
 type Tracker struct {
-	service string
 	current atomic.Pointer[Server]
 
 	mu sync.Mutex
@@ -38,8 +40,8 @@
 // NewTracker returns a tracker for a server of the given service, which is absent
 // until it is announced or observed.
 func NewTracker(service string) *Tracker {
-	t := &Tracker{service: service}
-	t.current.Store(&Server{State: fleet.Absent})
+	t := &Tracker{}
+	t.current.Store(&Server{Service: service, State: fleet.Absent})
 	return t
 }
 
@@ -60,16 +62,16 @@
 	if err := a.Validate(); err != nil {
 		return "", err
 	}
-	if a.Service != t.service {
-		return "", errors.Errorf("announcement of %s is for service %q, want %q, the service of this node", a.Server, a.Service, t.service)
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.Server()
+	if a.Service != known.Service {
+		return "", errors.Errorf("announcement of %s is for service %q, want %q, the service of this node", a.Server, a.Service, known.Service)
+	}
 	if t.isStale(known, a) {
 		return Stale, nil
 	}
-	next := Server{ID: a.Server, State: fleet.Ready, Slots: a.Slots, StartTime: a.StartTime, Sequence: a.Sequence}
+	next := Server{Service: known.Service, ID: a.Server, State: fleet.Ready, Slots: a.Slots, StartTime: a.StartTime, Sequence: a.Sequence}
 	if a.Draining {
 		next.State, next.Leaving = fleet.Draining, true
 	}
@@ -95,24 +97,23 @@
 	return t.update(known, next)
 }
 
-// ObserveHealthy records that a server passed a health check. It makes the server
-// ready when it was absent or has another identity, but not when that run has
-// announced that it shuts down.
+// ObserveHealthy records that a server passed a health check. It makes the known server
+// ready again when it was absent, but not when that run has announced that it shuts
+// down. The response of a health check does not name the service, so it makes no other
+// server known.
 func (t *Tracker) ObserveHealthy(server string, slots int) Outcome {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.Server()
-	if known.Leaving && known.ID == server {
+	switch {
+	case known.ID != server || server == "":
+		return Unknown
+	case known.Leaving:
 		return Stale
-	}
-	if known.ID == server && known.State != fleet.Absent {
+	case known.State != fleet.Absent:
 		return Unchanged
 	}
 	next := known
-	if known.ID != server {
-		next = Server{ID: server, Slots: slots}
-		t.left = false
-	}
 	next.State = fleet.Ready
 	if next.Slots == 0 {
 		next.Slots = slots
@@ -120,6 +121,34 @@
 	return t.update(known, next)
 }
 
+// Restore makes known the server that an earlier process of this node knew, unless one
+// is known already. It stays absent until it is announced or observed.
+func (t *Tracker) Restore(service, server string) Outcome {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.Server()
+	if known.ID != "" || server == "" || service != known.Service {
+		return Unchanged
+	}
+	next := known
+	next.ID = server
+	return t.update(known, next)
+}
+
+// SetService changes the service of the node's server, and reports whether it was
+// another one. The server is unknown then until one of the new service is announced.
+func (t *Tracker) SetService(service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.Server()
+	if known.Service == service {
+		return false
+	}
+	t.left = false
+	t.update(known, Server{Service: service, State: fleet.Absent})
+	return true
+}
+
 // MarkAbsent records that the server does not accept connections, and reports
 // whether its state has changed. The next announcement or successful health check
 // makes it ready again.
@@ -148,7 +177,7 @@
 
 func (t *Tracker) update(old, next Server) Outcome {
 	t.current.Store(&next)
-	if old.ID == next.ID && old.State == next.State && old.Slots == next.Slots {
+	if old.Service == next.Service && old.ID == next.ID && old.State == next.State && old.Slots == next.Slots {
 		return Unchanged
 	}
 	for _, listener := range t.listeners {
--- a/internal/instance/tracker_test.go
+++ b/internal/instance/tracker_test.go
@@ -61,8 +61,59 @@
 	ready.Sequence = 2
 	g.Expect(tracker.Announce(ready)).To(gomega.Equal(Applied))
 	tracker.MarkAbsent("i")
-	g.Expect(tracker.ObserveHealthy("j", 6)).To(gomega.Equal(Applied))
-	g.Expect(tracker.Server()).To(gomega.Equal(Server{ID: "j", State: fleet.Ready, Slots: 6}))
+	g.Expect(tracker.ObserveHealthy("i", 6)).To(gomega.Equal(Applied))
+	g.Expect(tracker.Server().State).To(gomega.Equal(fleet.Ready))
+}
+
+// TestHealthCheckAdoptsNoOtherServer guards against a server of another service that is
+// taken for the node's own because it responds at the address of one that ended.
+func TestHealthCheckAdoptsNoOtherServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tracker := NewTracker("s")
+	g.Expect(tracker.ObserveHealthy("j", 6)).To(gomega.Equal(Unknown))
+	_, err := tracker.Announce(Announcement{Server: "i", Service: "s", StartTime: 1, Sequence: 1, Slots: 4})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	tracker.MarkAbsent("i")
+	before := tracker.Server()
+	g.Expect(tracker.ObserveHealthy("j", 6)).To(gomega.Equal(Unknown))
+	g.Expect(tracker.Server()).To(gomega.Equal(before))
+	_, err = tracker.Announce(Announcement{Server: "j", Service: "other", StartTime: 2, Sequence: 1, Slots: 4})
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(tracker.Server()).To(gomega.Equal(before))
+}
+
+// TestRestoredServerIsFoundByItsHealthCheck guards against a server that stays unused
+// after a restart of its node until its next announcement, and against the identity of
+// another service or of an earlier server replacing the known one.
+func TestRestoredServerIsFoundByItsHealthCheck(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tracker := NewTracker("s")
+	g.Expect(tracker.Restore("other", "x")).To(gomega.Equal(Unchanged))
+	g.Expect(tracker.Restore("s", "i")).To(gomega.Equal(Applied))
+	g.Expect(tracker.Server().State).To(gomega.Equal(fleet.Absent))
+	g.Expect(tracker.ObserveHealthy("j", 6)).To(gomega.Equal(Unknown))
+	g.Expect(tracker.ObserveHealthy("i", 6)).To(gomega.Equal(Applied))
+	g.Expect(tracker.Server()).To(gomega.Equal(Server{Service: "s", ID: "i", State: fleet.Ready, Slots: 6}))
+	g.Expect(tracker.Restore("s", "k")).To(gomega.Equal(Unchanged))
+}
+
+// TestChangedServiceForgetsTheServer guards against a server that is still used after its
+// host was given to another service, and against a check-in of the service before.
+func TestChangedServiceForgetsTheServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tracker := NewTracker("s")
+	announced := Announcement{Server: "i", Service: "s", StartTime: 1, Sequence: 1, Slots: 4}
+	g.Expect(tracker.Announce(announced)).To(gomega.Equal(Applied))
+	var changes []Server
+	tracker.OnChange(func(_, next Server) { changes = append(changes, next) })
+	g.Expect(tracker.SetService("s")).To(gomega.BeFalse())
+	g.Expect(tracker.SetService("other")).To(gomega.BeTrue())
+	g.Expect(changes).To(gomega.Equal([]Server{{Service: "other", State: fleet.Absent}}))
+	announced.Sequence = 2
+	_, err := tracker.Announce(announced)
+	g.Expect(err).To(gomega.HaveOccurred())
+	announced.Service, announced.Server = "other", "k"
+	g.Expect(tracker.Announce(announced)).To(gomega.Equal(Applied))
 }
 
 // TestLeavingServerIsNotMarkedReady guards against a health response that makes a
@@ -91,8 +142,9 @@
 	g.Expect(tracker.Announce(leaving)).To(gomega.Equal(Applied))
 	g.Expect(tracker.Server().State).To(gomega.Equal(fleet.Draining))
 	tracker.MarkAbsent("i")
-	g.Expect(tracker.ObserveHealthy("j", 6)).To(gomega.Equal(Applied))
-	g.Expect(tracker.Server()).To(gomega.Equal(Server{ID: "j", State: fleet.Ready, Slots: 6}))
+	next := Announcement{Server: "j", Service: "s", StartTime: 2, Sequence: 1, Slots: 6}
+	g.Expect(tracker.Announce(next)).To(gomega.Equal(Applied))
+	g.Expect(tracker.Server()).To(gomega.Equal(Server{Service: "s", ID: "j", State: fleet.Ready, Slots: 6, StartTime: 2, Sequence: 1}))
 }
 
 // TestImplausibleAnnouncementsAreRejected guards against an announcement of another writer
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -11,8 +11,6 @@
 
 // Config holds the names, limits and timeouts of a node's proxy.
 type Config struct {
-	// Service is the service of the local backend server.
-	Service string
 	// Node names the node in logs.
 	Node string
 	// Server is the address of the local backend server.
@@ -60,7 +58,7 @@
 	BudgetSlack  float64
 }
 
-// DefaultConfig returns the defaults. The caller sets Service, Node and Server.
+// DefaultConfig returns the defaults. The caller sets Node and Server.
 func DefaultConfig() Config {
 	return Config{
 		Link:                  uplink.DefaultConfig(),
@@ -85,8 +83,8 @@
 
 // Validate returns an error that names the first invalid field and its value.
 func (c Config) Validate() error {
-	if c.Service == "" || c.Node == "" || c.Server == "" {
-		return errors.Errorf("proxy: Service %q, Node %q and Server %q must not be empty", c.Service, c.Node, c.Server)
+	if c.Node == "" || c.Server == "" {
+		return errors.Errorf("proxy: Node %q and Server %q must not be empty", c.Node, c.Server)
 	}
 	positive := []struct {
 		key   string
--- a/internal/proxy/config_test.go
+++ b/internal/proxy/config_test.go
@@ -11,7 +11,7 @@
 func TestResponseGraceIsChecked(t *testing.T) {
 	g := gomega.NewWithT(t)
 	config := DefaultConfig()
-	config.Service, config.Node, config.Server = "orders", "a", "127.0.0.1:1"
+	config.Node, config.Server = "a", "127.0.0.1:1"
 	g.Expect(config.Validate()).To(gomega.Succeed())
 	config.ResponseGrace = 0
 	g.Expect(config.Validate()).To(gomega.MatchError(gomega.ContainSubstring("ResponseGrace")))
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -181,7 +181,7 @@
 		f.t.Fatal(err)
 	}
 	config := DefaultConfig()
-	config.Service, config.Node, config.Server = n.service, name, strings.TrimPrefix(n.server.URL, "http://")
+	config.Node, config.Server = name, strings.TrimPrefix(n.server.URL, "http://")
 	if f.rawServer != "" {
 		config.Server = f.rawServer
 	}
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -55,7 +55,7 @@
 // from forwarding to its head.
 func (in *inbound) admit(ctx context.Context, req *upstreamRequest) (*serverResponse, *refusalReason, time.Duration) {
 	server := in.deps.Server.Server()
-	if refusal := in.checkRunnable(req, server.State); refusal != nil {
+	if refusal := in.checkRunnable(req, server); refusal != nil {
 		return nil, refusal, 0
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.deadline.Add(in.config.ResponseGrace/2))
@@ -68,7 +68,7 @@
 	in.sending.Add(1)
 	// The server and the blocklist may have changed while the request waited.
 	server = in.deps.Server.Server()
-	refusal := in.checkRunnable(req, server.State)
+	refusal := in.checkRunnable(req, server)
 	if refusal == nil && (ctx.Err() != nil || req.expired(in.deps.Now())) {
 		refusal = in.admissionRefusal(ctx, result.Errorf(result.DeadlineNotRun, "the deadline passed before the request was forwarded to the server"))
 	}
@@ -96,23 +96,22 @@
 
 // checkServer refuses a request that must not be forwarded to the local server: one
 // for another service, or one that is received while the server is not ready.
-func (in *inbound) checkServer(req *upstreamRequest, state fleet.State) *refusalReason {
+func (in *inbound) checkServer(req *upstreamRequest, server instance.Server) *refusalReason {
 	switch {
-	case req.service != in.config.Service:
-		return newRefusal(result.ServerGone, "the server of node "+in.config.Node+" runs service "+in.config.Service+", not "+req.service)
-	case state == fleet.Draining:
+	case req.service != server.Service:
+		return newRefusal(result.ServerGone, "the server of node "+in.config.Node+" runs service "+server.Service+", not "+req.service)
+	case server.State == fleet.Draining:
 		return newRefusal(result.Draining, "the server of node "+in.config.Node+" is leaving")
-	case state != fleet.Ready:
+	case server.State != fleet.Ready:
 		return newRefusal(result.ServerGone, "the server of node "+in.config.Node+" is not ready")
 	default:
 		return nil
 	}
 }
 
-// checkRunnable returns why a request can't run at the server in the given state; nil
-// when it can.
-func (in *inbound) checkRunnable(req *upstreamRequest, state fleet.State) *refusalReason {
-	if refusal := in.checkServer(req, state); refusal != nil {
+// checkRunnable returns why a request can't run at the server; nil when it can.
+func (in *inbound) checkRunnable(req *upstreamRequest, server instance.Server) *refusalReason {
+	if refusal := in.checkServer(req, server); refusal != nil {
 		return refusal
 	}
 	if blocks := in.deps.View().Blocklist(); !blocks.Empty() && blocks.Contains(req.content()) {
@@ -158,7 +157,7 @@
 func (in *inbound) mayResend(req *upstreamRequest, server string) bool {
 	in.sending.Add(1)
 	current := in.deps.Server.Server()
-	if current.ID == server && in.checkRunnable(req, current.State) == nil {
+	if current.ID == server && in.checkRunnable(req, current) == nil {
 		in.deps.Slots.Charge()
 		return true
 	}
--- a/internal/proxy/inbound_handler.go
+++ b/internal/proxy/inbound_handler.go
@@ -78,7 +78,7 @@
 		idempotent: h.idempotent, priority: h.priority, deadline: now.Add(h.remaining), due: now.Add(h.due), late: h.due == 0, maxWait: h.maxWait,
 		receivedAt: receivedAt, timeout: h.remaining,
 	}
-	if refusal := in.checkServer(req, in.deps.Server.Server().State); refusal != nil {
+	if refusal := in.checkServer(req, in.deps.Server.Server()); refusal != nil {
 		return nil, refusal
 	}
 	if r.ContentLength == 0 {
--- a/internal/proxy/outbound_accept.go
+++ b/internal/proxy/outbound_accept.go
@@ -18,7 +18,7 @@
 	now := o.deps.Now()
 	waited := waitedInPipeline(r, now)
 	c := &call{started: now.Add(-waited), connection: r.RemoteAddr, waited: waited, table: o.deps.Routes.Load(), request: &upstreamRequest{
-		id: r.Header.Get(o.deps.Headers.RequestID), caller: o.config.Service,
+		id: r.Header.Get(o.deps.Headers.RequestID), caller: o.deps.Server.Server().Service,
 		method: r.Method, host: r.Host, header: r.Header, receivedAt: sinceBoot() - waited,
 	}}
 	if c.table == nil {
--- a/internal/sidecar/prober.go
+++ b/internal/sidecar/prober.go
@@ -10,6 +10,7 @@
 
 	"rosemaryladder.dev/rosemaryladder/internal/dial"
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+	"rosemaryladder.dev/rosemaryladder/internal/instance"
 	"rosemaryladder.dev/rosemaryladder/internal/proxy"
 )
 
@@ -23,8 +24,9 @@
 	maxProbeHeadBytes = 16 << 10
 )
 
-// prober requests the identity of the local backend server until the server has
-// announced it: after the node has started, and after the server became absent.
+// prober checks the health of the known backend server while it is absent: after the node
+// has started, and after the server became absent. A server of another identity becomes
+// known by its announcement only, because the address may have passed to another service.
 type prober struct {
 	sidecar *Sidecar
 	address string
@@ -54,12 +56,11 @@
 	}
 }
 
-// run probes the server while its state is absent, which is also the state of a server
-// that is not known yet.
+// run probes the known server while its state is absent.
 func (p *prober) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if p.sidecar.tracker.Server().State == fleet.Absent {
-			p.probe(ctx)
+		if server := p.sidecar.tracker.Server(); server.State == fleet.Absent && server.ID != "" && !server.Leaving {
+			p.probe(ctx, server)
 		}
 		timer := time.NewTimer(probeInterval)
 		select {
@@ -79,12 +80,12 @@
 
 // probe runs one health check. It connects first without a request, because a refused
 // connection costs the server nothing.
-func (p *prober) probe(ctx context.Context) {
+func (p *prober) probe(ctx context.Context, server instance.Server) {
 	// The fleet holds what an earlier process of this node knew of the server.
 	if !p.sidecar.registry.Ready() {
 		return
 	}
-	service, found := p.sidecar.routes.Load().Service(p.sidecar.settings.Load().Node.Service)
+	service, found := p.sidecar.routes.Load().Service(server.Service)
 	if !found || !p.acceptsConnections(ctx) {
 		return
 	}
@@ -123,7 +124,7 @@
 	if err != nil {
 		p.sidecar.log.WithError(err).Info("health check response of the backend server has an invalid limit")
 	}
-	if notice.Leaving && id != "" {
+	if notice.Leaving && id != "" && id == p.sidecar.tracker.Server().ID {
 		p.sidecar.serverLeaves(id, 0)
 		return
 	}
@@ -133,10 +134,14 @@
 		return
 	}
 	outcome := p.sidecar.tracker.ObserveHealthy(id, slots)
+	if outcome == instance.Unknown {
+		p.sidecar.log.WithField("server", id).Info("another server responds at the address; waiting for its announcement")
+		return
+	}
 	if err == nil {
 		p.sidecar.slots.SetLimit(notice.Limit)
 	}
-	p.sidecar.log.WithFields(map[string]any{"server": id, "slots": slots, "outcome": outcome}).Info("backend server identified by its health check")
+	p.sidecar.log.WithFields(map[string]any{"server": id, "slots": slots, "outcome": outcome}).Info("backend server passed its health check")
 }
 
 // parseSlots returns the last number of a load header, which is the slot count. It
--- a/internal/sidecar/server_change.go
+++ b/internal/sidecar/server_change.go
@@ -10,7 +10,7 @@
 // server and updates the local fleet entry.
 func (s *Sidecar) serverChanged(old, next instance.Server) {
 	s.log.WithFields(map[string]any{
-		"server": next.ID, "state": next.State, "slots": next.Slots, "born": next.StartTime, "sequence": next.Sequence,
+		"service": next.Service, "server": next.ID, "state": next.State, "slots": next.Slots, "born": next.StartTime, "sequence": next.Sequence,
 		"old_server": old.ID, "old_state": old.State,
 	}).Info("server changed")
 	if old.ID != next.ID {
@@ -30,7 +30,7 @@
 		s.log.WithField("server", next.ID).Warn("a request is still being written to the server that leaves")
 	}
 	s.registry.UpdateLocalEntry(func(entry *fleet.Entry) {
-		entry.Server, entry.Slots, entry.Crashes = next.ID, next.Slots, s.crashes.String()
+		entry.Service, entry.Server, entry.Slots, entry.Crashes = next.Service, next.ID, next.Slots, s.crashes.String()
 		entry.LeavingServer, entry.LeavingStart = "", 0
 		if next.Leaving {
 			entry.LeavingServer, entry.LeavingStart = next.ID, next.StartTime
@@ -42,9 +42,13 @@
 }
 
 // adoptPrevious adopts from the entry of an earlier process of this node what the fleet
-// would lose with that entry: the leaving of the backend server and the crash record.
+// would lose with that entry: the leaving of the backend server, its identity, by which
+// a health check finds it, and the crash record.
 func (s *Sidecar) adoptPrevious(previous fleet.Entry) {
 	s.adoptLeaving(previous)
+	if s.tracker.Restore(previous.Service, previous.Server) == instance.Applied {
+		s.log.WithField("server", previous.Server).Info("server known from the entry of an earlier process")
+	}
 	s.adoptCrashes(previous)
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -115,7 +115,7 @@
 
 func (s *Sidecar) buildProxy(loaded settings.Sidecar) error {
 	config := proxy.DefaultConfig()
-	config.Service, config.Node, config.Server = loaded.Node.Service, loaded.Node.IP, loaded.Node.Server
+	config.Node, config.Server = loaded.Node.IP, loaded.Node.Server
 	config.Link.Mbps = loaded.Node.LinkMbps
 	config.BudgetRatio, config.BudgetWindow, config.BudgetSlack = loaded.Bounds.RetryRatio, loaded.Bounds.RetryWindow, loaded.Bounds.RetrySlack
 	dialer := dial.Dialer{LocalIP: loaded.Node.IP}
@@ -205,10 +205,12 @@
 	}
 }
 
-// Reload puts a changed grace, and a changed service for the health checks, in force.
-// All other settings take effect at the next start only.
+// Reload puts a changed grace and a changed service in force. With the service, the node
+// no longer knows a server until one of that service announces itself. All other settings
+// take effect at the next start only.
 func (s *Sidecar) Reload(loaded settings.Sidecar) {
 	previous := s.settings.Swap(&loaded)
+	s.tracker.SetService(loaded.Node.Service)
 	entry := s.log.WithFields(map[string]any{"grace": loaded.Bounds.Grace, "service": loaded.Node.Service})
 	if needsRestart(*previous, loaded) {
 		entry.Warn("settings reloaded; changes of keys other than [bounds] grace and [node] service take effect at the next start")
