--- a/cmd/rosemaryladder-sidecar/main.go
+++ b/cmd/rosemaryladder-sidecar/main.go
@@ -111,8 +111,8 @@
 		NewStore: func(address string, transport http.RoundTripper, log *logrus.Entry, scope tally.Scope) registry.Store {
 			return platform.NewStore(address, transport, log, scope)
 		},
-		AnnouncementHandler: func(tracker *instance.Tracker, log *logrus.Entry, scope tally.Scope) http.Handler {
-			return platform.NewCheckInHandler(tracker, log, scope)
+		AnnouncementHandler: func(tracker *instance.Tracker, address string, log *logrus.Entry, scope tally.Scope) http.Handler {
+			return platform.NewCheckInHandler(tracker, address, log, scope)
 		},
 		ReadinessHandler: platform.NewReadinessHandler,
 	}
--- a/internal/instance/tracker.go
+++ b/internal/instance/tracker.go
@@ -72,6 +72,9 @@
 		return Stale, nil
 	}
 	next := Server{Service: known.Service, ID: a.Server, State: fleet.Ready, Slots: a.Slots, StartTime: a.StartTime, Sequence: a.Sequence}
+	if isSameRun(known, a) {
+		next.Sequence = max(known.Sequence, a.Sequence)
+	}
 	if a.Draining {
 		next.State, next.Leaving = fleet.Draining, true
 	}
@@ -164,17 +167,27 @@
 	return t.update(known, next) == Applied
 }
 
-// isStale reports whether an announcement was sent before the known state.
+// isStale reports whether an announcement was sent before the known state. The first one
+// by which a run says that it leaves never is: its acknowledgement promises that no
+// requests follow, and a run does not come back.
 func (t *Tracker) isStale(known Server, a Announcement) bool {
 	if a.StartTime != 0 && known.StartTime != 0 && a.StartTime != known.StartTime {
 		return a.StartTime < known.StartTime
 	}
-	if a.Server != known.ID {
+	if !isSameRun(known, a) {
+		return false
+	}
+	if a.Draining && !known.Leaving {
 		return false
 	}
 	return t.left || a.Sequence <= known.Sequence
 }
 
+// isSameRun reports whether an announcement comes from the known run of the server.
+func isSameRun(known Server, a Announcement) bool {
+	return a.Server == known.ID && (a.StartTime == known.StartTime || a.StartTime == 0 || known.StartTime == 0)
+}
+
 func (t *Tracker) update(old, next Server) Outcome {
 	t.current.Store(&next)
 	if old.Service == next.Service && old.ID == next.ID && old.State == next.State && old.Slots == next.Slots {
--- a/internal/instance/tracker_test.go
+++ b/internal/instance/tracker_test.go
@@ -82,6 +82,22 @@
 	g.Expect(tracker.Server()).To(gomega.Equal(before))
 }
 
+// TestAcknowledgedLeavingIsApplied guards against a server that says that it leaves, is
+// acknowledged and stays in use, because an announcement of another writer had a higher
+// sequence number.
+func TestAcknowledgedLeavingIsApplied(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tracker := NewTracker("s")
+	announced := Announcement{Server: "i", Service: "s", StartTime: 1, Sequence: 100_000, Slots: 4}
+	g.Expect(tracker.Announce(announced)).To(gomega.Equal(Applied))
+	announced.Sequence, announced.Draining = 5, true
+	g.Expect(tracker.Announce(announced)).To(gomega.Equal(Applied))
+	g.Expect(tracker.Server().State).To(gomega.Equal(fleet.Draining))
+	announced.Sequence, announced.Draining = 6, false
+	g.Expect(tracker.Announce(announced)).To(gomega.Equal(Stale))
+	g.Expect(tracker.Server().State).To(gomega.Equal(fleet.Draining))
+}
+
 // TestRestoredServerIsFoundByItsHealthCheck guards against a server that stays unused
 // after a restart of its node until its next announcement, and against the identity of
 // another service or of an earlier server replacing the known one.
--- a/internal/sidecar/adapter.go
+++ b/internal/sidecar/adapter.go
@@ -25,8 +25,8 @@
 	// NewStore returns a client of the store at an address.
 	NewStore func(address string, transport http.RoundTripper, log *logrus.Entry, scope tally.Scope) registry.Store
 	// AnnouncementHandler returns the handler for the announcements of the backend
-	// server.
-	AnnouncementHandler func(tracker *instance.Tracker, log *logrus.Entry, scope tally.Scope) http.Handler
+	// server at an address.
+	AnnouncementHandler func(tracker *instance.Tracker, address string, log *logrus.Entry, scope tally.Scope) http.Handler
 	// ReadinessHandler returns the handler of the readiness checks of the node.
 	ReadinessHandler func(ready func() bool) http.Handler
 }
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -49,7 +49,7 @@
 		refusal []byte
 	}{
 		{"gate", loaded.Listen.Inbound, s.proxy.InboundHandler(s.registry), s.proxy.ClosingResponse()},
-		{"announce", loaded.Listen.Announce, s.adapter.AnnouncementHandler(s.tracker, s.log, s.metrics.Scope), nil},
+		{"announce", loaded.Listen.Announce, s.adapter.AnnouncementHandler(s.tracker, loaded.Node.Server, s.log, s.metrics.Scope), nil},
 		{"ready", loaded.Listen.Ready, s.adapter.ReadinessHandler(s.ready), nil},
 		{"metrics", net.JoinHostPort(loaded.Node.IP, strconv.Itoa(loaded.Listen.Metrics)), metrics, nil},
 	}
