proxy: authorize requests by the keys of workspaces

Where the configuration has workspaces, the outbound proxy finds the workspace of each request by its key, also on kept connections and in pipelines. An unknown key gets 401; public routes need none; a node without a configuration still answers 503. The key and the workspace that a caller states are removed from the header, and the hop between nodes carries the name, so only a node can state it to another node or to a server. The priority of the workspace comes before that of the route.

Without workspaces nothing changes, on the wire or in the order of requests.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -14,7 +14,9 @@
 	request *upstreamRequest
 	route   *routing.Route
 	table   *routing.Table
-	started time.Time
+	// workspace is nil for a request without a key.
+	workspace *routing.Workspace
+	started   time.Time
 	// connection is the address of the caller, and waited how long the request waited for
 	// the ones before it on that connection.
 	connection  string
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -34,7 +34,7 @@
 
 var testHeaders = HeaderNames{
 	RequestID: "X-Id", DeadlineMs: "X-Deadline", Signature: "X-Signature", ExpectedServer: "X-Expected",
-	NotExecuted: "X-Not-Executed", CallerService: "X-Caller", ServerID: "X-Server", ServerLoad: "X-Load",
+	NotExecuted: "X-Not-Executed", CallerService: "X-Caller", Workspace: "X-Workspace", ServerID: "X-Server", ServerLoad: "X-Load",
 	ServerLimit: "X-Limit", ServerLeaving: "X-Leaving",
 }
 
--- a/internal/proxy/header_names.go
+++ b/internal/proxy/header_names.go
@@ -17,6 +17,9 @@
 	// CallerService is the service of the node whose outbound proxy accepted the
 	// request.
 	CallerService string
+	// Workspace is the name of the workspace whose key the request carries. The outbound
+	// proxy sets it where the configuration has workspaces.
+	Workspace string
 	// ServerID is the server instance ID in a health response.
 	ServerID string
 	// ServerLoad holds the running requests, the waiting requests and the slots of a
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -11,6 +12,8 @@
 
 const (
 	hopFields = 9
+	// hopFieldsWithWorkspace is the number of fields for a request of a workspace.
+	hopFieldsWithWorkspace = 10
 	// maxHopTime bounds the times in a hop header, so that they fit a time.Duration.
 	maxHopTime        = 24 * time.Hour
 	nonIdempotentKind = "once"
@@ -33,6 +36,8 @@
 	// clockID identifies the clock of sent. An outbound proxy chooses a new one when it
 	// starts, because the clock restarts with its host.
 	clockID string
+	// workspace is the name of the caller's workspace; empty for none.
+	workspace string
 }
 
 func (h hop) String() string {
@@ -40,20 +45,24 @@
 	if h.idempotent {
 		kind = idempotentKind
 	}
-	return strings.Join([]string{
+	fields := []string{
 		h.service, h.route,
 		strconv.FormatInt(h.remaining.Milliseconds(), 10),
 		strconv.FormatInt(h.due.Milliseconds(), 10),
 		strconv.FormatInt(h.maxWait.Milliseconds(), 10),
 		strconv.Itoa(h.priority), kind, strconv.FormatInt(h.sent.Milliseconds(), 10), h.clockID,
-	}, " ")
+	}
+	if h.workspace != "" {
+		fields = append(fields, url.QueryEscape(h.workspace))
+	}
+	return strings.Join(fields, " ")
 }
 
 // parseHop parses the value of a hop header. The error names the invalid field.
 func parseHop(value string) (hop, error) {
 	fields := strings.Fields(value)
-	if len(fields) != hopFields {
-		return hop{}, errors.Errorf("hop %q: %d fields, want %d", value, len(fields), hopFields)
+	if len(fields) != hopFields && len(fields) != hopFieldsWithWorkspace {
+		return hop{}, errors.Errorf("hop %q: %d fields, want %d or %d", value, len(fields), hopFields, hopFieldsWithWorkspace)
 	}
 	remaining, err := parseMillis(fields[2])
 	if err != nil {
@@ -78,10 +87,16 @@
 	if err != nil || sent < 0 || sent > math.MaxInt64/int64(time.Millisecond) {
 		return hop{}, errors.Errorf("hop: send time %q is not a valid number of milliseconds", fields[7])
 	}
+	var workspace string
+	if len(fields) == hopFieldsWithWorkspace {
+		if workspace, err = url.QueryUnescape(fields[hopFields]); err != nil {
+			return hop{}, errors.Wrap(err, "hop: workspace")
+		}
+	}
 	return hop{
 		service: fields[0], route: fields[1], remaining: remaining, due: due, maxWait: maxWait,
 		priority: priority, idempotent: fields[6] == idempotentKind,
-		sent: time.Duration(sent) * time.Millisecond, clockID: fields[8],
+		sent: time.Duration(sent) * time.Millisecond, clockID: fields[8], workspace: workspace,
 	}, nil
 }
 
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -178,6 +178,9 @@
 		{Name: in.deps.Headers.DeadlineMs, Value: strconv.FormatInt(remaining, 10)},
 		{Name: in.deps.Headers.CallerService, Value: req.caller},
 	}
+	if req.workspace != "" {
+		fields = append(fields, exchange.HeaderField{Name: in.deps.Headers.Workspace, Value: req.workspace})
+	}
 	if server != "" {
 		fields = append(fields, exchange.HeaderField{Name: in.deps.Headers.ExpectedServer, Value: server})
 	}
--- a/internal/proxy/inbound_handler.go
+++ b/internal/proxy/inbound_handler.go
@@ -73,7 +73,7 @@
 	h.remaining, h.due = max(h.remaining-excess, 0), max(h.due-excess, 0)
 	req := &upstreamRequest{
 		id: r.Header.Get(in.deps.Headers.RequestID), route: h.route, service: h.service,
-		caller: r.Header.Get(in.deps.Headers.CallerService),
+		caller: r.Header.Get(in.deps.Headers.CallerService), workspace: h.workspace,
 		method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header,
 		idempotent: h.idempotent, priority: h.priority, deadline: now.Add(h.remaining), due: now.Add(h.due), late: h.due == 0, maxWait: h.maxWait,
 		receivedAt: receivedAt, timeout: h.remaining,
--- a/internal/proxy/outbound_accept.go
+++ b/internal/proxy/outbound_accept.go
@@ -36,6 +36,9 @@
 	}
 	c.route, c.request.uri = route, uri
 	c.request.route, c.request.idempotent, c.request.priority = route.Name, route.Idempotent, route.Priority
+	if refusal := o.authorize(c, r.Header); refusal != nil {
+		return c, refusal
+	}
 	c.request.service = o.splitter.Next(route, uint64(o.deps.Random()*rotationOffsets))
 	o.setTimes(c, r)
 	c.retryBudget = o.retryBudgets.forService(c.request.service)
--- a/internal/proxy/outbound_refuse.go
+++ b/internal/proxy/outbound_refuse.go
@@ -23,6 +23,9 @@
 	if status == http.StatusServiceUnavailable {
 		header.Set("Retry-After", strconv.FormatFloat(o.retryAfter(c, refusal).Seconds(), 'f', -1, 64))
 	}
+	if status == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
 	if c.request.id != "" {
 		header.Set(o.deps.Headers.RequestID, c.request.id)
 	}
@@ -43,6 +46,8 @@
 	switch refusal.code {
 	case result.NoTarget:
 		return http.StatusNotFound
+	case result.UnknownKey:
+		return http.StatusUnauthorized
 	case result.BadRequest:
 		return http.StatusBadRequest
 	case result.BodyTooLarge:
--- a/internal/proxy/respond.go
+++ b/internal/proxy/respond.go
@@ -48,6 +48,9 @@
 	if c.route != nil {
 		fields["route"], fields["service"] = c.route.Name, c.request.service
 	}
+	if c.workspace != nil {
+		fields["workspace"] = c.workspace.Name
+	}
 	if c.attempts > 0 {
 		fields["node"], fields["server"] = c.choice.Entry.Node, c.choice.Entry.Server
 		fields["cost"], fields["load_age_ms"] = int(c.choice.Cost*thousandths), c.choice.LoadAge/time.Millisecond
--- a/internal/proxy/upstream_request.go
+++ b/internal/proxy/upstream_request.go
@@ -14,6 +14,9 @@
 	route   string
 	service string
 	caller  string
+	// workspace is the name of the workspace whose key the request carried; empty for
+	// none.
+	workspace string
 
 	method string
 	uri    string
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -63,6 +63,9 @@
 	KeyReused        Code = 61
 	ServerGone       Code = 62
 	RequestTimeout   Code = 63
+	UnknownKey       Code = 64
+	RateLimited      Code = 65
+	KeysOutdated     Code = 66
 )
 
 // Codes of calls whose outcome is unknown.
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -18,6 +18,8 @@
 	MaxAttempts int
 	// Priority is the priority of the requests; 0 is the highest.
 	Priority int
+	// Public is set when requests need no key, also where others do.
+	Public bool
 	// Destinations are the services that share the requests; at least one.
 	Destinations []Destination
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -17,6 +17,8 @@
 	// routesByHost holds the routes of each host, longest prefix first.
 	routesByHost map[string][]*Route
 	routeCount   int
+	// keyring is nil when the configuration has no workspaces.
+	keyring *keyring
 }
 
 // NewTable validates a configuration and returns its table. The error names the
@@ -60,6 +62,41 @@
 	return nil
 }
 
+// NewKeyedTable returns a table whose requests carry the key of a workspace, except on
+// public routes. The error names the invalid workspace, route, service or limit.
+func NewKeyedTable(version Version, routes []Route, services []Service, limits Limits, workspaces []KeyedWorkspace) (*Table, error) {
+	table, err := NewTable(version, routes, services, limits)
+	if err != nil {
+		return nil, err
+	}
+	table.keyring, err = newKeyring(workspaces)
+	if err != nil {
+		return nil, err
+	}
+	return table, nil
+}
+
+// RequiresKeys reports whether requests on routes that are not public need a key.
+func (t *Table) RequiresKeys() bool { return t.keyring != nil }
+
+// Workspace returns the workspace that holds a key; false when none does.
+func (t *Table) Workspace(key string) (*Workspace, bool) {
+	hash, valid := hashKey(key)
+	if !valid || t.keyring == nil {
+		return nil, false
+	}
+	workspace, found := t.keyring.byKey[hash]
+	return workspace, found
+}
+
+// Workspaces returns all workspaces. The slice must not be changed.
+func (t *Table) Workspaces() []*Workspace {
+	if t.keyring == nil {
+		return nil
+	}
+	return t.keyring.workspaces
+}
+
 // Version returns the version of the configuration.
 func (t *Table) Version() Version { return t.version }
 
