registry: have the store confirm the keys; ask it beside silent leaders

Where revoke_fail_closed is set, a node refuses requests with keys (503, code 66) once the store has not confirmed its configuration for four fifths of revoke. Readers ask the store by a transaction that only checks the revision of the configuration; the answer passes to leaders and followers as an age that only grows, counted from the time at which each question was sent, on the clock that counts suspensions. A node whose confirmation is old asks the store itself.

--- a/internal/proxy/boot_clock.go
+++ b/internal/boottime/boottime.go
@@ -1,4 +1,6 @@
-package proxy
+// Package boottime reads the clock that counts the time since the host booted, including
+// the time for which it was suspended, which Go's monotonic clock leaves out.
+package boottime
 
 import (
 	"time"
@@ -6,9 +8,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// sinceBoot returns the time since the host booted, including the time it was
-// suspended, which Go's monotonic clock leaves out.
-func sinceBoot() time.Duration {
+// Now returns the time since the host booted.
+func Now() time.Duration {
 	var now unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
 		// The call fails only for an unknown clock; Linux has CLOCK_BOOTTIME.
--- a/internal/proxy/deps.go
+++ b/internal/proxy/deps.go
@@ -32,6 +32,8 @@
 	Log            *logrus.Entry
 	// NewerVersion is called when another node holds a newer configuration.
 	NewerVersion func(routing.Version)
+	// KeysConfirmed reports whether the keys of a version may still be accepted.
+	KeysConfirmed func(routing.Version) bool
 	// Suspect is called when a node is unreachable.
 	Suspect func(fleet.Entry)
 	// ServerLost is called when the local server accepts no connections.
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -79,6 +79,8 @@
 	dial exchange.DialFunc
 	// random is the source of the nodes' random numbers; nil for 0.5 always.
 	random func() float64
+	// keysConfirmed tells whether keys are accepted; nil if always.
+	keysConfirmed func(routing.Version) bool
 	// log receives the lines of the nodes; nil to discard them.
 	log *logrus.Entry
 	// clockOffset is added to the time that the nodes read, in nanoseconds.
@@ -197,6 +199,10 @@
 	if random == nil {
 		random = func() float64 { return 0.5 }
 	}
+	keysConfirmed := f.keysConfirmed
+	if keysConfirmed == nil {
+		keysConfirmed = func(routing.Version) bool { return true }
+	}
 	log := f.log
 	if log == nil {
 		log = telemetry.DiscardLogger()
@@ -205,8 +211,9 @@
 		Headers: testHeaders, Routes: routes, View: f.table.View, Balancer: balancer,
 		Server: n.tracker, Slots: n.slots, Crashes: &n.crashes, CrashesChanged: func() { f.publish(n) }, Dial: dial, Scope: tally.NoopScope, Log: log,
 		NewerVersion: func(routing.Version) {}, Suspect: func(fleet.Entry) {}, ServerLost: func(id string) { n.tracker.MarkAbsent(id) },
-		ServerLeaves: func(id string, startTime int64) { n.tracker.Leave(id, startTime) },
-		Now:          f.now, Random: random,
+		ServerLeaves:  func(id string, startTime int64) { n.tracker.Leave(id, startTime) },
+		KeysConfirmed: keysConfirmed,
+		Now:           f.now, Random: random,
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/proxy/inbound_handler.go
+++ b/internal/proxy/inbound_handler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/balance"
+	"rosemaryladder.dev/rosemaryladder/internal/boottime"
 	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
@@ -65,7 +66,7 @@
 	if err != nil {
 		return nil, newRefusal(result.BadRequest, err.Error())
 	}
-	now, receivedAt := in.deps.Now(), sinceBoot()
+	now, receivedAt := in.deps.Now(), boottime.Now()
 	excess := in.transitDelay.excess(h.clockID, h.sent, receivedAt)
 	if excess > in.config.AckTimeout {
 		return nil, newRefusal(result.DeadlineNotRun, fmt.Sprintf("the request was in transit %s longer than others, so its outbound proxy no longer waits for it", excess.Round(time.Millisecond)))
--- a/internal/proxy/outbound_accept.go
+++ b/internal/proxy/outbound_accept.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"rosemaryladder.dev/rosemaryladder/internal/boottime"
 	"rosemaryladder.dev/rosemaryladder/internal/ingress"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
@@ -19,7 +20,7 @@
 	waited := waitedInPipeline(r, now)
 	c := &call{started: now.Add(-waited), connection: r.RemoteAddr, waited: waited, table: o.deps.Routes.Load(), request: &upstreamRequest{
 		id: r.Header.Get(o.deps.Headers.RequestID), caller: o.deps.Server.Server().Service,
-		method: r.Method, host: r.Host, header: r.Header, receivedAt: sinceBoot() - waited,
+		method: r.Method, host: r.Host, header: r.Header, receivedAt: boottime.Now() - waited,
 	}}
 	if c.table == nil {
 		return c, newRefusal(result.NodeNotReady, "the node holds no configuration yet")
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/balance"
+	"rosemaryladder.dev/rosemaryladder/internal/boottime"
 	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
@@ -54,7 +55,7 @@
 	h := hop{
 		service: req.service, route: req.route, remaining: max(req.deadline.Sub(o.deps.Now()), 0),
 		due: due, maxWait: req.maxWait, priority: req.priority, idempotent: req.idempotent,
-		sent: sinceBoot(), clockID: o.clockID, workspace: req.workspace,
+		sent: boottime.Now(), clockID: o.clockID, workspace: req.workspace,
 	}
 	return &exchange.Request{
 		Method: req.method, URI: req.uri, Host: req.host, Header: req.header, SkipHeader: o.inbound.setsHeader, Body: req.body,
--- a/internal/proxy/upstream_request.go
+++ b/internal/proxy/upstream_request.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"rosemaryladder.dev/rosemaryladder/internal/boottime"
 	"rosemaryladder.dev/rosemaryladder/internal/crash"
 	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 )
@@ -51,5 +52,5 @@
 // expired reports whether the deadline has passed, counting the time that the host
 // was suspended.
 func (r *upstreamRequest) expired(now time.Time) bool {
-	return !now.Before(r.deadline) || sinceBoot()-r.receivedAt >= r.timeout
+	return !now.Before(r.deadline) || boottime.Now()-r.receivedAt >= r.timeout
 }
--- a/internal/proxy/workspace_key.go
+++ b/internal/proxy/workspace_key.go
@@ -31,6 +31,9 @@
 	if !found {
 		return newRefusal(result.UnknownKey, "the request carries no key of a workspace, which its route requires")
 	}
+	if !o.deps.KeysConfirmed(c.table.Version()) {
+		return newRefusal(result.KeysOutdated, "the store has not confirmed the keys for too long")
+	}
 	c.workspace, c.request.workspace = workspace, workspace.Name
 	c.request.priority = combinedPriority(workspace, c.route.Priority)
 	return nil
--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -59,6 +59,13 @@
 	// PeerTimeout is the time allowed for one exchange with a peer; a query makes up
 	// to two.
 	PeerTimeout time.Duration
+	// NewsLimit is how long a follower goes without news from its leaders before it asks
+	// the store itself: half of the time in which a change must be in force.
+	NewsLimit time.Duration
+	// ConfirmInterval is the time after which a reader has its configuration confirmed by
+	// the store again, and ConfirmAfter the age at which a follower asks itself. Both
+	// apply with Deps.Freshness only.
+	ConfirmInterval, ConfirmAfter time.Duration
 }
 
 // DefaultConfig returns the default configuration without the keys, which the caller
@@ -79,6 +86,9 @@
 		PeerAfter:            1500 * time.Millisecond,
 		PeerInterval:         500 * time.Millisecond,
 		PeerTimeout:          400 * time.Millisecond,
+		NewsLimit:            1500 * time.Millisecond,
+		ConfirmInterval:      600 * time.Millisecond,
+		ConfirmAfter:         2 * time.Second,
 	}
 }
 
@@ -95,6 +105,7 @@
 		{"FollowerKeepInterval", c.FollowerKeepInterval}, {"WatchWait", c.WatchWait},
 		{"WatchPause", c.WatchPause}, {"CallTimeout", c.CallTimeout}, {"ReadTimeout", c.ReadTimeout}, {"FirstRetry", c.FirstRetry},
 		{"MaxRetry", c.MaxRetry}, {"OutageRetry", c.OutageRetry}, {"StartPause", c.StartPause}, {"PeerAfter", c.PeerAfter}, {"PeerInterval", c.PeerInterval}, {"PeerTimeout", c.PeerTimeout},
+		{"NewsLimit", c.NewsLimit}, {"ConfirmInterval", c.ConfirmInterval}, {"ConfirmAfter", c.ConfirmAfter},
 	}
 	for _, field := range durations {
 		if field.value <= 0 {
--- a/internal/registry/deps.go
+++ b/internal/registry/deps.go
@@ -8,16 +8,20 @@
 	"github.com/uber-go/tally/v4"
 
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+	"rosemaryladder.dev/rosemaryladder/internal/freshness"
 	"rosemaryladder.dev/rosemaryladder/internal/routing"
 )
 
-// Deps are the dependencies of a Registry. All of them are required.
+// Deps are the dependencies of a Registry. All but Freshness are required.
 type Deps struct {
 	Store Store
 	// Decode decodes the operators' configuration.
 	Decode func([]byte) (*routing.Table, error)
 	Routes *routing.Holder
 	Fleet  *fleet.Table
+	// Freshness holds since when the configuration in force is known to be the newest; nil
+	// where nothing depends on it.
+	Freshness *freshness.Tracker
 	// PeerClient sends the queries to peers.
 	PeerClient *http.Client
 	// LeaderClient sends the long polls to the leader that this node follows; it
--- a/internal/registry/fake_store_test.go
+++ b/internal/registry/fake_store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -32,6 +33,8 @@
 	calls          int
 	// reads counts the reads of the configuration.
 	reads int
+	// confirmations counts the calls of ReadIfChanged.
+	confirmations int
 }
 
 func newFakeStore() *fakeStore {
@@ -65,6 +68,30 @@
 	return items, s.revision, nil
 }
 
+func (s *fakeStore) ReadIfChanged(_ context.Context, key string, known store.Revision) (store.Value, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmations++
+	if err := s.startCall(); err != nil {
+		return store.Value{}, false, err
+	}
+	revision := s.revisionOf(key)
+	if revision == known {
+		return store.Value{}, false, nil
+	}
+	return store.Value{Data: s.values[key], Revision: revision}, true, nil
+}
+
+// revisionOf returns the revision of the last change of a key.
+func (s *fakeStore) revisionOf(key string) store.Revision {
+	for _, c := range slices.Backward(s.history) {
+		if c.event.Key == key {
+			return c.revision
+		}
+	}
+	return 0
+}
+
 func (s *fakeStore) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error) {
 	s.mu.Lock()
 	withholdEvents := s.withholdEvents
--- a/internal/registry/follow_loop.go
+++ b/internal/registry/follow_loop.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"rosemaryladder.dev/rosemaryladder/internal/boottime"
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 )
 
@@ -23,6 +24,9 @@
 	// readers, so that an unresponsive one is replaced within a second.
 	readerWait    = 300 * time.Millisecond
 	readerTimeout = 700 * time.Millisecond
+	// confirmedPollWait is how long a poll waits for a change where the age of the
+	// configuration counts, which only a response renews.
+	confirmedPollWait = 400 * time.Millisecond
 	// followPause is the time between a response of a leader that held a change and
 	// the next request, so that a burst of changes crosses the failure domain once.
 	followPause = 100 * time.Millisecond
@@ -78,6 +82,9 @@
 // whether there was one.
 func (r *Registry) pollLeader(ctx context.Context, leader fleet.Entry, cursor *leaderCursor) (changed bool, err error) {
 	wait, timeout := r.config.WatchWait/2, leaderTimeout
+	if r.deps.Freshness != nil {
+		wait = min(wait, confirmedPollWait)
+	}
 	if leader.Domain != r.LocalEntry().Domain {
 		wait, timeout = readerWait, readerTimeout
 	}
@@ -87,6 +94,7 @@
 		Version: r.versionToSend(), Entries: r.entriesToSend(), Digest: r.deps.Fleet.View().Digest(),
 		RunID: cursor.runID, Position: cursor.position, WaitMs: wait.Milliseconds(),
 	}
+	sent := boottime.Now()
 	remote, err := r.exchangeState(ctx, r.deps.LeaderClient, leader, query)
 	if err != nil {
 		return false, err
@@ -103,9 +111,11 @@
 	// followers to the store would not end the outage sooner.
 	if !leaderDisconnected {
 		r.recordContact()
+		r.recordNews()
 	}
 	r.rewriteLapsed(remote)
 	r.mergeState(remote, "leader "+leader.Node)
+	r.acceptConfirmation(remote, sent)
 	r.applyRemovals(remote)
 	r.updates.notify()
 	cursor.advance(remote, r.deps.Fleet.View().Digest())
--- a/internal/registry/peer_loop.go
+++ b/internal/registry/peer_loop.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"rosemaryladder.dev/rosemaryladder/internal/boottime"
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 	"rosemaryladder.dev/rosemaryladder/internal/routing"
 )
@@ -134,6 +135,7 @@
 		Version: r.versionToSend(), Digest: view.Digest(), Entries: r.entriesToSend(),
 		SinceContactMs: r.sinceContact().Milliseconds(), FleetKnown: r.fleetKnown.Load(),
 	}
+	sent := boottime.Now()
 	remote, err := r.exchangeState(ctx, r.deps.PeerClient, entry, query)
 	if err != nil {
 		return false
@@ -141,6 +143,7 @@
 	r.rewriteLapsed(remote)
 	source := "peer " + entry.Node
 	r.mergeState(r.mergeReported(remote, entry.Node, source), source)
+	r.acceptConfirmation(remote, sent)
 	if routing.Version(remote.Version) < r.deps.Routes.Version() {
 		if _, err := r.exchangeState(ctx, r.deps.PeerClient, entry, r.stateFor(remote)); err != nil {
 			r.deps.Log.WithError(err).WithField("peer", entry.Node).Info("failed to send the configuration to a peer")
@@ -267,6 +270,7 @@
 		http.NotFound(w, request)
 		return
 	}
+	arrived := boottime.Now()
 	remote, err := decodeState(request.Body)
 	if err != nil {
 		r.rejectedValues.Inc(1)
@@ -285,6 +289,7 @@
 	}
 	state := r.stateFor(remote)
 	state.EntryLapsed = lapsed
+	r.stateConfirmation(&state, arrived)
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(state); err != nil {
 		r.deps.Log.WithError(err).WithField("peer", request.RemoteAddr).Info("failed to send the state to a peer")
--- a/internal/registry/peer_state.go
+++ b/internal/registry/peer_state.go
@@ -37,4 +37,9 @@
 	// SinceContactMs is the time since the store last responded to the sender or its
 	// leader, in milliseconds.
 	SinceContactMs int64 `json:"s"`
+	// ConfirmedVersion is the version that the store confirmed as the newest, by what the
+	// sender knows; 0 for none. ConfirmationAgeMs and HeldMs are freshness.Statement.
+	ConfirmedVersion  uint64 `json:"cv,omitempty"`
+	ConfirmationAgeMs int64  `json:"ca,omitempty"`
+	HeldMs            int64  `json:"ch,omitempty"`
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -26,6 +26,15 @@
 	lastContact       atomic.Int64
 	lastDirectContact atomic.Int64
 	startedAt         time.Time
+	// lastNews is when the store, or a leader in contact with it, last told this node what
+	// is new, in nanoseconds since startedAt.
+	lastNews atomic.Int64
+	// configurationRevision is the store.Revision of the newest configuration that this
+	// node has got from the store; 0 while it got none.
+	configurationRevision atomic.Uint64
+	// wasConfirmed is whether the confirmation was valid when it was last reported. Only the
+	// confirm loop uses it.
+	wasConfirmed bool
 	// following is set while the node follows a leader.
 	following atomic.Bool
 	// leaderDisconnected is set while the store does not respond to the leader either.
@@ -87,6 +96,8 @@
 	outdatedChanges tally.Counter
 	peerRequests    tally.Counter
 	storeFailures   tally.Counter
+	// confirmationAge is the age of the confirmation of the configuration, in milliseconds.
+	confirmationAge tally.Gauge
 
 	mu sync.Mutex
 	// configuration holds the newest configuration as the operators wrote it.
@@ -119,6 +130,7 @@
 		updates: newNotifier(), leaderCooldownUntil: make(map[string]time.Time), suspects: make(map[string]fleet.Entry),
 		rejectedValues: scope.Counter("refused_values"), outdatedChanges: scope.Counter("outdated_changes"),
 		peerRequests: scope.Counter("peer_questions"), storeFailures: scope.Counter("store_lost"),
+		confirmationAge: scope.Gauge("confirmation_age_ms"),
 	}, nil
 }
 
@@ -133,6 +145,7 @@
 	loops.Go(func() { r.watchLoop(ctx) })
 	loops.Go(func() { r.leaseLoop(ctx) })
 	loops.Go(func() { r.peerLoop(ctx) })
+	loops.Go(func() { r.confirmLoop(ctx) })
 	loops.Wait()
 }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+	"rosemaryladder.dev/rosemaryladder/internal/freshness"
 	"rosemaryladder.dev/rosemaryladder/internal/routing"
 	"rosemaryladder.dev/rosemaryladder/internal/store"
 	"rosemaryladder.dev/rosemaryladder/internal/telemetry"
@@ -32,6 +33,8 @@
 	routes  *routing.Holder
 	fleet   *fleet.Table
 	inbound *httptest.Server
+	// handler is the http.HandlerFunc that serves inbound.
+	handler atomic.Value
 }
 
 // decodeTest decodes a configuration that consists of a version number, which a space and
@@ -55,8 +58,17 @@
 }
 
 func startRegistryWithPeers(t *testing.T, shared Store, name string, peers *http.Client, change func(*Config)) *testRegistry {
+	return startRegistryUsing(t, shared, name, peers, http.DefaultClient, nil, change)
+}
+
+// startRegistryUsing starts a registry that reaches peers and leaders with the given
+// clients, and keeps a confirmation of its configuration unless confirmed is nil.
+func startRegistryUsing(t *testing.T, shared Store, name string, peers, leaders *http.Client, confirmed *freshness.Tracker, change func(*Config)) *testRegistry {
 	r := &testRegistry{routes: &routing.Holder{}, fleet: fleet.NewTable(500 * time.Millisecond)}
-	r.inbound = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) { r.ServeHTTP(w, request) }))
+	r.handler.Store(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) { r.ServeHTTP(w, request) }))
+	r.inbound = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		r.handler.Load().(http.HandlerFunc)(w, request)
+	}))
 	t.Cleanup(r.inbound.Close)
 	config := DefaultConfig()
 	config.ConfigurationKey, config.EntriesPrefix = configurationKey, "nodes/"
@@ -70,7 +82,7 @@
 	}
 	var err error
 	r.Registry, err = New(config, Deps{
-		Store: shared, Decode: decodeTest, Routes: r.routes, Fleet: r.fleet, PeerClient: peers, LeaderClient: http.DefaultClient,
+		Store: shared, Decode: decodeTest, Routes: r.routes, Fleet: r.fleet, PeerClient: peers, LeaderClient: leaders, Freshness: confirmed,
 		Log: telemetry.DiscardLogger(), Scope: tally.NoopScope, Now: time.Now, Random: func() float64 { return 0.5 },
 		OnReached: func(string) {}, OnPrevious: func(fleet.Entry) {},
 	}, local)
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -17,6 +17,9 @@
 	// any, and the revision to continue from. It returns no changes when the wait
 	// elapses first.
 	Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error)
+	// ReadIfChanged returns the value of a key if it is at another revision than known,
+	// and reports whether it is. The value of a missing key has revision 0.
+	ReadIfChanged(ctx context.Context, key string, known store.Revision) (store.Value, bool, error)
 	// Put writes a key that is bound to a lease; lease 0 binds it to none.
 	Put(ctx context.Context, key string, value []byte, lease store.LeaseID) error
 	Delete(ctx context.Context, key string) error
--- a/internal/registry/watch_loop.go
+++ b/internal/registry/watch_loop.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"rosemaryladder.dev/rosemaryladder/internal/boottime"
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 	"rosemaryladder.dev/rosemaryladder/internal/store"
 )
@@ -169,6 +170,7 @@
 func (r *Registry) readConfiguration(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, r.config.ReadTimeout)
 	defer cancel()
+	asked := boottime.Now()
 	items, _, err := r.deps.Store.List(ctx, r.config.ConfigurationKey)
 	if err != nil {
 		return err
@@ -179,6 +181,7 @@
 			r.applyConfiguration(item.Value, "store")
 		}
 	}
+	r.recordConfirmation(asked)
 	return nil
 }
 
@@ -227,6 +230,10 @@
 		}
 	}
 	for _, event := range events {
+		if event.Key == r.config.ConfigurationKey {
+			// Only now: until it is applied, the configuration of this revision is not in force.
+			r.configurationRevision.Store(uint64(event.Revision))
+		}
 		r.applyEntryEvent(event)
 	}
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -91,6 +91,9 @@
 	case reflect.TypeFor[float64]():
 		_, err := key.Float64()
 		return err
+	case reflect.TypeFor[bool]():
+		_, err := key.Bool()
+		return err
 	default:
 		return nil
 	}
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -81,6 +81,13 @@
 	RetryRatio  float64       `ini:"retry_ratio"`
 	RetryWindow time.Duration `ini:"retry_window"`
 	RetrySlack  float64       `ini:"retry_slack"`
+	// ConfigApply is the time within which an accepted configuration is in force on all
+	// nodes.
+	ConfigApply time.Duration `ini:"config_apply"`
+	// Revoke is the time after which a withdrawn key is refused everywhere. With FailClosed
+	// that holds also for nodes that can't know of the withdrawal.
+	Revoke     time.Duration `ini:"revoke"`
+	FailClosed bool          `ini:"revoke_fail_closed"`
 }
 
 // SidecarCosts holds the costs of traffic, in units of the value of one request.
@@ -103,7 +110,7 @@
 		Listen:  SidecarListen{Metrics: 9464},
 		Callers: SidecarCallers{MaxPipelined: 8, MaxConnections: 2048, MaxIncompleteHeadBytes: 2 << 20, IdleLimitNotice: 3 * time.Second},
 		Store:   SidecarStore{MinLease: time.Second},
-		Bounds:  SidecarBounds{Settle: 3 * time.Second, Grace: 6 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second},
+		Bounds:  SidecarBounds{Settle: 3 * time.Second, Grace: 6 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, ConfigApply: 3 * time.Second},
 		Costs:   SidecarCosts{CrossDomainPerMB: 8, CrossRegionPerMB: 31},
 		Log:     Log{Format: "json", Level: "info"},
 	}
--- a/internal/settings/validate_sidecar.go
+++ b/internal/settings/validate_sidecar.go
@@ -4,10 +4,15 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
+// minRevoke is the shortest time in which a node can be told of the store's newest
+// configuration through two other nodes, and can ask the store itself if it is not.
+const minRevoke = 2 * time.Second
+
 // Validate returns an error that names the first invalid key. path is the settings
 // file, for the message.
 func (s Sidecar) Validate(path string) error { return firstInvalid(path, s.checks()) }
@@ -39,6 +44,8 @@
 		{"bounds", "retry_ratio", s.Bounds.RetryRatio >= 0 && s.Bounds.RetryRatio <= 1, "from 0 to 1"},
 		{"bounds", "retry_window", s.Bounds.RetryWindow > 0, "above 0"},
 		{"bounds", "retry_slack", s.Bounds.RetrySlack >= 0, "0 or more"},
+		{"bounds", "config_apply", s.Bounds.ConfigApply > 0, "above 0"},
+		{"bounds", "revoke", s.Bounds.Revoke >= 0 && (s.Bounds.Revoke >= minRevoke || !s.Bounds.FailClosed), "2s or more where revoke_fail_closed is true"},
 		{"prices", "cross_domain_per_mb", s.Costs.CrossDomainPerMB >= 0, "0 or more"},
 		{"prices", "cross_region_per_mb", s.Costs.CrossRegionPerMB >= 0, "0 or more"},
 		{"log", "format", slices.Contains([]string{"text", "json"}, s.Log.Format), "text or json"},
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -13,9 +13,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"rosemaryladder.dev/rosemaryladder/internal/balance"
+	"rosemaryladder.dev/rosemaryladder/internal/boottime"
 	"rosemaryladder.dev/rosemaryladder/internal/crash"
 	"rosemaryladder.dev/rosemaryladder/internal/dial"
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+	"rosemaryladder.dev/rosemaryladder/internal/freshness"
 	"rosemaryladder.dev/rosemaryladder/internal/ingress"
 	"rosemaryladder.dev/rosemaryladder/internal/instance"
 	"rosemaryladder.dev/rosemaryladder/internal/proxy"
@@ -30,6 +32,19 @@
 // alive writes it again within two seconds after the store responds again.
 const lapsedEntryTTL = 2500 * time.Millisecond
 
+const (
+	// confirmedShare is the share of the revocation time for which a confirmation of the
+	// store counts. The rest is a margin for clocks of different rate.
+	confirmedShare = 0.8
+	// confirmAfterShare is the share of it at which a follower asks the store itself, which
+	// leaves time for a few questions, and confirmIntervalShare the one at which a reader
+	// asks again.
+	confirmAfterShare    = 0.4
+	confirmIntervalShare = 0.12
+)
+
+func scaled(d time.Duration, share float64) time.Duration { return time.Duration(share * float64(d)) }
+
 // Sidecar is a node on the users' platform.
 type Sidecar struct {
 	settings atomic.Pointer[settings.Sidecar]
@@ -37,14 +52,16 @@
 	log      *logrus.Entry
 	metrics  *telemetry.Metrics
 
-	routes    *routing.Holder
-	fleet     *fleet.Table
-	balancer  *balance.Balancer
-	tracker   *instance.Tracker
-	crashes   crash.Record
-	slots     *slots.Controller
-	proxy     *proxy.Proxy
-	registry  *registry.Registry
+	routes   *routing.Holder
+	fleet    *fleet.Table
+	balancer *balance.Balancer
+	tracker  *instance.Tracker
+	crashes  crash.Record
+	slots    *slots.Controller
+	proxy    *proxy.Proxy
+	registry *registry.Registry
+	// freshness is nil unless withdrawn keys must be refused without contact.
+	freshness *freshness.Tracker
 	prober    *prober
 	listeners []*listener
 	// callers serves the connections of callers.
@@ -64,6 +81,9 @@
 		slots:   slots.NewController(time.Now),
 	}
 	s.settings.Store(&loaded)
+	if loaded.Bounds.FailClosed {
+		s.freshness = freshness.NewTracker(scaled(loaded.Bounds.Revoke, confirmedShare))
+	}
 	s.fleet.OnBlocklist(s.blocklistChanged)
 	for _, step := range []func(settings.Sidecar) error{s.buildBalancer, s.buildRegistry, s.buildProxy, s.buildCallers, s.listen} {
 		if err := step(loaded); err != nil {
@@ -98,6 +118,11 @@
 	config.WatchPrefix = s.adapter.WatchPrefix
 	config.WatchWait = loaded.Bounds.Settle / 2
 	config.LeaseTTL = max(config.LeaseTTL, loaded.Store.MinLease)
+	config.NewsLimit = loaded.Bounds.ConfigApply / 2
+	if s.freshness != nil {
+		config.ConfirmInterval = scaled(loaded.Bounds.Revoke, confirmIntervalShare)
+		config.ConfirmAfter = scaled(loaded.Bounds.Revoke, confirmAfterShare)
+	}
 	dialer := dial.Dialer{LocalIP: loaded.Node.IP, Timeout: config.CallTimeout}
 	local := fleet.Entry{
 		Node: loaded.Node.IP, InboundAddress: loaded.Listen.InboundAddress(), Domain: loaded.Node.FailureDomain,
@@ -105,7 +130,7 @@
 	}
 	s.registry, err = registry.New(config, registry.Deps{
 		Store:  s.adapter.NewStore(loaded.Store.Address, storeTransport(dialer), s.log, s.metrics.Scope),
-		Decode: s.adapter.DecodeConfiguration, Routes: s.routes, Fleet: s.fleet,
+		Decode: s.adapter.DecodeConfiguration, Routes: s.routes, Fleet: s.fleet, Freshness: s.freshness,
 		PeerClient: &http.Client{Transport: peerTransport(dialer)}, LeaderClient: &http.Client{Transport: leaderTransport(dialer)},
 		Log: s.log, Scope: s.metrics.Scope, Now: time.Now, Random: rand.Float64,
 		OnReached: s.balancer.MarkReachable, OnPrevious: s.adoptPrevious,
@@ -125,11 +150,18 @@
 		Headers: s.adapter.HeaderNames, Routes: s.routes, View: s.fleet.View, Balancer: s.balancer,
 		Server: s.tracker, Slots: s.slots, Crashes: &s.crashes, CrashesChanged: s.publishCrashes, Dial: dialer.DialContext, Scope: s.metrics.Scope, Log: s.log,
 		NewerVersion: s.registry.ReportNewerVersion, Suspect: s.registry.Suspect, ServerLost: s.serverUnreachable, ServerLeaves: s.serverLeaves,
-		Now: time.Now, Random: rand.Float64,
+		KeysConfirmed: s.keysConfirmed,
+		Now:           time.Now, Random: rand.Float64,
 	})
 	return err
 }
 
+// keysConfirmed reports whether the keys of a version are known to be those that the
+// operators have put in force last.
+func (s *Sidecar) keysConfirmed(version routing.Version) bool {
+	return s.freshness == nil || s.freshness.Confirmed(boottime.Now(), uint64(version))
+}
+
 func (s *Sidecar) buildCallers(loaded settings.Sidecar) error {
 	config := ingress.DefaultConfig()
 	config.Handler, config.Reject, config.Idempotent = s.proxy.OutboundHandler(), s.proxy.Reject, s.proxy.Idempotent
