ratelimit: keep workspaces within their rate limits over all nodes

Nodes accept requests at once and report five times a second what they accepted, to a leader of their failure domain and from there to one node that holds a token bucket for each workspace. The verdict names only workspaces beyond their limit, with the fraction of requests that nodes may accept. A node without a verdict for a second keeps to its part of each limit, and an allocator gives out the part of the nodes that it hears, so the sum stays within the bound when views differ. A request that did not run is given back. 429 carries the time after which the next request would be accepted. Without rate limits in the configuration nothing is sent or counted.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -17,6 +17,8 @@
 	// workspace is nil for a request without a key.
 	workspace *routing.Workspace
 	started   time.Time
+	// counted is set while the request counts against the rate limit of its workspace.
+	counted bool
 	// connection is the address of the caller, and waited how long the request waited for
 	// the ones before it on that connection.
 	connection  string
--- a/internal/proxy/deps.go
+++ b/internal/proxy/deps.go
@@ -11,6 +11,7 @@
 	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 	"rosemaryladder.dev/rosemaryladder/internal/instance"
+	"rosemaryladder.dev/rosemaryladder/internal/ratelimit"
 	"rosemaryladder.dev/rosemaryladder/internal/routing"
 	"rosemaryladder.dev/rosemaryladder/internal/slots"
 )
@@ -34,6 +35,8 @@
 	NewerVersion func(routing.Version)
 	// KeysConfirmed reports whether the keys of a version may still be accepted.
 	KeysConfirmed func(routing.Version) bool
+	// Limiter decides on the requests of workspaces with a rate limit.
+	Limiter *ratelimit.Limiter
 	// Suspect is called when a node is unreachable.
 	Suspect func(fleet.Entry)
 	// ServerLost is called when the local server accepts no connections.
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -22,6 +22,7 @@
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 	"rosemaryladder.dev/rosemaryladder/internal/ingress"
 	"rosemaryladder.dev/rosemaryladder/internal/instance"
+	"rosemaryladder.dev/rosemaryladder/internal/ratelimit"
 	"rosemaryladder.dev/rosemaryladder/internal/routing"
 	"rosemaryladder.dev/rosemaryladder/internal/slots"
 	"rosemaryladder.dev/rosemaryladder/internal/telemetry"
@@ -212,8 +213,8 @@
 		Server: n.tracker, Slots: n.slots, Crashes: &n.crashes, CrashesChanged: func() { f.publish(n) }, Dial: dial, Scope: tally.NoopScope, Log: log,
 		NewerVersion: func(routing.Version) {}, Suspect: func(fleet.Entry) {}, ServerLost: func(id string) { n.tracker.MarkAbsent(id) },
 		ServerLeaves:  func(id string, startTime int64) { n.tracker.Leave(id, startTime) },
-		KeysConfirmed: keysConfirmed,
-		Now:           f.now, Random: random,
+		KeysConfirmed: keysConfirmed, Limiter: ratelimit.NewLimiter(ratelimit.DefaultConfig(), random),
+		Now: f.now, Random: random,
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/proxy/outbound_refuse.go
+++ b/internal/proxy/outbound_refuse.go
@@ -12,6 +12,7 @@
 // request has not run and will not run.
 func (o *outbound) refuse(w http.ResponseWriter, c *call, refusal *refusalReason) {
 	o.log(c, refusal, 0)
+	o.returnToWorkspace(c, refusal)
 	if refusal.cancelled {
 		o.metrics.cancelled.Inc(1)
 		panic(http.ErrAbortHandler)
@@ -20,7 +21,7 @@
 	header := w.Header()
 	header.Set(HeaderResult, strconv.Itoa(int(refusal.code)))
 	status := statusOf(refusal)
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		header.Set("Retry-After", strconv.FormatFloat(o.retryAfter(c, refusal).Seconds(), 'f', -1, 64))
 	}
 	if status == http.StatusUnauthorized {
@@ -35,6 +36,9 @@
 // retryAfter returns the time after which the caller should send a refused request
 // again.
 func (o *outbound) retryAfter(c *call, refusal *refusalReason) time.Duration {
+	if refusal.retryAfter > 0 {
+		return refusal.retryAfter.Round(time.Millisecond)
+	}
 	if c.route == nil {
 		return o.config.RetryAfter.Default
 	}
@@ -46,6 +50,8 @@
 	switch refusal.code {
 	case result.NoTarget:
 		return http.StatusNotFound
+	case result.RateLimited:
+		return http.StatusTooManyRequests
 	case result.UnknownKey:
 		return http.StatusUnauthorized
 	case result.BadRequest:
--- a/internal/proxy/refusal_reason.go
+++ b/internal/proxy/refusal_reason.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"time"
+
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
@@ -13,6 +15,9 @@
 	maybeDelivered bool
 	// unreachable is set when the node sent no response.
 	unreachable bool
+	// retryAfter is the time after which the caller should come back; 0 for the default
+	// of the code.
+	retryAfter time.Duration
 	// cancelled is set when the caller cancelled the request.
 	cancelled bool
 }
--- a/internal/proxy/workspace_key.go
+++ b/internal/proxy/workspace_key.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 
+	"rosemaryladder.dev/rosemaryladder/internal/boottime"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 	"rosemaryladder.dev/rosemaryladder/internal/routing"
 )
@@ -36,9 +37,30 @@
 	}
 	c.workspace, c.request.workspace = workspace, workspace.Name
 	c.request.priority = combinedPriority(workspace, c.route.Priority)
+	return o.admitWorkspace(c)
+}
+
+// admitWorkspace counts the request against the rate limit of its workspace, and refuses
+// it beyond the limit.
+func (o *outbound) admitWorkspace(c *call) *refusalReason {
+	accepted, retryAfter := o.deps.Limiter.Admit(boottime.Now(), c.workspace, o.deps.View().Len())
+	if !accepted {
+		refusal := newRefusal(result.RateLimited, "workspace "+c.workspace.Name+" has used up its rate limit")
+		refusal.retryAfter = retryAfter
+		return refusal
+	}
+	c.counted = true
 	return nil
 }
 
+// returnToWorkspace gives a request back to the rate limit that has not run.
+func (o *outbound) returnToWorkspace(c *call, refusal *refusalReason) {
+	if c.counted && refusal.notRun() {
+		c.counted = false
+		o.deps.Limiter.Return(c.workspace)
+	}
+}
+
 // workspaceOf returns the workspace whose key the fields of the Authorization header
 // hold. Several fields are refused, because it is unclear which of them counts.
 func workspaceOf(table *routing.Table, credentials []string) (*routing.Workspace, bool) {
--- a/internal/registry/leaders.go
+++ b/internal/registry/leaders.go
@@ -37,6 +37,22 @@
 	return members[:min(len(members), leadersPerDomain)]
 }
 
+// Leaders returns the leaders of a failure domain, in order of preference.
+func Leaders(entries []fleet.Entry, domain string) []fleet.Entry { return leaders(entries, domain) }
+
+// Roots returns the first leaders of all failure domains, in the order in which one of
+// them serves the whole fleet.
+func Roots(entries []fleet.Entry, regions map[string]string) []fleet.Entry {
+	var roots []fleet.Entry
+	for domain := range regions {
+		if ofDomain := leaders(entries, domain); len(ofDomain) > 0 {
+			roots = append(roots, ofDomain[0])
+		}
+	}
+	slices.SortFunc(roots, comparePreference)
+	return roots
+}
+
 // readers returns the nodes of a region that watch the store, in order of preference:
 // the best leader of the region, and the best one of another failure domain if there is
 // one.
--- a/internal/routing/keyring.go
+++ b/internal/routing/keyring.go
@@ -33,8 +33,10 @@
 
 // keyring finds workspaces by their keys. It is immutable.
 type keyring struct {
-	byKey      map[keyHash]*Workspace
-	workspaces []*Workspace
+	byKey  map[keyHash]*Workspace
+	byName map[string]*Workspace
+	// limited is set when a workspace has a rate limit.
+	limited bool
 }
 
 // newKeyring validates workspaces. The error names the workspace and the position of an
@@ -43,24 +45,23 @@
 	if len(configured) > maxWorkspaces {
 		return nil, errors.Errorf("%d workspaces, at most %d are allowed", len(configured), maxWorkspaces)
 	}
-	k := &keyring{byKey: make(map[keyHash]*Workspace), workspaces: make([]*Workspace, 0, len(configured))}
-	names := make(map[string]bool, len(configured))
+	k := &keyring{byKey: make(map[keyHash]*Workspace), byName: make(map[string]*Workspace, len(configured))}
 	for i := range configured {
 		workspace := configured[i].Workspace
 		if err := checkWorkspace(&workspace); err != nil {
 			return nil, err
 		}
-		if names[workspace.Name] {
+		if k.byName[workspace.Name] != nil {
 			return nil, errors.Errorf("workspace %q is defined twice", workspace.Name)
 		}
-		names[workspace.Name] = true
 		if configured[i].Keys == nil {
 			return nil, errors.Errorf("workspace %q has no list of keys", workspace.Name)
 		}
 		if err := k.addKeys(&workspace, configured[i].Keys); err != nil {
 			return nil, err
 		}
-		k.workspaces = append(k.workspaces, &workspace)
+		k.byName[workspace.Name] = &workspace
+		k.limited = k.limited || workspace.IsLimited()
 	}
 	return k, nil
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -89,14 +89,18 @@
 	return workspace, found
 }
 
-// Workspaces returns all workspaces. The slice must not be changed.
-func (t *Table) Workspaces() []*Workspace {
+// WorkspaceByName returns the workspace with a name; false when there is none.
+func (t *Table) WorkspaceByName(name string) (*Workspace, bool) {
 	if t.keyring == nil {
-		return nil
+		return nil, false
 	}
-	return t.keyring.workspaces
+	workspace, found := t.keyring.byName[name]
+	return workspace, found
 }
 
+// HasRateLimits reports whether a workspace has a rate limit.
+func (t *Table) HasRateLimits() bool { return t.keyring != nil && t.keyring.limited }
+
 // Version returns the version of the configuration.
 func (t *Table) Version() Version { return t.version }
 
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -88,6 +88,10 @@
 	// that holds also for nodes that can't know of the withdrawal.
 	Revoke     time.Duration `ini:"revoke"`
 	FailClosed bool          `ini:"revoke_fail_closed"`
+	// RateWindow is the span in which the requests of a workspace are counted against its
+	// rate limit, and RateOverage the share by which all nodes together may exceed it.
+	RateWindow  time.Duration `ini:"rate_window"`
+	RateOverage float64       `ini:"rate_overage"`
 }
 
 // SidecarCosts holds the costs of traffic, in units of the value of one request.
@@ -110,7 +114,7 @@
 		Listen:  SidecarListen{Metrics: 9464},
 		Callers: SidecarCallers{MaxPipelined: 8, MaxConnections: 2048, MaxIncompleteHeadBytes: 2 << 20, IdleLimitNotice: 3 * time.Second},
 		Store:   SidecarStore{MinLease: time.Second},
-		Bounds:  SidecarBounds{Settle: 3 * time.Second, Grace: 6 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, ConfigApply: 3 * time.Second},
+		Bounds:  SidecarBounds{Settle: 3 * time.Second, Grace: 6 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, ConfigApply: 3 * time.Second, RateWindow: 5 * time.Second, RateOverage: 0.1},
 		Costs:   SidecarCosts{CrossDomainPerMB: 8, CrossRegionPerMB: 31},
 		Log:     Log{Format: "json", Level: "info"},
 	}
--- a/internal/settings/validate_sidecar.go
+++ b/internal/settings/validate_sidecar.go
@@ -46,6 +46,8 @@
 		{"bounds", "retry_slack", s.Bounds.RetrySlack >= 0, "0 or more"},
 		{"bounds", "config_apply", s.Bounds.ConfigApply > 0, "above 0"},
 		{"bounds", "revoke", s.Bounds.Revoke >= 0 && (s.Bounds.Revoke >= minRevoke || !s.Bounds.FailClosed), "2s or more where revoke_fail_closed is true"},
+		{"bounds", "rate_window", s.Bounds.RateWindow > 0, "above 0"},
+		{"bounds", "rate_overage", s.Bounds.RateOverage >= 0 && s.Bounds.RateOverage <= 1, "from 0 to 1"},
 		{"prices", "cross_domain_per_mb", s.Costs.CrossDomainPerMB >= 0, "0 or more"},
 		{"prices", "cross_region_per_mb", s.Costs.CrossRegionPerMB >= 0, "0 or more"},
 		{"log", "format", slices.Contains([]string{"text", "json"}, s.Log.Format), "text or json"},
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"rosemaryladder.dev/rosemaryladder/internal/httpserver"
+	"rosemaryladder.dev/rosemaryladder/internal/limitsync"
 	"rosemaryladder.dev/rosemaryladder/internal/settings"
 )
 
@@ -48,7 +49,7 @@
 		// without a request.
 		refusal []byte
 	}{
-		{"gate", loaded.Listen.Inbound, s.proxy.InboundHandler(s.registry), s.proxy.ClosingResponse()},
+		{"gate", loaded.Listen.Inbound, s.proxy.InboundHandler(s.peerHandler()), s.proxy.ClosingResponse()},
 		{"announce", loaded.Listen.Announce, s.adapter.AnnouncementHandler(s.tracker, loaded.Node.Server, s.log, s.metrics.Scope), nil},
 		{"ready", loaded.Listen.Ready, s.adapter.ReadinessHandler(s.ready), nil},
 		{"metrics", net.JoinHostPort(loaded.Node.IP, strconv.Itoa(loaded.Listen.Metrics)), metrics, nil},
@@ -64,6 +65,14 @@
 	return nil
 }
 
+// peerHandler returns the handler of what other nodes send beside requests.
+func (s *Sidecar) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(limitsync.Path, s.limits)
+	mux.Handle("/", s.registry)
+	return mux
+}
+
 // newHTTPServer returns a server for the peers of the node, its backend server or its
 // operators. refusal is the response to requests while the server closes; nil for none.
 func newHTTPServer(handler http.Handler, refusal []byte) *httpserver.Server {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"reflect"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,7 +21,9 @@
 	"rosemaryladder.dev/rosemaryladder/internal/freshness"
 	"rosemaryladder.dev/rosemaryladder/internal/ingress"
 	"rosemaryladder.dev/rosemaryladder/internal/instance"
+	"rosemaryladder.dev/rosemaryladder/internal/limitsync"
 	"rosemaryladder.dev/rosemaryladder/internal/proxy"
+	"rosemaryladder.dev/rosemaryladder/internal/ratelimit"
 	"rosemaryladder.dev/rosemaryladder/internal/registry"
 	"rosemaryladder.dev/rosemaryladder/internal/routing"
 	"rosemaryladder.dev/rosemaryladder/internal/settings"
@@ -40,7 +43,7 @@
 	// leaves time for a few questions, and confirmIntervalShare the one at which a reader
 	// asks again.
 	confirmAfterShare    = 0.4
-	confirmIntervalShare = 0.12
+	confirmIntervalShare = 0.16
 )
 
 func scaled(d time.Duration, share float64) time.Duration { return time.Duration(share * float64(d)) }
@@ -60,9 +63,11 @@
 	slots    *slots.Controller
 	proxy    *proxy.Proxy
 	registry *registry.Registry
+	limiter  *ratelimit.Limiter
 	// freshness is nil unless withdrawn keys must be refused without contact.
 	freshness *freshness.Tracker
 	prober    *prober
+	limits    *limitsync.Exchanger
 	listeners []*listener
 	// callers serves the connections of callers.
 	callers *ingress.Server
@@ -85,7 +90,7 @@
 		s.freshness = freshness.NewTracker(scaled(loaded.Bounds.Revoke, confirmedShare))
 	}
 	s.fleet.OnBlocklist(s.blocklistChanged)
-	for _, step := range []func(settings.Sidecar) error{s.buildBalancer, s.buildRegistry, s.buildProxy, s.buildCallers, s.listen} {
+	for _, step := range []func(settings.Sidecar) error{s.buildBalancer, s.buildRegistry, s.buildLimits, s.buildProxy, s.buildCallers, s.listen} {
 		if err := step(loaded); err != nil {
 			return nil, err
 		}
@@ -138,6 +143,26 @@
 	return err
 }
 
+// buildLimits builds what keeps workspaces within their rate limits.
+func (s *Sidecar) buildLimits(loaded settings.Sidecar) error {
+	regions, err := loaded.RegionByDomain()
+	if err != nil {
+		return err
+	}
+	config := ratelimit.DefaultConfig()
+	config.Window, config.Overage = loaded.Bounds.RateWindow, loaded.Bounds.RateOverage
+	if err := config.Validate(); err != nil {
+		return err
+	}
+	s.limiter = ratelimit.NewLimiter(config, rand.Float64)
+	s.limits = limitsync.New(config, limitsync.Deps{
+		Limiter: s.limiter, Routes: s.routes, View: s.fleet.View, Local: s.registry.LocalEntry(), Regions: regions,
+		RunID: strconv.FormatInt(time.Now().UnixNano(), 36), Client: &http.Client{Transport: leaderTransport(dial.Dialer{LocalIP: loaded.Node.IP, Timeout: time.Second})},
+		Log: s.log, Scope: s.metrics.Scope, Now: boottime.Now,
+	})
+	return nil
+}
+
 func (s *Sidecar) buildProxy(loaded settings.Sidecar) error {
 	config := proxy.DefaultConfig()
 	config.Node, config.Server = loaded.Node.IP, loaded.Node.Server
@@ -150,8 +175,8 @@
 		Headers: s.adapter.HeaderNames, Routes: s.routes, View: s.fleet.View, Balancer: s.balancer,
 		Server: s.tracker, Slots: s.slots, Crashes: &s.crashes, CrashesChanged: s.publishCrashes, Dial: dialer.DialContext, Scope: s.metrics.Scope, Log: s.log,
 		NewerVersion: s.registry.ReportNewerVersion, Suspect: s.registry.Suspect, ServerLost: s.serverUnreachable, ServerLeaves: s.serverLeaves,
-		KeysConfirmed: s.keysConfirmed,
-		Now:           time.Now, Random: rand.Float64,
+		KeysConfirmed: s.keysConfirmed, Limiter: s.limiter,
+		Now: time.Now, Random: rand.Float64,
 	})
 	return err
 }
@@ -196,6 +221,7 @@
 	}
 	group.Go(func() error { s.registry.Run(background); return nil })
 	group.Go(func() error { s.prober.run(background); return nil })
+	group.Go(func() error { s.limits.Run(background); return nil })
 	group.Go(func() error { s.pruneDeparted(background); return nil })
 	s.log.WithField("incarnation", s.registry.LocalEntry().Incarnation).Info("node started")
 	select {
