exchange: take a status outside the protocol for no response

Cause: net/http reads any three digits as a status. 000 to 099 and an unasked 101 counted as interim responses, so the request waited for another head until its deadline and got 504, although the server had long answered. 600 and 999 were passed on: the caller of an order got them as its status line.

Change: a status below 100 or above 599, and 101, ends the exchange at once. Other interim responses are skipped as before.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -20,6 +20,8 @@
 	// maxInterimResponses bounds the interim responses before the final one. A peer
 	// that keeps a request alive sends a few a second at most.
 	maxInterimResponses = 64
+	// maxStatus is the highest status code of the protocol.
+	maxStatus = 599
 	// maxUnmatchedBodyBytes bounds the body of a skipped response.
 	maxUnmatchedBodyBytes = 1 << 20
 	// keepAliveMargin is subtracted from the idle timeout that a peer announces,
@@ -133,6 +135,9 @@
 			e.setReadDeadline(ctx, time.Time{})
 		}
 		acknowledged = true
+		if err := checkStatus(response.StatusCode); err != nil {
+			return acknowledged, err
+		}
 		if response.StatusCode < http.StatusOK {
 			if interim++; interim > maxInterimResponses {
 				return acknowledged, errors.Errorf("peer sent %d interim responses", interim)
@@ -155,6 +160,17 @@
 	}
 }
 
+// checkStatus returns an error for a status that is no response in the protocol (RFC 9110,
+// section 15). A status of 101 is none either, because no request asks for an upgrade: what
+// follows it would not be HTTP. Without the check, a status below 100 counts as that of an
+// interim response, and the exchange waits for a final one until its deadline.
+func checkStatus(status int) error {
+	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return errors.Errorf("peer sent the status %03d, which is no response to the request", status)
+	}
+	return nil
+}
+
 // awaitFirstByte waits for the first byte from the peer.
 func (e *Exchange) awaitFirstByte(ctx context.Context) error {
 	e.conn.limit.limitHead(e.pool.options.MaxHeadBytes + connReadBufferBytes)
