registry: keep the leaving of a server for the next process of its node

Cause: a node that stops deletes its entry, and the entry of a killed one lapses after its lease. Its server may serve on for many seconds.

Change: as soon as a server leaves, its node writes a note beside the entries, under a lease of its own of 30 s. A node that starts gets it with the list of the entries, at no further call. Two calls to the store for each server that leaves. Not covered: a store that is away while the note is written or read.

Looked at for the same fault: the crash record (in the entry; peers hold it too) and the identity of the server (its announcements bring it back).

proxy: notice a caller that leaves while its body waits at another node

Cause: net/http notices the close of a connection only once the body of its request is read, and an outbound proxy's close stays behind the bytes that the inbound proxy has no room for.

Change: the outbound proxy resets the connection of a body that it sent in part, and the inbound proxy polls the connection of a request whose body is not read through every 50 ms. Not mended: a body whose unread part exceeds the receive buffers of the outbound proxy; the caller's own close is not delivered then.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -37,6 +37,15 @@
 	return c
 }
 
+// resetOnClose has the close reset the connection. A peer that does not read would not
+// learn of a usual close, which follows the bytes that it has no room for.
+func (c *conn) resetOnClose() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// An error means that the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // isUsable reports whether an idle connection is still open and has no unread
 // data. A peer can still close it before the request arrives. That request may have run:
 // a peer that has only stopped sending looks the same.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -254,6 +254,9 @@
 		e.pool.put(e.conn, announcedIdleTimeout(e.Response))
 		return
 	}
+	if e.request.copyResult != nil && !e.request.isBodySent() {
+		e.conn.resetOnClose()
+	}
 	e.pool.drop(e.conn)
 }
 
--- a/internal/proxy/inbound_handler.go
+++ b/internal/proxy/inbound_handler.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -9,6 +10,7 @@
 	"rosemaryladder.dev/rosemaryladder/internal/balance"
 	"rosemaryladder.dev/rosemaryladder/internal/boottime"
 	"rosemaryladder.dev/rosemaryladder/internal/exchange"
+	"rosemaryladder.dev/rosemaryladder/internal/httpserver"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
@@ -30,7 +32,13 @@
 		return
 	}
 	defer releaseLink()
-	response, refusal, report := in.run(r.Context(), req)
+	ctx := r.Context()
+	if !req.body.IsBuffered() {
+		var cancel context.CancelFunc
+		ctx, cancel = httpserver.WithPeer(ctx)
+		defer cancel()
+	}
+	response, refusal, report := in.run(ctx, req)
 	if refusal == nil && in.link.IsLarge(response.length) {
 		// A response that waits for the link must not hold a slot of the server.
 		response, refusal = bufferResponse(response, in.config.MaxBufferedBytes, in.buffers)
@@ -51,7 +59,7 @@
 		in.link.ObserveSize(req.route, response.length)
 	}
 	releaseLink()
-	complete := transmit(r.Context(), w, response, in.link, req.deadline.Add(in.config.ResponseGrace))
+	complete := transmit(ctx, w, response, in.link, req.deadline.Add(in.config.ResponseGrace))
 	response.finish(complete)
 	if !complete {
 		panic(http.ErrAbortHandler)
--- a/internal/proxy/large_body_test.go
+++ b/internal/proxy/large_body_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -13,6 +15,7 @@
 	"github.com/onsi/gomega"
 
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+	"rosemaryladder.dev/rosemaryladder/internal/httpserver"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 	"rosemaryladder.dev/rosemaryladder/internal/slots"
 )
@@ -64,11 +67,15 @@
 
 // sendLarge sends an order with the large body.
 func (f *largeBodyFleet) sendLarge(chunked bool) reply {
+	return f.sendLargeWithin(context.Background(), chunked)
+}
+
+func (f *largeBodyFleet) sendLargeWithin(ctx context.Context, chunked bool) reply {
 	var body io.Reader = bytes.NewReader(f.body)
 	if chunked {
 		body = io.MultiReader(body)
 	}
-	request, err := http.NewRequest(http.MethodPost, f.nodes[0].outboundURL+"/post/x", body)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.nodes[0].outboundURL+"/post/x", body)
 	if err != nil {
 		return reply{err: err}
 	}
@@ -174,3 +181,53 @@
 		})
 	}
 }
+
+// TestCallerThatLeavesALargeBodyIsNoticed guards against a request that waits at another
+// node, or runs, although its caller has left, because its body has not been read through.
+func TestCallerThatLeavesALargeBodyIsNoticed(t *testing.T) {
+	expectLeavingIsNoticed(t, 1<<20+100<<10)
+}
+
+// TestCallerThatLeavesAHugeBodyIsNoticed guards against the same with a body whose unread
+// part exceeds the receive buffer of the outbound proxy: the close of the caller's
+// connection then stays behind bytes that its kernel can't send.
+func TestCallerThatLeavesAHugeBodyIsNoticed(t *testing.T) {
+	expectLeavingIsNoticed(t, largeBodyBytes, 12<<20)
+}
+
+func expectLeavingIsNoticed(t *testing.T, sizes ...int) {
+	for _, size := range sizes {
+		for name, chunked := range map[string]bool{"chunked": true, "sized": false} {
+			t.Run(fmt.Sprintf("%d bytes, %s", size, name), func(t *testing.T) {
+				t.Parallel()
+				g := gomega.NewWithT(t)
+				f := newLargeBodyFleet(t, g)
+				f.body = bytes.Repeat([]byte("x"), size)
+				f.serveInbound(t, g, f.nodes[1])
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				ended := make(chan reply, 1)
+				go func() { ended <- f.sendLargeWithin(ctx, chunked) }()
+				g.Eventually(func() int { return f.nodes[1].slots.Load().Waiting }).WithTimeout(5 * time.Second).Should(gomega.Equal(1))
+				time.Sleep(100 * time.Millisecond)
+				cancel()
+				g.Eventually(func() int { return f.nodes[1].slots.Load().Waiting }).WithTimeout(500 * time.Millisecond).Should(gomega.BeZero())
+				f.release(false)
+				g.Expect((<-ended).err).To(gomega.HaveOccurred())
+				time.Sleep(100 * time.Millisecond)
+				g.Expect(f.nodes[1].backend.runCount("large")).To(gomega.BeZero())
+			})
+		}
+	}
+}
+
+// serveInbound serves the inbound proxy of a node as the sidecar does.
+func (f *largeBodyFleet) serveInbound(t *testing.T, g *gomega.WithT, n *testNode) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	server := httpserver.New(httpserver.Options{Handler: n.proxy.InboundHandler(http.NotFoundHandler()), CloseTimeout: time.Second})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { server.Close() })
+	n.inboundAddress = listener.Addr().String()
+	f.publish(n)
+}
--- a/internal/registry/lease_loop.go
+++ b/internal/registry/lease_loop.go
@@ -81,6 +81,9 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*r.config.CallTimeout)
 	defer cancel()
 	local, current, losses := r.localEntryState()
+	if err := r.storeLeavingNote(ctx, local); err != nil {
+		return err
+	}
 	if r.lease != 0 && current {
 		err := r.deps.Store.KeepAlive(ctx, r.lease)
 		if err == nil {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -62,6 +62,9 @@
 	// lease is the lease of the local entry; 0 while there is none. Only the lease loop
 	// uses it until Run returns.
 	lease store.LeaseID
+	// notedServer is the leaving server of which the store has a note. Only the lease loop
+	// uses it.
+	notedServer string
 	// updates wakes the pending long polls of followers.
 	updates *notifier
 	// runID identifies this run of the process to followers.
@@ -192,6 +195,9 @@
 // nodeFromKey returns the node whose entry is stored under a key, and whether the key
 // is that of an entry.
 func (r *Registry) nodeFromKey(key string) (string, bool) {
+	if isLeavingNote(key) {
+		return "", false
+	}
 	return strings.CutPrefix(key, r.config.EntriesPrefix)
 }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -61,9 +61,23 @@
 	return startRegistryUsing(t, shared, name, peers, http.DefaultClient, nil, change)
 }
 
+// startRegistryNoting starts a registry that hands on what an earlier process of its node
+// left behind.
+func startRegistryNoting(t *testing.T, shared Store, name string, onPrevious func(fleet.Entry)) *testRegistry {
+	return startRegistryWithDeps(t, shared, name, func(*Config) {}, func(d *Deps) { d.OnPrevious = onPrevious })
+}
+
 // startRegistryUsing starts a registry that reaches peers and leaders with the given
 // clients, and keeps a confirmation of its configuration unless confirmed is nil.
 func startRegistryUsing(t *testing.T, shared Store, name string, peers, leaders *http.Client, confirmed *freshness.Tracker, change func(*Config)) *testRegistry {
+	return startRegistryWithDeps(t, shared, name, change, func(d *Deps) {
+		d.PeerClient, d.LeaderClient, d.Freshness = peers, leaders, confirmed
+	})
+}
+
+// startRegistryWithDeps starts a registry with changes of its configuration and its
+// dependencies.
+func startRegistryWithDeps(t *testing.T, shared Store, name string, change func(*Config), changeDeps func(*Deps)) *testRegistry {
 	r := &testRegistry{routes: &routing.Holder{}, fleet: fleet.NewTable(500 * time.Millisecond)}
 	r.handler.Store(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) { r.ServeHTTP(w, request) }))
 	r.inbound = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
@@ -81,11 +95,13 @@
 		State: fleet.Ready, Slots: 1, Incarnation: time.Now().UnixMilli(),
 	}
 	var err error
-	r.Registry, err = New(config, Deps{
-		Store: shared, Decode: decodeTest, Routes: r.routes, Fleet: r.fleet, PeerClient: peers, LeaderClient: leaders, Freshness: confirmed,
+	deps := Deps{
+		Store: shared, Decode: decodeTest, Routes: r.routes, Fleet: r.fleet, PeerClient: http.DefaultClient, LeaderClient: http.DefaultClient,
 		Log: telemetry.DiscardLogger(), Scope: tally.NoopScope, Now: time.Now, Random: func() float64 { return 0.5 },
 		OnReached: func(string) {}, OnPrevious: func(fleet.Entry) {},
-	}, local)
+	}
+	changeDeps(&deps)
+	r.Registry, err = New(config, deps, local)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/registry/watch_loop.go
+++ b/internal/registry/watch_loop.go
@@ -69,6 +69,7 @@
 	for _, item := range items {
 		node, found := r.nodeFromKey(item.Key)
 		if !found {
+			r.readLeavingNote(item.Key, item.Value)
 			continue
 		}
 		entry, err := fleet.Decode(node, item.Value)
