ratelimit: give out bursts as a rate; registry: read no version twice

Changes: the bucket gives out six tenths of a burst as a rate over the window. Reports go every 150 ms, and an allocator waits for 0.3 s. A reader leaves a changed configuration to its watch, whose responses confirm it as of their question; only followers read it.

--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -74,7 +74,7 @@
 			delete(a.buckets, name)
 			continue
 		}
-		b.setLimit(w, part, a.config.Overage)
+		b.setLimit(w, part, a.config)
 		if fraction := b.fraction(now); fraction < 1 {
 			verdict.Shares = append(verdict.Shares, Share{Workspace: name, Fraction: fraction})
 		}
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -15,6 +15,17 @@
 	// freeShare is the share of a bucket's burst down to which all requests are accepted,
 	// so that a few requests of a small workspace close together bound nothing.
 	freeShare = 0.5
+	// freeDemand is the ratio of the demand to the rate above which that does not hold: a
+	// hot workspace would use up a bucket within one report, again and again.
+	freeDemand = 2
+	// rateShare is the part of a burst that is given out as a rate over the window, and
+	// bucketShare the one that the bucket holds. The rest covers what nodes accept before
+	// they know of a change. slackTokens is what the bucket
+	// holds beyond that, so that small workspaces may send a few requests close together.
+	// It is half of what a window may hold beyond the limit.
+	rateShare   = 0.6
+	bucketShare = 0.2
+	slackTokens = 10
 	// overageShare is the part of the allowed overage that is given away, so that nothing
 	// within the limit is refused for the sake of rounding.
 	overageShare = 0.3
@@ -32,10 +43,14 @@
 	usedAt    time.Duration
 }
 
-// setLimit puts the limit of a workspace in force, of which a part counts here.
-func (b *bucket) setLimit(w *routing.Workspace, part, overage float64) {
-	part *= 1 + overage*overageShare
-	b.perSecond, b.burst = w.RatePerSecond*part, max(w.Burst, 1)*part
+// setLimit puts the limit of a workspace in force, of which a part counts here. A window
+// may hold the requests of its rate and a burst, again and again, so most of the burst is
+// given out as a rate: a bucket of the whole burst would be empty after the first window,
+// and refuse what the limit allows in each later one.
+func (b *bucket) setLimit(w *routing.Workspace, part float64, config Config) {
+	part *= 1 + config.Overage*overageShare
+	b.perSecond = (w.RatePerSecond + rateShare*w.Burst/config.Window.Seconds()) * part
+	b.burst = max(bucketShare*w.Burst+min(w.Burst, slackTokens), 1) * part
 	b.tokens = min(b.tokens, b.burst)
 }
 
@@ -63,7 +78,7 @@
 	switch {
 	case allowed <= 0:
 		return 0
-	case allowed >= b.demand, b.tokens >= b.burst*freeShare:
+	case allowed >= b.demand, b.tokens >= b.burst*freeShare && b.demand <= b.perSecond*freeDemand:
 		return 1
 	default:
 		return allowed / b.demand
--- a/internal/ratelimit/config.go
+++ b/internal/ratelimit/config.go
@@ -17,14 +17,14 @@
 	// StaleAfter is the age above which a verdict does not count, and the time for which a
 	// source counts as heard.
 	StaleAfter time.Duration
-	// WarmUp is how long an allocator collects reports before its first verdict: two
-	// intervals on each of the two levels, less what they overlap.
+	// WarmUp is how long an allocator collects reports before its first verdict: an interval
+	// for each of the two levels on which they come.
 	WarmUp time.Duration
 }
 
 // DefaultConfig returns the defaults for the bound of current deployments.
 func DefaultConfig() Config {
-	return Config{Window: 5 * time.Second, Overage: 0.1, Interval: 200 * time.Millisecond, StaleAfter: time.Second, WarmUp: 600 * time.Millisecond}
+	return Config{Window: 5 * time.Second, Overage: 0.1, Interval: 150 * time.Millisecond, StaleAfter: time.Second, WarmUp: 300 * time.Millisecond}
 }
 
 // Validate returns an error that names the first invalid field and its value.
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -242,6 +242,8 @@
 			}
 			return 0
 		}}, 0.9},
+		"all nodes restart together":              {fleetLoad{demand: usual(limits), restarts: func(_ int, at time.Duration) bool { return at == 8*time.Second }}, 0.95},
+		"all nodes restart together, hot":         {fleetLoad{demand: hot(limits, 7.5, 0, 60), restarts: func(_ int, at time.Duration) bool { return at == 8*time.Second }}, 0.8},
 		"half of the nodes restart together, hot": {fleetLoad{demand: hot(limits, 7.5, 0, 60), restarts: func(n int, at time.Duration) bool { return at == 8*time.Second && n%2 == 0 }}, 0.8},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -14,7 +14,7 @@
 	aloneShare = 0.75
 	// startShare is that part for nodes that never had a verdict: a process that has just
 	// started does not know what the one before accepted.
-	startShare = 0.25
+	startShare = 0.35
 	// surgeWindow is about the time until a verdict tells of a surge. Within it, a node
 	// accepts surgeRequests and surgeFactor times its equal part of the limit: enough for a
 	// node with several times the usual part of the callers.
--- a/internal/registry/confirm_loop.go
+++ b/internal/registry/confirm_loop.go
@@ -68,20 +68,40 @@
 
 func scale(d time.Duration, factor float64) time.Duration { return time.Duration(factor * float64(d)) }
 
-// confirm asks the store for a configuration that is newer than the newest one which it
-// is known to hold, and puts it in force.
+// confirm asks the store whether it holds another configuration than the newest one that
+// it is known to hold. A follower reads it then and puts it in force. A reader leaves that
+// to its watch, as long as the watch tells anything: the large response would compete with
+// that of the watch.
 func (r *Registry) confirm(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	asked := boottime.Now()
 	known := store.Revision(r.configurationRevision.Load())
-	value, changed, err := r.deps.Store.ReadIfChanged(ctx, r.config.ConfigurationKey, known)
+	unchanged, err := r.deps.Store.IsAt(ctx, r.config.ConfigurationKey, known)
 	if err != nil {
 		return err
 	}
 	r.recordStoreResponse()
+	if unchanged {
+		r.recordNews()
+		r.recordConfirmation(asked)
+		return nil
+	}
+	if known != 0 && !r.following.Load() && r.sinceNews() < r.config.NewsLimit {
+		return nil
+	}
+	return r.readNewest(ctx, known)
+}
+
+// readNewest reads the configuration of the store and puts it in force.
+func (r *Registry) readNewest(ctx context.Context, known store.Revision) error {
+	asked := boottime.Now()
+	value, err := r.deps.Store.Read(ctx, r.config.ConfigurationKey)
+	if err != nil {
+		return err
+	}
 	r.recordNews()
-	if changed && value.Revision != 0 {
+	if value.Revision != 0 {
 		// An invalid configuration withdraws nothing: the one before stays the newest.
 		r.applyConfiguration(value.Data, "store")
 		r.configurationRevision.CompareAndSwap(uint64(known), uint64(value.Revision))
--- a/internal/registry/confirm_loop_test.go
+++ b/internal/registry/confirm_loop_test.go
@@ -173,11 +173,18 @@
 	return nil
 }
 
-func (s *cuttableStore) ReadIfChanged(ctx context.Context, key string, known store.Revision) (store.Value, bool, error) {
+func (s *cuttableStore) IsAt(ctx context.Context, key string, revision store.Revision) (bool, error) {
 	if err := s.call(ctx); err != nil {
-		return store.Value{}, false, err
+		return false, err
 	}
-	return s.Store.ReadIfChanged(ctx, key, known)
+	return s.Store.IsAt(ctx, key, revision)
+}
+
+func (s *cuttableStore) Read(ctx context.Context, key string) (store.Value, error) {
+	if err := s.call(ctx); err != nil {
+		return store.Value{}, err
+	}
+	return s.Store.Read(ctx, key)
 }
 
 func (s *cuttableStore) List(ctx context.Context, prefix string) ([]store.Item, store.Revision, error) {
@@ -289,3 +296,37 @@
 	g.Eventually(func() bool { return n.freshness.Confirmed(0, 1) }).WithTimeout(settleTime).Should(gomega.BeFalse())
 	g.Expect(n.accepts()).To(gomega.BeTrue())
 }
+
+// TestReaderReadsNoConfigurationTwice guards against readers that fetch each version of a
+// storm again to have it confirmed, over the link that it just came on, and against keys
+// that are refused because each confirmation is overtaken by the next version.
+func TestReaderReadsNoConfigurationTwice(t *testing.T) {
+	g := gomega.NewWithT(t)
+	shared := newFakeStore()
+	shared.writeConfiguration(1)
+	reader := &readCountingStore{Store: shared}
+	confirmed := freshness.NewTracker(confirmedLimit)
+	r := startRegistryUsing(t, reader, "a", http.DefaultClient, http.DefaultClient, confirmed, func(c *Config) {
+		c.ConfirmInterval, c.ConfirmAfter, c.NewsLimit, c.WatchPause = 300*time.Millisecond, time.Second, configApply/2, 350*time.Millisecond
+	})
+	accepts := func() bool { return confirmed.Confirmed(boottime.Now(), uint64(r.routes.Version())) }
+	g.Eventually(accepts).WithTimeout(settleTime).Should(gomega.BeTrue())
+	reader.reads.Store(0)
+	for version := 2; version < 22; version++ {
+		shared.writeConfiguration(version)
+		time.Sleep(150 * time.Millisecond)
+		g.Expect(accepts()).To(gomega.BeTrue())
+	}
+	g.Expect(reader.reads.Load()).To(gomega.BeZero())
+}
+
+// readCountingStore counts the reads of single keys.
+type readCountingStore struct {
+	Store
+	reads atomic.Int64
+}
+
+func (s *readCountingStore) Read(ctx context.Context, key string) (store.Value, error) {
+	s.reads.Add(1)
+	return s.Store.Read(ctx, key)
+}
--- a/internal/registry/fake_store_test.go
+++ b/internal/registry/fake_store_test.go
@@ -33,7 +33,7 @@
 	calls          int
 	// reads counts the reads of the configuration.
 	reads int
-	// confirmations counts the calls of ReadIfChanged.
+	// confirmations counts the calls of IsAt and Read.
 	confirmations int
 }
 
@@ -68,18 +68,24 @@
 	return items, s.revision, nil
 }
 
-func (s *fakeStore) ReadIfChanged(_ context.Context, key string, known store.Revision) (store.Value, bool, error) {
+func (s *fakeStore) IsAt(_ context.Context, key string, revision store.Revision) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.confirmations++
 	if err := s.startCall(); err != nil {
-		return store.Value{}, false, err
+		return false, err
 	}
-	revision := s.revisionOf(key)
-	if revision == known {
-		return store.Value{}, false, nil
+	return revision != 0 && s.revisionOf(key) == revision, nil
+}
+
+func (s *fakeStore) Read(_ context.Context, key string) (store.Value, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmations++
+	if err := s.startCall(); err != nil {
+		return store.Value{}, err
 	}
-	return store.Value{Data: s.values[key], Revision: revision}, true, nil
+	return store.Value{Data: s.values[key], Revision: s.revisionOf(key)}, nil
 }
 
 // revisionOf returns the revision of the last change of a key.
@@ -120,7 +126,9 @@
 	var events []store.Event
 	for _, c := range s.history {
 		if c.revision > after && strings.HasPrefix(c.event.Key, prefix) {
-			events = append(events, c.event)
+			event := c.event
+			event.Revision = c.revision
+			events = append(events, event)
 		}
 	}
 	return events, s.revision, nil
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -17,9 +17,11 @@
 	// any, and the revision to continue from. It returns no changes when the wait
 	// elapses first.
 	Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Event, store.Revision, error)
-	// ReadIfChanged returns the value of a key if it is at another revision than known,
-	// and reports whether it is. The value of a missing key has revision 0.
-	ReadIfChanged(ctx context.Context, key string, known store.Revision) (store.Value, bool, error)
+	// IsAt reports whether a key is at a revision above 0. The response is small, whatever
+	// the size of the value.
+	IsAt(ctx context.Context, key string, revision store.Revision) (bool, error)
+	// Read returns the value of a key; one with revision 0 when the key does not exist.
+	Read(ctx context.Context, key string) (store.Value, error)
 	// Put writes a key that is bound to a lease; lease 0 binds it to none.
 	Put(ctx context.Context, key string, value []byte, lease store.LeaseID) error
 	Delete(ctx context.Context, key string) error
--- a/internal/registry/watch_loop.go
+++ b/internal/registry/watch_loop.go
@@ -186,17 +186,27 @@
 	return nil
 }
 
+// maxCompleteEvents is the number of events below which a response of the watch holds all
+// changes up to its question. One without events confirms nothing: a watch that started
+// while the store compacted its history gets none.
+const maxCompleteEvents = 100
+
 // followStore applies changes of the store. It returns nil when a leader can be
 // followed, and an error when the watch fails.
 func (r *Registry) followStore(ctx context.Context, revision store.Revision) error {
 	for {
+		asked := boottime.Now()
 		events, next, err := r.watchOnce(ctx, revision, r.config.WatchWait)
 		if err != nil {
 			return err
 		}
 		r.recordStoreResponse()
+		r.recordNews()
 		revision = next
 		r.applyEvents(events)
+		if len(events) > 0 && len(events) < maxCompleteEvents {
+			r.recordConfirmation(asked)
+		}
 		r.expire()
 		if _, found := r.pickUpstream(); found {
 			return nil
