sidecar: read the slots of a server from the third figure of its load

Cause: the slot count was taken from the last figure of the load header. Some servers add a fourth one, how long work takes now as a percentage, so a server that a restarted node found by its health check counted as one with about 100 slots in place of 18 until its next announcement.

Measured: the new test fails before (100 in place of 18).

--- a/internal/proxy/header_names.go
+++ b/internal/proxy/header_names.go
@@ -23,7 +23,8 @@
 	// ServerID is the server instance ID in a health response.
 	ServerID string
 	// ServerLoad holds the running requests, the waiting requests and the slots of a
-	// server, separated by commas.
+	// server, separated by commas. Some servers add how long work takes now, as a
+	// percentage.
 	ServerLoad string
 	// ServerLimit is the number of requests a second that a server takes from all hosts
 	// together, a decimal number. It holds until a response lacks it.
--- a/internal/sidecar/prober.go
+++ b/internal/sidecar/prober.go
@@ -144,13 +144,17 @@
 	p.sidecar.log.WithFields(map[string]any{"server": id, "slots": slots, "outcome": outcome}).Info("backend server passed its health check")
 }
 
-// parseSlots returns the last number of a load header, which is the slot count. It
-// returns false when there is no positive number.
+// loadSlotsField is the position of the slot count in a load header, behind the running and
+// the waiting requests. Some servers add further figures.
+const loadSlotsField = 2
+
+// parseSlots returns the slot count of a load header. It returns false when there is no
+// positive one.
 func parseSlots(load string) (int, bool) {
-	comma := strings.LastIndexByte(load, ',')
-	if comma < 0 {
+	fields := strings.Split(load, ",")
+	if len(fields) <= loadSlotsField {
 		return 0, false
 	}
-	slots, err := strconv.Atoi(strings.TrimSpace(load[comma+1:]))
+	slots, err := strconv.Atoi(strings.TrimSpace(fields[loadSlotsField]))
 	return slots, err == nil && slots > 0
 }
--- a/internal/sidecar/prober_test.go
+++ b/internal/sidecar/prober_test.go
@@ -56,6 +56,20 @@
 	}
 }
 
+// TestSlotsAreTheThirdFigure guards against a figure behind the slot count, which tells how
+// long work takes now, that is taken for the slots: the server would get several times the
+// requests that it can run.
+func TestSlotsAreTheThirdFigure(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for load, want := range map[string]int{"3,0,8": 8, "3, 0, 18, 100": 18, "0,0,18,250,7": 18, "3,0": 0, "": 0, "3,0,x": 0, "3,0,-1,100": 0, "3,0,,100": 0} {
+		slots, ok := parseSlots(load)
+		g.Expect(ok).To(gomega.Equal(want > 0), load)
+		if ok {
+			g.Expect(slots).To(gomega.Equal(want), load)
+		}
+	}
+}
+
 // TestHealthResponseIsNotFollowed guards against a health check that a server redirects
 // to another address.
 func TestHealthResponseIsNotFollowed(t *testing.T) {
