--- a/internal/limitsync/exchanger.go
+++ b/internal/limitsync/exchanger.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
@@ -154,5 +153,3 @@
 	}
 	return targets[i], true
 }
-
-var errStatus = errors.New("unexpected status")
--- a/internal/limitsync/transport.go
+++ b/internal/limitsync/transport.go
@@ -33,7 +33,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return answer{}, errors.Wrapf(errStatus, "node %s responded to a report with status %d", target.Node, response.StatusCode)
+		return answer{}, errors.Errorf("node %s responded to a report with status %d, expected %d", target.Node, response.StatusCode, http.StatusOK)
 	}
 	var a answer
 	err = json.NewDecoder(io.LimitReader(response.Body, maxMessageBytes)).Decode(&a)
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -60,22 +60,12 @@
 	defer c.mu.Unlock()
 	c.usage.Asked++
 	c.usedAt = now
+	// part is the part of the limit that belongs to one of the nodes.
+	part := 1 / float64(max(nodes, 1))
 	if verdict := l.verdict.Load(); verdict != nil && now-verdict.at <= l.config.StaleAfter {
-		fraction, bounded := verdict.fractions[workspace.Name]
-		if !bounded {
-			fraction = 1
-		}
-		allowance := surgeRequests + surgeFactor*workspace.RatePerSecond*surgeWindow.Seconds()/float64(max(nodes, 1))
-		accepted = c.takeFraction(fraction) && c.withinSurge(now, allowance)
-		retryAfter = c.untilAccepted(fraction)
+		accepted, retryAfter = l.followVerdict(now, c, workspace, verdict, part)
 	} else {
-		share := aloneShare
-		if verdict == nil {
-			share = startShare
-		}
-		budget := share * (workspace.RatePerSecond*l.config.Window.Seconds() + workspace.Burst) / float64(max(nodes, 1))
-		accepted = c.withinBudget(now, l.config.Window, budget, l.random())
-		retryAfter = l.config.Window / recentParts
+		accepted, retryAfter = l.decideAlone(now, c, workspace, part)
 	}
 	if accepted {
 		c.usage.Accepted++
@@ -84,6 +74,28 @@
 	return accepted, retryAfter
 }
 
+// followVerdict accepts the fraction that a verdict allows, and no surge that it can't
+// tell of yet.
+func (l *Limiter) followVerdict(now time.Duration, c *counter, w *routing.Workspace, verdict *heldVerdict, part float64) (accepted bool, retryAfter time.Duration) {
+	fraction, bounded := verdict.fractions[w.Name]
+	if !bounded {
+		fraction = 1
+	}
+	allowance := surgeRequests + surgeFactor*part*w.RatePerSecond*surgeWindow.Seconds()
+	accepted = c.takeFraction(fraction) && c.withinSurge(now, allowance)
+	return accepted, c.untilAccepted(fraction)
+}
+
+// decideAlone accepts this node's part of the limit in a window.
+func (l *Limiter) decideAlone(now time.Duration, c *counter, w *routing.Workspace, part float64) (accepted bool, retryAfter time.Duration) {
+	share := aloneShare
+	if l.verdict.Load() == nil {
+		share = startShare
+	}
+	budget := share * part * (w.RatePerSecond*l.config.Window.Seconds() + w.Burst)
+	return c.withinBudget(now, l.config.Window, budget, l.random()), l.config.Window / recentParts
+}
+
 // Return gives back an accepted request that certainly did not run.
 func (l *Limiter) Return(workspace *routing.Workspace) {
 	if !workspace.IsLimited() {
