standin: announce the address at which the node reaches the server

Cause: behind fault proxies, the stand-in of a backend server announced its own address, and the node is set to that of the proxy. Since the address of a check-in is compared with the node's server, such check-ins were refused. On the platform both are the same address.

--- a/internal/standin/app/app.go
+++ b/internal/standin/app/app.go
@@ -23,6 +23,9 @@
 	Service string
 	// Address is where the server listens; with port 0 the system chooses one.
 	Address string
+	// AnnouncedAddress is the address in check-ins, at which the node reaches the server;
+	// empty for Address.
+	AnnouncedAddress string
 	// CheckInAddress is the address of the node that accepts check-ins.
 	CheckInAddress string
 	Slots          int
--- a/internal/standin/app/check_in.go
+++ b/internal/standin/app/check_in.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -43,7 +44,7 @@
 		state = "draining"
 	}
 	body, err := json.Marshal(map[string]any{
-		"address": a.options.Address, "born": a.startTime,
+		"address": cmp.Or(a.options.AnnouncedAddress, a.options.Address), "born": a.startTime,
 		"info":   map[string]any{"service": a.options.Service, "slots": a.options.Slots, "version": "v1", "zone": "z"},
 		"status": map[string]any{"state": state, "seq": sequence, "coldLeft": "0ms"},
 	})
--- a/internal/standin/platformscenario/host.go
+++ b/internal/standin/platformscenario/host.go
@@ -93,7 +93,7 @@
 		return err
 	}
 	h.options = app.Options{
-		ID: fmt.Sprintf("i-%d", number), Service: Service, Address: addresses[4], CheckInAddress: addresses[3],
+		ID: fmt.Sprintf("i-%d", number), Service: Service, Address: addresses[4], AnnouncedAddress: server, CheckInAddress: addresses[3],
 		Slots: 4, ServiceTime: 20 * time.Millisecond, PoisonPath: PoisonPath, OnRun: d.recordRun,
 	}
 	if d.behindProxies {
