--- a/internal/standin/app/app.go
+++ b/internal/standin/app/app.go
@@ -40,6 +40,8 @@
 	PoisonPath string
 	// OnRun is called with the id of each request that starts to run.
 	OnRun func(id string)
+	// OnRequest is called with the path and the header of each such request; nil for none.
+	OnRequest func(path string, header http.Header)
 }
 
 // App is one server.
@@ -146,6 +148,9 @@
 		return
 	}
 	a.options.OnRun(id)
+	if a.options.OnRequest != nil {
+		a.options.OnRequest(r.URL.Path, r.Header)
+	}
 	if a.options.PoisonPath != "" && r.URL.Path == a.options.PoisonPath {
 		delay, err := time.ParseDuration(r.URL.Query().Get("after"))
 		if err != nil {
--- a/internal/standin/platformscenario/deployment.go
+++ b/internal/standin/platformscenario/deployment.go
@@ -35,6 +35,9 @@
 	directory   string
 	// behindProxies is set when each sidecar is connected through fault proxies.
 	behindProxies bool
+	// keyed is set when the routes of the load need a key, and nodes without a confirmation
+	// of the store refuse it.
+	keyed bool
 	// networkIndex separates the address ranges of deployments that run at the same
 	// time, also in other processes. Otherwise another deployment could be given the
 	// address of a server that is temporarily stopped.
@@ -45,6 +48,9 @@
 
 	mu   sync.Mutex
 	runs map[string]int
+	// identityErrors are the requests that reached a backend server with a key, or with
+	// another workspace than that of their key.
+	identityErrors []string
 }
 
 // defaultIdleTimeout is the initial value of Deployment.IdleTimeout.
@@ -66,16 +72,22 @@
 // Start starts a deployment of the given number of hosts, each running the sidecar
 // binary program. Settings and logs are written to directory.
 func Start(program, directory string, hosts int) (*Deployment, error) {
-	return start(program, directory, hosts, false)
+	return start(program, directory, hosts, false, false)
 }
 
 // StartBehindProxies is like Start and connects each sidecar through fault proxies.
 func StartBehindProxies(program, directory string, hosts int) (*Deployment, error) {
-	return start(program, directory, hosts, true)
+	return start(program, directory, hosts, true, false)
 }
 
-func start(program, directory string, hosts int, behindProxies bool) (*Deployment, error) {
-	d := &Deployment{Store: store.NewServer(uint64(hosts)), program: program, directory: directory, behindProxies: behindProxies, networkIndex: uint32(os.Getpid()) + deployments.Add(1), runs: make(map[string]int), IdleTimeout: defaultIdleTimeout}
+// StartKeyedBehindProxies is like StartBehindProxies, but the load sends the key of a
+// workspace, which the configurations require.
+func StartKeyedBehindProxies(program, directory string, hosts int) (*Deployment, error) {
+	return start(program, directory, hosts, true, true)
+}
+
+func start(program, directory string, hosts int, behindProxies, keyed bool) (*Deployment, error) {
+	d := &Deployment{Store: store.NewServer(uint64(hosts)), program: program, directory: directory, behindProxies: behindProxies, keyed: keyed, networkIndex: uint32(os.Getpid()) + deployments.Add(1), runs: make(map[string]int), IdleTimeout: defaultIdleTimeout}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -182,11 +194,15 @@
 	routes := `{"name":"get","prefix":"/get/","kind":"safe","timeout":"2s","targetLatency":"500ms","priority":1,"service":"orders","maxAttempts":3},
 {"name":"post","prefix":"/post/","kind":"unsafe","timeout":"2s","targetLatency":"500ms","priority":1,"service":"orders","maxAttempts":3}`
 	for i := range extraRoutes {
-		routes += fmt.Sprintf(`,{"name":"more-%d","prefix":"/more-%d/","kind":"safe","timeout":"1s","targetLatency":"500ms","priority":2,"service":"orders","maxAttempts":1}`, i, i)
+		routes += fmt.Sprintf(`,{"name":"more-%d","prefix":"/more-%d/","kind":"safe","timeout":"1s","targetLatency":"500ms","priority":2,"service":"orders","maxAttempts":1,"public":true}`, i, i)
+	}
+	workspaces := ""
+	if d.keyed {
+		workspaces = fmt.Sprintf(`"tenants":[{"name":%q,"apiKeys":[%q],"priority":0,"ratePerS":%d,"burst":%d}],`, loadWorkspace, loadKey, loadRateLimit, loadRateLimit)
 	}
 	d.Store.State().Write("op/config", []byte(fmt.Sprintf(`{"version":"r%d","services":[{"name":"orders","healthPath":"/healthz","maxConnections":100}],
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeout":"3s","idleTimeout":"%dms"},
-"virtualHosts":[{"host":"orders.example","pathMatches":[%s]}]}`, version, d.IdleTimeout.Milliseconds(), routes)))
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeout":"3s","idleTimeout":"%dms"},%s
+"virtualHosts":[{"host":"orders.example","pathMatches":[%s]}]}`, version, d.IdleTimeout.Milliseconds(), workspaces, routes)))
 }
 
 // App returns the backend server of a host.
--- a/internal/standin/platformscenario/host.go
+++ b/internal/standin/platformscenario/host.go
@@ -89,12 +89,15 @@
 [bounds]
 retry_slack = 100
 `, number, h.ip, number%2, Service, server, h.outboundAddress, addresses[1], advertise, h.readyAddress, addresses[3], metrics, store)
+	if d.keyed {
+		text += "revoke = 5s\nrevoke_fail_closed = true\n"
+	}
 	if err := os.WriteFile(h.settingsFile, []byte(text), 0o600); err != nil {
 		return err
 	}
 	h.options = app.Options{
 		ID: fmt.Sprintf("i-%d", number), Service: Service, Address: addresses[4], AnnouncedAddress: server, CheckInAddress: addresses[3],
-		Slots: 4, ServiceTime: 20 * time.Millisecond, PoisonPath: PoisonPath, OnRun: d.recordRun,
+		Slots: 4, ServiceTime: 20 * time.Millisecond, PoisonPath: PoisonPath, OnRun: d.recordRun, OnRequest: d.checkIdentity,
 	}
 	if d.behindProxies {
 		h.options.SentAt = h.proxies.Server.LastSent
--- a/internal/standin/platformscenario/load.go
+++ b/internal/standin/platformscenario/load.go
@@ -74,6 +74,9 @@
 func (l *Load) Stop() {
 	close(l.stop)
 	l.group.Wait()
+	l.deployment.mu.Lock()
+	l.Violations = append(l.Violations, l.deployment.identityErrors...)
+	l.deployment.mu.Unlock()
 	for id, status := range l.postStatuses {
 		runs := l.deployment.Runs(id)
 		if runs > 1 {
@@ -120,6 +123,7 @@
 	request.Host = "orders.example"
 	request.Header.Set("X-Rosemaryladder-Request-Id", id)
 	request.Header.Set("X-Rosemaryladder-Deadline-Ms", "2500")
+	l.deployment.setKey(request.Header)
 	status, content := 0, ""
 	response, err := client.Do(request)
 	if err == nil {
--- a/internal/standin/platformscenario/pipelining_caller.go
+++ b/internal/standin/platformscenario/pipelining_caller.go
@@ -39,9 +39,14 @@
 func (l *Load) sendPipeline(address string) {
 	ids := make([]string, pipelineLength)
 	var text strings.Builder
+	header := make(http.Header)
+	l.deployment.setKey(header)
+	var fields strings.Builder
+	// A write to a strings.Builder never fails.
+	_ = header.Write(&fields)
 	for i := range ids {
 		ids[i] = fmt.Sprintf("%08x", l.requestCount.Add(1))
-		fmt.Fprintf(&text, "GET /get/x HTTP/1.1\r\nHost: orders.example\r\nX-Rosemaryladder-Request-Id: %s\r\nX-Rosemaryladder-Deadline-Ms: 2500\r\n\r\n", ids[i])
+		fmt.Fprintf(&text, "GET /get/x HTTP/1.1\r\nHost: orders.example\r\nX-Rosemaryladder-Request-Id: %s\r\nX-Rosemaryladder-Deadline-Ms: 2500\r\n%s\r\n", ids[i], fields.String())
 	}
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -47,7 +47,13 @@
 	if err := options.Validate(); err != nil {
 		return Report{}, err
 	}
-	d, err := platformscenario.StartBehindProxies(options.Program, options.Directory, options.Hosts)
+	// Every second seed plays a deployment with workspaces, whose nodes refuse keys that the
+	// store has not confirmed.
+	begin := platformscenario.StartBehindProxies
+	if options.Seed%2 == 1 {
+		begin = platformscenario.StartKeyedBehindProxies
+	}
+	d, err := begin(options.Program, options.Directory, options.Hosts)
 	if err != nil {
 		return Report{}, err
 	}
