registry: mend a test that waits for a write which has passed

Its store held the write back only if the test was waiting for it at that moment; when the lease loop was faster, the write passed, and the test waited for ever (goroutine dump: late_write_test.go:78, all loops idle). The store is now armed before the change of the entry, so that it holds exactly the write that follows. What the test asserts is unchanged.

--- a/internal/registry/late_write_test.go
+++ b/internal/registry/late_write_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,18 +45,19 @@
 	g.Consistently(func() bool { return shared.hasKey("nodes/a") }).WithTimeout(100 * time.Millisecond).Should(gomega.BeFalse())
 }
 
-// lateWriteStore responds to a write when its context ends, and executes it later.
+// lateWriteStore responds to the write after it was armed when its context ends, and
+// executes it later.
 type lateWriteStore struct {
 	*fakeStore
+	armed          *atomic.Bool
 	late, executed chan struct{}
 }
 
 func (s lateWriteStore) Put(ctx context.Context, key string, value []byte, lease store.LeaseID) error {
-	select {
-	case s.late <- struct{}{}:
-	default:
+	if !s.armed.CompareAndSwap(true, false) {
 		return s.fakeStore.Put(ctx, key, value, lease)
 	}
+	s.late <- struct{}{}
 	<-ctx.Done()
 	time.AfterFunc(50*time.Millisecond, func() {
 		if err := s.fakeStore.Put(context.Background(), key, value, lease); err != nil && !errors.Is(err, store.ErrLeaseExpired) {
@@ -71,9 +73,10 @@
 func TestLateWriteDoesNotBringTheEntryBack(t *testing.T) {
 	g := gomega.NewWithT(t)
 	shared := newFakeStore()
-	late := lateWriteStore{shared, make(chan struct{}), make(chan struct{})}
+	late := lateWriteStore{shared, new(atomic.Bool), make(chan struct{}), make(chan struct{})}
 	a := startRegistry(t, late, "a")
 	g.Eventually(func() bool { return shared.hasKey("nodes/a") }).WithTimeout(settleTime).Should(gomega.BeTrue())
+	late.armed.Store(true)
 	a.UpdateLocalEntry(func(e *fleet.Entry) { e.State = fleet.Draining })
 	<-late.late
 	g.Expect(a.DeleteLocalEntry(context.Background())).To(gomega.Succeed())
