registry, limitsync: wake nodes only when something can be due

Change: the confirm loop sleeps until the news of the leaders could be too old, and the exchange of usage looks once a second whether there are rate limits.

--- a/internal/limitsync/exchanger.go
+++ b/internal/limitsync/exchanger.go
@@ -18,6 +18,8 @@
 const (
 	// answerTimeout bounds one exchange: several round trips between regions.
 	answerTimeout = 300 * time.Millisecond
+	// idleInterval is the time between two checks whether the configuration has rate limits.
+	idleInterval = time.Second
 	// cooldown is how long a node that did not respond is left out.
 	cooldown = time.Second
 )
@@ -68,17 +70,20 @@
 // Run reports until the context ends. While the configuration has no rate limits, it does
 // nothing.
 func (e *Exchanger) Run(ctx context.Context) {
-	ticker := time.NewTicker(e.config.Interval)
-	defer ticker.Stop()
+	timer := time.NewTimer(e.config.Interval)
+	defer timer.Stop()
 	for {
 		select {
-		case <-ticker.C:
-			if table := e.deps.Routes.Load(); table != nil && table.HasRateLimits() {
-				e.exchange(ctx)
-			}
+		case <-timer.C:
 		case <-ctx.Done():
 			return
 		}
+		wait := idleInterval
+		if table := e.deps.Routes.Load(); table != nil && table.HasRateLimits() {
+			e.exchange(ctx)
+			wait = e.config.Interval
+		}
+		timer.Reset(wait)
 	}
 }
 
--- a/internal/registry/confirm_loop.go
+++ b/internal/registry/confirm_loop.go
@@ -27,7 +27,7 @@
 	retry := r.newBackoff()
 	retry.maximum = r.config.OutageRetry
 	spread := 1 + confirmSpread*r.deps.Random()
-	for pause(ctx, confirmPoll) {
+	for pause(ctx, r.confirmationWait(spread)) {
 		r.reportFreshness()
 		if !r.confirmationDue(spread) {
 			continue
@@ -44,6 +44,15 @@
 	}
 }
 
+// confirmationWait returns the time until the next check whether the store has to be asked.
+// Where only the news of the leaders count, a node need not wake before it could be due.
+func (r *Registry) confirmationWait(spread float64) time.Duration {
+	if r.deps.Freshness != nil {
+		return confirmPoll
+	}
+	return max(confirmPoll, scale(r.config.NewsLimit, spread)-r.sinceNews())
+}
+
 // confirmationDue reports whether the store has to be asked. spread multiplies the times
 // after which a follower asks.
 func (r *Registry) confirmationDue(spread float64) bool {
