--- a/review/lab2/instance.go
+++ b/review/lab2/instance.go
@@ -37,6 +37,8 @@
 	// garbles has some responses be followed by extra bytes, and answered counts them.
 	garbles  atomic.Bool
 	answered atomic.Int64
+	// workOf replaces work; nil for none.
+	workOf func(r *http.Request) time.Duration
 	// answer replaces the usual response after the work; nil for none.
 	answer func(w http.ResponseWriter, r *http.Request) bool
 
@@ -44,8 +46,9 @@
 	stop   context.CancelFunc
 	ctx    context.Context
 
-	mu       sync.Mutex
-	arrivals []arrival
+	mu sync.Mutex
+	// heads are the requests that have reached the instance, arrivals those that it ran.
+	heads, arrivals []arrival
 }
 
 // startInstance starts an instance beside a sidecar. It sends no check-in by itself.
@@ -147,6 +150,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	a.mu.Lock()
+	a.heads = append(a.heads, got)
+	a.mu.Unlock()
+	if r.ContentLength > 0 {
+		a.lab.note("instance %s: request %s arrives", a.id, got.id)
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -156,8 +165,12 @@
 	a.arrivals = append(a.arrivals, got)
 	a.mu.Unlock()
 	a.lab.note("instance %s: runs request %s, caller service %s", a.id, got.id, got.caller)
+	duration := a.work
+	if a.workOf != nil {
+		duration = a.workOf(r)
+	}
 	select {
-	case <-time.After(a.work):
+	case <-time.After(duration):
 	case <-r.Context().Done():
 		return
 	}
@@ -174,3 +187,10 @@
 	defer a.mu.Unlock()
 	return append([]arrival(nil), a.arrivals...)
 }
+
+// reached returns the requests whose heads have reached the instance.
+func (a *instance) reached() []arrival {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]arrival(nil), a.heads...)
+}
--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -61,6 +61,8 @@
 	settings string
 	process  *exec.Cmd
 	exited   chan struct{}
+	// instance is set by cases that keep it here.
+	instance *instance
 }
 
 func newLab(recordPath string) (*lab, error) {
