proxy: a failure of a server promises nothing about its request

What callers saw: a server ran an order and failed it with status 503 (or 429 or 408) of its own. The caller got that status, which promises that the order has not run and never will, and could send the order again.

Cause: checkResponse knew as rejections only status 421 and responses that say that the server did not execute the request. Any other response went to the caller with its status as it was.

Change: a response with a status that promises that the request did not run, but without the server's statement, counts as a failure of unknown outcome. The counter failed_with_refusal_status tells how often.

--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -195,7 +195,8 @@
 }
 
 // checkResponse returns a refusal when the response doesn't come from the expected
-// server, says that the request was not executed, is not signed or is encoded.
+// server, says that the request was not executed or would say so to the caller although
+// the server doesn't, is not signed or is encoded.
 func (in *inbound) checkResponse(req *upstreamRequest, e *exchange.Exchange) *refusalReason {
 	response := e.Response
 	header := response.Header
@@ -205,6 +206,10 @@
 	if header.Get(in.deps.Headers.NotExecuted) != "" {
 		return &refusalReason{code: result.ServerRefused, message: fmt.Sprintf("the server of node %s responded with status %d without running the request", in.config.Node, response.StatusCode), maybeDelivered: true}
 	}
+	if promisesNotRun(response.StatusCode) {
+		in.metrics.failuresByServer.Inc(1)
+		return &refusalReason{code: result.OutcomeUnknown, message: fmt.Sprintf("the server of node %s responded with status %d without stating that it did not run the request", in.config.Node, response.StatusCode), maybeDelivered: true}
+	}
 	success := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
 	signed := header.Get(in.deps.Headers.Signature) != "" && header.Get(in.deps.Headers.RequestID) == req.id
 	if header.Get("Content-Encoding") != "" || (success && !signed) {
@@ -214,6 +219,18 @@
 	return nil
 }
 
+// promisesNotRun reports whether a status tells a caller that its request has not run and
+// will not run, so that it may send even a non-idempotent one again. A server says so only
+// with the header NotExecuted or with status 421; its own failures have these statuses too.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 func (in *inbound) newResponse(ctx context.Context, req *upstreamRequest, server string, e *exchange.Exchange) *serverResponse {
 	response := e.Response
 	failed := response.StatusCode >= http.StatusInternalServerError && response.StatusCode != http.StatusGatewayTimeout
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -22,6 +22,7 @@
 	broken           tally.Counter
 	invalidResponses tally.Counter
 	invalidLimits    tally.Counter
+	failuresByServer tally.Counter
 	cancelled        tally.Counter
 	inboundRequests  tally.Counter
 	latency          tally.Histogram
@@ -37,6 +38,7 @@
 		broken:           scope.Counter("broken"),
 		invalidResponses: scope.Counter("spoiled"),
 		invalidLimits:    scope.Counter("invalid_limits"),
+		failuresByServer: scope.Counter("failed_with_refusal_status"),
 		cancelled:        scope.Counter("cancelled"),
 		inboundRequests:  scope.Counter("gated"),
 		latency:          scope.Histogram("latency", latencyBuckets),
