instance: a run that leaves before its first announcement stays left

What callers saw: nothing but slower requests, then errors when the instance exited; the operators saw requests at an instance long after its leaving had been acknowledged. An instance sent DELETE while its first check-in was on its way. The DELETE was acknowledged and dropped, and the check-in then made the instance ready for the whole fleet.

Cause: the tracker applied a leaving only to the run that it knew. That of any other run was "stale", although a run whose check-in is late is newer, not older, than the known one, and a DELETE without start time can't be ordered at all. The check-in handler acknowledges in either case.

Change: the tracker remembers for 30 s the runs that have left, known or not. An announcement of such a run is stale. Without a stated start time, the run counts as started before its DELETE arrived, so that a later run under the same identity is accepted, and the known run is not touched by the late DELETE of an earlier one. Departures of runs that aren't the known one are part of the node's entry and of its note in the store, because the next process of the node must know them too. There are no further calls to the store on an orderly leaving.

Related paths, each with a test: the second run under one identity (crash, new start, DELETE before its check-in); a restart of the node in between; the note in the store, which was written once for an identity and not for a second run under it. The earlier daemon's announcements have neither identity nor order on the wire, so one that overtakes another can't be told there; not changed.

--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"reflect"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -37,10 +39,23 @@
 	// from the entry that it left behind.
 	LeavingServer string `json:"l,omitempty"`
 	LeavingStart  int64  `json:"b,omitempty"`
+	// Departed holds the latest runs of the server that have left, oldest first. A node
+	// that restarts learns them as it learns LeavingServer.
+	Departed []Departure `json:"x,omitempty"`
 	// Crashes is the encoded crash.Record of the node.
 	Crashes string `json:"k,omitempty"`
 }
 
+// Equal reports whether two entries are the same in all fields.
+func (e Entry) Equal(other Entry) bool {
+	if !slices.Equal(e.Departed, other.Departed) {
+		return false
+	}
+	// DeepEqual would tell an empty list from an absent one.
+	e.Departed, other.Departed = nil, nil
+	return reflect.DeepEqual(e, other)
+}
+
 // NewerThan reports whether the entry replaces another one of the same node.
 func (e Entry) NewerThan(other Entry) bool {
 	if e.Incarnation != other.Incarnation {
@@ -103,6 +118,13 @@
 		return errors.Errorf("entry of node %s: incarnation %d, want 0 to %d", e.Node, e.Incarnation, int64(MaxNumber))
 	case e.Sequence < 0 || e.Sequence > MaxNumber:
 		return errors.Errorf("entry of node %s: sequence %d, want 0 to %d", e.Node, e.Sequence, int64(MaxNumber))
+	case len(e.Departed) > MaxDepartures:
+		return errors.Errorf("entry of node %s: %d departures, want at most %d", e.Node, len(e.Departed), MaxDepartures)
+	}
+	for _, departure := range e.Departed {
+		if err := departure.Validate(); err != nil {
+			return errors.Wrapf(err, "entry of node %s", e.Node)
+		}
 	}
 	_, err := crash.ParseRecord(e.Crashes)
 	return errors.Wrapf(err, "entry of node %s: crash record", e.Node)
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -268,7 +268,7 @@
 func (t *Table) merge(entry Entry) bool {
 	h, found := t.entries[entry.Node]
 	if found && !entry.NewerThan(*h.entry) {
-		if entry == *h.entry && !h.lapsedAt.IsZero() {
+		if !h.lapsedAt.IsZero() && entry.Equal(*h.entry) {
 			t.entries[entry.Node] = tableEntry{entry: h.entry, position: h.position}
 		}
 		return false
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -37,7 +37,7 @@
 		}
 		ready := 0
 		for node, want := range newest {
-			if got, _ := table.Get(node); got != want {
+			if got, _ := table.Get(node); !got.Equal(want) {
 				t.Fatalf("node %s: %+v, want %+v", node, got, want)
 			}
 			if want.State == Ready {
@@ -108,7 +108,7 @@
 		// Data that is no entry is rejected whatever its node is.
 		_ = json.Unmarshal(data, &named)
 		if decoded, err := Decode(named.Node, data); err == nil {
-			if again, err := Decode(named.Node, decoded.Encode()); err != nil || again != decoded {
+			if again, err := Decode(named.Node, decoded.Encode()); err != nil || !again.Equal(decoded) {
 				t.Fatalf("%+v decodes as %+v, %v", decoded, again, err)
 			}
 		}
--- a/internal/fleet/view_test.go
+++ b/internal/fleet/view_test.go
@@ -45,7 +45,7 @@
 		}
 		ready[want[node].Service][node] = want[node]
 	}
-	if got := view.Entries(); !slices.Equal(got, entries) || view.Len() != len(entries) {
+	if got := view.Entries(); !slices.EqualFunc(got, entries, Entry.Equal) || view.Len() != len(entries) {
 		t.Fatalf("view of %d nodes has entries %v, want %v", view.Len(), got, entries)
 	}
 	if view.Digest() != rebuilt.View().Digest() {
@@ -76,13 +76,13 @@
 			if entry.Domain != group.Domain {
 				t.Fatalf("%v in the group of domain %s", entry, group.Domain)
 			}
-			if found, ok := candidates.Find(entry.Node); !ok || *found != entry {
+			if found, ok := candidates.Find(entry.Node); !ok || !found.Equal(entry) {
 				t.Fatalf("node %s is not found", entry.Node)
 			}
 			got[entry.Node] = entry
 		}
 	}
-	if !maps.Equal(got, ready) {
+	if !maps.EqualFunc(got, ready, Entry.Equal) {
 		t.Fatalf("candidates %v, want %v", got, ready)
 	}
 }
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -16,4 +16,13 @@
 	// StartTime and Sequence order announcements.
 	StartTime int64
 	Sequence  int64
+	// Departed holds the latest departures that the next process of the node must know
+	// besides Leaving, oldest first. Its elements must not be modified.
+	Departed []fleet.Departure
+}
+
+// IsSame reports whether two states differ only in what orders announcements and in the
+// departures.
+func (s Server) IsSame(other Server) bool {
+	return s.Service == other.Service && s.ID == other.ID && s.State == other.State && s.Slots == other.Slots
 }
--- a/internal/instance/tracker.go
+++ b/internal/instance/tracker.go
@@ -1,8 +1,10 @@
 package instance
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -23,24 +25,29 @@
 	// Unknown means that the input names a server that has not announced itself. It may
 	// be one of another service that was given the address.
 	Unknown Outcome = "unknown"
+	// Departed means that a run other than the known one has left. The state did not change,
+	// but announcements of that run are stale from then on.
+	Departed Outcome = "departed"
 )
 
 // Tracker holds the state of the node's local server. It is safe for concurrent
 // use; Server takes no lock.
 type Tracker struct {
 	current atomic.Pointer[Server]
+	now     func() time.Time
 
 	mu sync.Mutex
 	// left is set once Leave was called for the current run. Its announcements are stale
 	// from then on.
 	left      bool
+	departed  departures
 	listeners []func(old, new Server)
 }
 
 // NewTracker returns a tracker for a server of the given service, which is absent
-// until it is announced or observed.
-func NewTracker(service string) *Tracker {
-	t := &Tracker{}
+// until it is announced or observed. now is the clock of the host.
+func NewTracker(service string, now func() time.Time) *Tracker {
+	t := &Tracker{now: now}
 	t.current.Store(&Server{Service: service, State: fleet.Absent})
 	return t
 }
@@ -71,7 +78,10 @@
 	if t.isStale(known, a) {
 		return Stale, nil
 	}
-	next := Server{Service: known.Service, ID: a.Server, State: fleet.Ready, Slots: a.Slots, StartTime: a.StartTime, Sequence: a.Sequence}
+	next := Server{
+		Service: known.Service, ID: a.Server, State: fleet.Ready, Slots: a.Slots, StartTime: a.StartTime, Sequence: a.Sequence,
+		Departed: known.Departed,
+	}
 	if isSameRun(known, a) {
 		next.Sequence = max(known.Sequence, a.Sequence)
 	}
@@ -83,15 +93,31 @@
 }
 
 // Leave records that a run of the server shuts down. startTime is 0 when it was
-// not stated, and then the run is identified by server alone.
+// not stated, and then the run is identified by server alone. The run need not be known:
+// its announcements may still be on their way.
 func (t *Tracker) Leave(server string, startTime int64) Outcome {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.Server()
-	if known.ID != "" && (known.ID != server || (startTime != 0 && known.StartTime > startTime)) {
-		return Stale
+	left := fleet.Departure{Server: server, StartedBy: startTime}
+	if startTime == 0 {
+		left.StartedBy = t.now().UnixMilli()
+	}
+	if startTime == 0 && known.ID == server {
+		left.StartedBy = max(left.StartedBy, known.StartTime)
 	}
 	next := known
+	if known.ID != "" && (known.ID != server || (startTime != 0 && known.StartTime > startTime)) {
+		t.depart(&next, left)
+		t.update(known, next)
+		return Departed
+	}
+	if known.Leaving && !t.left {
+		// Leaving tells the next process of the node enough of a run that announced it.
+		t.departed.add(t.now(), left)
+	} else {
+		t.depart(&next, left)
+	}
 	next.ID, next.State, next.Leaving = server, fleet.Draining, true
 	if startTime != 0 {
 		next.StartTime = startTime
@@ -100,6 +126,21 @@
 	return t.update(known, next)
 }
 
+// Depart records a departure that an earlier process of this node knew.
+func (t *Tracker) Depart(left fleet.Departure) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.Server()
+	next := known
+	t.depart(&next, left)
+	t.update(known, next)
+}
+
+func (t *Tracker) depart(next *Server, left fleet.Departure) {
+	t.departed.add(t.now(), left)
+	next.Departed = latestDepartures(next.Departed, left)
+}
+
 // ObserveHealthy records that a server passed a health check. It makes the known server
 // ready again when it was absent, but not when that run has announced that it shuts
 // down. The response of a health check does not name the service, so it makes no other
@@ -148,7 +189,7 @@
 		return false
 	}
 	t.left = false
-	t.update(known, Server{Service: service, State: fleet.Absent})
+	t.update(known, Server{Service: service, State: fleet.Absent, Departed: known.Departed})
 	return true
 }
 
@@ -167,10 +208,13 @@
 	return t.update(known, next) == Applied
 }
 
-// isStale reports whether an announcement was sent before the known state. The first one
-// by which a run says that it leaves never is: its acknowledgement promises that no
-// requests follow, and a run does not come back.
+// isStale reports whether an announcement was sent before the known state or by a run that
+// has left. The first one by which a run says that it leaves never is: its acknowledgement
+// promises that no requests follow, and a run does not come back.
 func (t *Tracker) isStale(known Server, a Announcement) bool {
+	if t.departed.covers(t.now(), a) {
+		return true
+	}
 	if a.StartTime != 0 && known.StartTime != 0 && a.StartTime != known.StartTime {
 		return a.StartTime < known.StartTime
 	}
@@ -180,7 +224,10 @@
 	if a.Draining && !known.Leaving {
 		return false
 	}
-	return t.left || a.Sequence <= known.Sequence
+	if t.left && known.StartTime != 0 {
+		return true
+	}
+	return a.Sequence <= known.Sequence
 }
 
 // isSameRun reports whether an announcement comes from the known run of the server.
@@ -190,7 +237,7 @@
 
 func (t *Tracker) update(old, next Server) Outcome {
 	t.current.Store(&next)
-	if old.Service == next.Service && old.ID == next.ID && old.State == next.State && old.Slots == next.Slots {
+	if old.IsSame(next) && slices.Equal(old.Departed, next.Departed) {
 		return Unchanged
 	}
 	for _, listener := range t.listeners {
--- a/internal/instance/tracker_test.go
+++ b/internal/instance/tracker_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -31,7 +32,7 @@
 				}, len(sent)})
 			}
 		}
-		tracker := NewTracker("s")
+		tracker := NewTracker("s", time.Now)
 		newest := -1
 		for _, s := range rapid.Permutation(sent).Draw(t, "received") {
 			if _, err := tracker.Announce(s.announcement); err != nil {
@@ -51,7 +52,7 @@
 // connections, and against one that stays unused after its return.
 func TestAbsentServers(t *testing.T) {
 	g := gomega.NewWithT(t)
-	tracker := NewTracker("s")
+	tracker := NewTracker("s", time.Now)
 	ready := Announcement{Server: "i", Service: "s", StartTime: 1, Sequence: 1, Slots: 4}
 	_, err := tracker.Announce(ready)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -69,7 +70,7 @@
 // taken for the node's own because it responds at the address of one that ended.
 func TestHealthCheckAdoptsNoOtherServer(t *testing.T) {
 	g := gomega.NewWithT(t)
-	tracker := NewTracker("s")
+	tracker := NewTracker("s", time.Now)
 	g.Expect(tracker.ObserveHealthy("j", 6)).To(gomega.Equal(Unknown))
 	_, err := tracker.Announce(Announcement{Server: "i", Service: "s", StartTime: 1, Sequence: 1, Slots: 4})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -87,7 +88,7 @@
 // sequence number.
 func TestAcknowledgedLeavingIsApplied(t *testing.T) {
 	g := gomega.NewWithT(t)
-	tracker := NewTracker("s")
+	tracker := NewTracker("s", time.Now)
 	announced := Announcement{Server: "i", Service: "s", StartTime: 1, Sequence: 100_000, Slots: 4}
 	g.Expect(tracker.Announce(announced)).To(gomega.Equal(Applied))
 	announced.Sequence, announced.Draining = 5, true
@@ -103,7 +104,7 @@
 // another service or of an earlier server replacing the known one.
 func TestRestoredServerIsFoundByItsHealthCheck(t *testing.T) {
 	g := gomega.NewWithT(t)
-	tracker := NewTracker("s")
+	tracker := NewTracker("s", time.Now)
 	g.Expect(tracker.Restore("other", "x")).To(gomega.Equal(Unchanged))
 	g.Expect(tracker.Restore("s", "i")).To(gomega.Equal(Applied))
 	g.Expect(tracker.Server().State).To(gomega.Equal(fleet.Absent))
@@ -117,7 +118,7 @@
 // host was given to another service, and against a check-in of the service before.
 func TestChangedServiceForgetsTheServer(t *testing.T) {
 	g := gomega.NewWithT(t)
-	tracker := NewTracker("s")
+	tracker := NewTracker("s", time.Now)
 	announced := Announcement{Server: "i", Service: "s", StartTime: 1, Sequence: 1, Slots: 4}
 	g.Expect(tracker.Announce(announced)).To(gomega.Equal(Applied))
 	var changes []Server
@@ -136,7 +137,7 @@
 // server ready although it has announced that it shuts down.
 func TestLeavingServerIsNotMarkedReady(t *testing.T) {
 	g := gomega.NewWithT(t)
-	tracker := NewTracker("s")
+	tracker := NewTracker("s", time.Now)
 	tracker.Leave("i", 0)
 	g.Expect(tracker.ObserveHealthy("i", 6)).To(gomega.Equal(Stale))
 	g.Expect(tracker.Server().State).To(gomega.Equal(fleet.Draining))
@@ -147,7 +148,7 @@
 // check then finds it.
 func TestAbsentLeavingServerIsNotMarkedReady(t *testing.T) {
 	g := gomega.NewWithT(t)
-	tracker := NewTracker("s")
+	tracker := NewTracker("s", time.Now)
 	leaving := Announcement{Server: "i", Service: "s", StartTime: 1, Sequence: 2, Slots: 4, Draining: true}
 	g.Expect(tracker.Announce(leaving)).To(gomega.Equal(Applied))
 	g.Expect(tracker.MarkAbsent("i")).To(gomega.BeTrue())
@@ -168,7 +169,7 @@
 // other nodes reject the entry of this node.
 func TestImplausibleAnnouncementsAreRejected(t *testing.T) {
 	g := gomega.NewWithT(t)
-	tracker := NewTracker("s")
+	tracker := NewTracker("s", time.Now)
 	valid := Announcement{Server: "i", Service: "s", StartTime: 1, Sequence: 1, Slots: 4}
 	for _, change := range []func(*Announcement){
 		func(a *Announcement) { a.StartTime = math.MaxInt64 },
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -172,7 +172,7 @@
 	}
 	n.server = httptest.NewServer(n.backend)
 	f.t.Cleanup(n.server.Close)
-	n.tracker = instance.NewTracker(n.service)
+	n.tracker = instance.NewTracker(n.service, time.Now)
 	_, err := n.tracker.Announce(instance.Announcement{Server: "server-" + name, Service: n.service, Slots: slotCount, StartTime: 1})
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/registry/lease_loop.go
+++ b/internal/registry/lease_loop.go
@@ -140,7 +140,7 @@
 func (r *Registry) localEntryState() (local fleet.Entry, current bool, losses int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.local, r.local == r.stored, r.losses
+	return r.local, r.local.Equal(r.stored), r.losses
 }
 
 // hasStored reports whether the store has been given the local entry and is not known to
@@ -148,7 +148,7 @@
 func (r *Registry) hasStored() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.stored != fleet.Entry{}
+	return r.stored.Node != ""
 }
 
 // markStored records that the store has an entry, unless it has lost one since the write
--- a/internal/registry/leaving_note.go
+++ b/internal/registry/leaving_note.go
@@ -17,11 +17,21 @@
 	leavingNoteTTL = 30 * time.Second
 )
 
-// storeLeavingNote keeps in the store that the local server leaves, once for each server
-// that does. The entry of the node says so too, but is deleted when the node stops and
+// noted is what a note tells: the run that leaves, and the last other one that has left.
+type noted struct{ leaving, departed fleet.Departure }
+
+// storeLeavingNote keeps in the store that the local server leaves, once for each run that
+// does. The entry of the node says so too, but is deleted when the node stops and
 // lapses when it is killed, and the next process of the node may start later than that.
 func (r *Registry) storeLeavingNote(ctx context.Context, local fleet.Entry) error {
-	if local.LeavingServer == "" || local.LeavingServer == r.notedServer {
+	next := r.noted
+	if local.LeavingServer != "" {
+		next.leaving = fleet.Departure{Server: local.LeavingServer, StartedBy: local.LeavingStart}
+	}
+	if last := len(local.Departed) - 1; last >= 0 {
+		next.departed = local.Departed[last]
+	}
+	if next == r.noted {
 		return nil
 	}
 	lease, err := r.deps.Store.Grant(ctx, leavingNoteTTL)
@@ -31,7 +41,7 @@
 	if err := r.deps.Store.Put(ctx, r.config.EntriesPrefix+local.Node+leavingNoteSuffix, local.Encode(), lease); err != nil {
 		return err
 	}
-	r.notedServer = local.LeavingServer
+	r.noted = next
 	return nil
 }
 
--- a/internal/registry/leaving_note_test.go
+++ b/internal/registry/leaving_note_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
+	"rosemaryladder.dev/rosemaryladder/internal/store"
 )
 
 // TestLeavingOutlivesItsNode guards against a server that has announced that it leaves and
@@ -56,3 +57,39 @@
 		})
 	}
 }
+
+// TestEachDepartureIsNoted guards against a run whose leaving is not kept in the store,
+// because another run under the same identity left before or because the run was not the
+// known one; and against calls to the store for what it holds already.
+func TestEachDepartureIsNoted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	shared := newFakeStore()
+	shared.writeConfiguration(1)
+	a := startRegistry(t, shared, "a")
+	stored := func(key string) (entry fleet.Entry, grants store.LeaseID) {
+		shared.modify(func(s *fakeStore) {
+			grants = s.lastLease
+			// An entry that is not there yet is empty.
+			entry, _ = fleet.Decode("a", s.values[key])
+		})
+		return entry, grants
+	}
+	const entryKey, noteKey = "nodes/a", "nodes/a" + leavingNoteSuffix
+	for start := int64(7); start < 9; start++ {
+		a.UpdateLocalEntry(func(entry *fleet.Entry) {
+			entry.State, entry.LeavingServer, entry.LeavingStart = fleet.Draining, entry.Server, start
+		})
+		g.Eventually(func() int64 { note, _ := stored(noteKey); return note.LeavingStart }).WithTimeout(settleTime).Should(gomega.Equal(start))
+	}
+	departed := []fleet.Departure{{Server: "unannounced", StartedBy: 9}}
+	a.UpdateLocalEntry(func(entry *fleet.Entry) { entry.Departed = departed })
+	g.Eventually(func() []fleet.Departure { note, _ := stored(noteKey); return note.Departed }).WithTimeout(settleTime).Should(gomega.Equal(departed))
+
+	_, grants := stored(noteKey)
+	a.UpdateLocalEntry(func(entry *fleet.Entry) {
+		entry.State, entry.Server, entry.LeavingServer, entry.LeavingStart = fleet.Ready, "next", "", 0
+	})
+	g.Eventually(func() string { entry, _ := stored(entryKey); return entry.Server }).WithTimeout(settleTime).Should(gomega.Equal("next"))
+	_, after := stored(entryKey)
+	g.Expect(after).To(gomega.Equal(grants))
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -62,9 +62,9 @@
 	// lease is the lease of the local entry; 0 while there is none. Only the lease loop
 	// uses it until Run returns.
 	lease store.LeaseID
-	// notedServer is the leaving server of which the store has a note. Only the lease loop
-	// uses it.
-	notedServer string
+	// noted is the latest departure of which the store has a note. Only the lease loop uses
+	// it.
+	noted noted
 	// updates wakes the pending long polls of followers.
 	updates *notifier
 	// runID identifies this run of the process to followers.
--- a/internal/sidecar/server_change.go
+++ b/internal/sidecar/server_change.go
@@ -9,6 +9,11 @@
 // serverChanged opens or closes the inbound proxy after a change of the backend
 // server and updates the local fleet entry.
 func (s *Sidecar) serverChanged(old, next instance.Server) {
+	if old.IsSame(next) {
+		s.log.WithField("departed", next.Departed).Info("departure of a server that is not the known one")
+		s.registry.UpdateLocalEntry(func(entry *fleet.Entry) { entry.Departed = next.Departed })
+		return
+	}
 	s.log.WithFields(map[string]any{
 		"service": next.Service, "server": next.ID, "state": next.State, "slots": next.Slots, "born": next.StartTime, "sequence": next.Sequence,
 		"old_server": old.ID, "old_state": old.State,
@@ -31,7 +36,7 @@
 	}
 	s.registry.UpdateLocalEntry(func(entry *fleet.Entry) {
 		entry.Service, entry.Server, entry.Slots, entry.Crashes = next.Service, next.ID, next.Slots, s.crashes.String()
-		entry.LeavingServer, entry.LeavingStart = "", 0
+		entry.LeavingServer, entry.LeavingStart, entry.Departed = "", 0, next.Departed
 		if next.Leaving {
 			entry.LeavingServer, entry.LeavingStart = next.ID, next.StartTime
 		}
@@ -45,6 +50,9 @@
 // would lose with that entry: the leaving of the backend server, its identity, by which
 // a health check finds it, and the crash record.
 func (s *Sidecar) adoptPrevious(previous fleet.Entry) {
+	for _, left := range previous.Departed {
+		s.tracker.Depart(left)
+	}
 	s.adoptLeaving(previous)
 	if s.tracker.Restore(previous.Service, previous.Server) == instance.Applied {
 		s.log.WithField("server", previous.Server).Info("server known from the entry of an earlier process")
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -82,7 +82,7 @@
 		metrics: telemetry.NewMetrics(map[string]string{"host": loaded.Node.Host, "failure_domain": loaded.Node.FailureDomain}),
 		routes:  new(routing.Holder),
 		fleet:   fleet.NewTable(lapsedEntryTTL),
-		tracker: instance.NewTracker(loaded.Node.Service),
+		tracker: instance.NewTracker(loaded.Node.Service, time.Now),
 		slots:   slots.NewController(time.Now),
 	}
 	s.settings.Store(&loaded)
