sidecar: requests taken late in a stop end before the process does

Cause: nothing that takes or forwards a request in a stop knew when the process ends. - The steps of the stop came after fixed times, whatever the grace. With a grace of 3 s new orders were taken for 2.8 s, the process gave up what was in flight at 2.4 s, and it was still running when the grace was over. - An order whose body was complete after new ones were refused was still passed on. It was refused only if its head came after that moment. - A request that was forwarded in a stop had the whole time of its route, also beyond the end, and could still wait for a slot of another node by then.

The deadline of a request that is forwarded in a stop is the moment when the node closes its callers' connections at the latest; the queue of the other node and the server learn it with the request, so that the caller gets their response. A body that is complete after new requests are refused gets 503; it has not run.

Not changed: a request that was forwarded before SIGTERM keeps its time. If its server is still at work at the end, its connection is closed.

--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"rosemaryladder.dev/rosemaryladder/internal/exchange"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
@@ -25,8 +26,10 @@
 	leaving        leavingServers
 	// clockID identifies the clock of the timestamps in hop headers.
 	clockID string
-	// draining is set once the node stops.
-	draining atomic.Bool
+	// end is when the node ends; nil until it stops.
+	end atomic.Pointer[time.Time]
+	// refusing is set when new requests of callers are refused.
+	refusing atomic.Bool
 }
 
 // serve handles one request of a caller.
@@ -47,8 +50,30 @@
 	o.respond(r.Context(), w, c, response)
 }
 
+// limitToEnd shortens the times of a request to the end of a node that stops, so that its
+// server responds before.
+func (o *outbound) limitToEnd(req *upstreamRequest) {
+	end := o.end.Load()
+	if end == nil {
+		return
+	}
+	if end.Before(req.deadline) {
+		req.deadline = *end
+	}
+	if end.Before(req.due) {
+		req.due = *end
+	}
+}
+
+func (o *outbound) isStopping() bool { return o.end.Load() != nil }
+
+// refusalAtStop returns the refusal of a request that a stopping node does not forward.
+func (o *outbound) refusalAtStop() *refusalReason {
+	return newRefusal(result.Draining, "node "+o.config.Node+" is stopping")
+}
+
 // refuseUnread refuses a request without matching its route or reading its body.
 func (o *outbound) refuseUnread(w http.ResponseWriter, r *http.Request) {
 	c := &call{started: o.deps.Now(), connection: r.RemoteAddr, request: &upstreamRequest{id: r.Header.Get(o.deps.Headers.RequestID)}}
-	o.refuse(w, c, newRefusal(result.Draining, "node "+o.config.Node+" is stopping"))
+	o.refuse(w, c, o.refusalAtStop())
 }
--- a/internal/proxy/outbound_accept.go
+++ b/internal/proxy/outbound_accept.go
@@ -49,6 +49,10 @@
 		refusal.cancelled = r.Context().Err() != nil
 		return c, refusal
 	}
+	if o.refusing.Load() {
+		o.inbound.releaseBody(c.request)
+		return c, o.refusalAtStop()
+	}
 	if c.request.expired(o.deps.Now()) {
 		o.inbound.releaseBody(c.request)
 		return c, newRefusal(result.DeadlineNotRun, "the deadline passed before the request was forwarded")
@@ -94,4 +98,5 @@
 		c.request.due = c.request.due.Add(-o.callerTimeouts.elapsed(c.request.receivedAt, c.route.Name, stated))
 	}
 	c.request.deadline = c.started.Add(c.request.timeout)
+	o.limitToEnd(c.request)
 }
--- a/internal/proxy/outbound_attempts.go
+++ b/internal/proxy/outbound_attempts.go
@@ -20,6 +20,7 @@
 			// The attempt before has read a part of the body that is not buffered.
 			return nil, o.finalRefusal(c, last)
 		}
+		o.limitToEnd(c.request)
 		entry, ok := o.chooseNode(c)
 		if !ok {
 			return nil, o.finalRefusal(c, last)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -22,8 +22,6 @@
 	inbound  *inbound
 	closing  []byte
 	inFlight atomic.Int64
-	// refusing is set when new requests of callers are refused.
-	refusing atomic.Bool
 }
 
 // New returns a proxy. The caller must call Close to free its connections.
@@ -63,7 +61,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.inFlight.Add(1)
 		defer p.inFlight.Add(-1)
-		if p.refusing.Load() {
+		if p.outbound.refusing.Load() {
 			p.outbound.refuseUnread(w, r)
 			return
 		}
@@ -71,9 +69,10 @@
 	})
 }
 
-// Drain keeps requests that a server may be running from being abandoned because of an
-// unresponsive inbound proxy: the node is stopping, and its callers can't retry here.
-func (p *Proxy) Drain() { p.outbound.draining.Store(true) }
+// Drain prepares for the end of the node at a given time. Requests that are forwarded from
+// now on must be answered by then, and those that a server may be running are not
+// abandoned because of an unresponsive inbound proxy: their callers can't retry here.
+func (p *Proxy) Drain(end time.Time) { p.outbound.end.Store(&end) }
 
 // Idempotent reports whether a request of a caller may run beside others. One without
 // a route, or with an ambiguous path, runs nowhere. One whose response may be streamed
@@ -95,8 +94,9 @@
 	http.Error(w, message, status)
 }
 
-// RefuseNewRequests refuses new requests of callers. Requests in flight continue.
-func (p *Proxy) RefuseNewRequests() { p.refusing.Store(true) }
+// RefuseNewRequests refuses new requests of callers and those whose bodies are not read
+// yet. Other requests in flight continue.
+func (p *Proxy) RefuseNewRequests() { p.outbound.refusing.Store(true) }
 
 // InboundHandler returns the handler of the port for other nodes. Requests without a
 // hop header go to next.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -110,7 +110,7 @@
 	g := gomega.NewWithT(t)
 	f := newTestFleet(t, 1, 4)
 	expectResponse(g, f.get("before"), "before", "")
-	f.nodes[0].proxy.Drain()
+	f.nodes[0].proxy.Drain(time.Now().Add(time.Minute))
 	got := f.get("during")
 	expectResponse(g, got, "during", "")
 	f.nodes[0].proxy.RefuseNewRequests()
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -65,7 +65,7 @@
 		},
 		AckTimeout: o.config.AckTimeout + c.choice.RTT,
 		// A node that stops must not abort a request that a server may be running.
-		KeepWaiting:    o.draining.Load,
+		KeepWaiting:    o.isStopping,
 		ExpectContinue: true,
 	}
 }
--- a/internal/sidecar/callers_close_test.go
+++ b/internal/sidecar/callers_close_test.go
@@ -103,7 +103,7 @@
 		close(drained)
 		node := &Sidecar{callers: callers, proxy: &proxy.Proxy{}, log: telemetry.DiscardLogger()}
 		time.Sleep(spread / 2)
-		node.endRequests(time.Now().Add(callersCloseMinimum))
+		node.endRequests(time.Now(), time.Now().Add(callersCloseMinimum))
 		senders.Wait()
 		g.Expect(<-served).To(gomega.Succeed())
 		long.Close()
--- a/internal/standin/app/app.go
+++ b/internal/standin/app/app.go
@@ -10,6 +10,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,7 +30,8 @@
 	// CheckInAddress is the address of the node that accepts check-ins.
 	CheckInAddress string
 	Slots          int
-	// ServiceTime is the time that a request takes.
+	// ServiceTime is the time that a request takes, unless its query parameter "work"
+	// names another one.
 	ServiceTime time.Duration
 	// SentAt returns when the latest bytes of the connection from a remote address were
 	// sent, for a server behind a proxy that delays them. If it is nil, a request counts
@@ -161,15 +163,44 @@
 		<-r.Context().Done()
 		return
 	}
+	work, err := a.workTime(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	overdue, stop := deadline(r)
+	defer stop()
+	w.Header().Set("X-Rosemaryladder-Response-Signature", a.options.ID+"."+id)
 	select {
-	case <-time.After(a.options.ServiceTime):
+	case <-time.After(work):
+	case <-overdue:
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
 	case <-r.Context().Done():
 		return
 	}
-	w.Header().Set("X-Rosemaryladder-Response-Signature", a.options.ID+"."+id)
 	_, _ = fmt.Fprintf(w, "%s %s %s", id, r.Header.Get("X-Rosemaryladder-Caller-Service"), body)
 }
 
+// workTime returns the time that a request takes.
+func (a *App) workTime(r *http.Request) (time.Duration, error) {
+	if work := r.URL.Query().Get("work"); work != "" {
+		return time.ParseDuration(work)
+	}
+	return a.options.ServiceTime, nil
+}
+
+// deadline returns a channel on which the deadline of a request is signalled; nil when it
+// states none.
+func deadline(r *http.Request) (overdue <-chan time.Time, stop func() bool) {
+	millis, err := strconv.Atoi(r.Header.Get("X-Rosemaryladder-Deadline-Ms"))
+	if err != nil {
+		return nil, func() bool { return true }
+	}
+	timer := time.NewTimer(time.Duration(millis) * time.Millisecond)
+	return timer.C, timer.Stop
+}
+
 // crashAfter crashes the server after a delay, whether the request that causes it is
 // cancelled meanwhile or not.
 func (a *App) crashAfter(delay time.Duration) {
--- a/internal/standin/platformscenario/deployment.go
+++ b/internal/standin/platformscenario/deployment.go
@@ -31,8 +31,10 @@
 	// IdleTimeout is the limit for callers' idle connections in the configurations that
 	// Configure writes.
 	IdleTimeout time.Duration
-	program     string
-	directory   string
+	// Timeout is the timeout of the routes of the load in these configurations.
+	Timeout   time.Duration
+	program   string
+	directory string
 	// behindProxies is set when each sidecar is connected through fault proxies.
 	behindProxies bool
 	// keyed is set when the routes of the load need a key, and nodes without a confirmation
@@ -53,8 +55,12 @@
 	identityErrors []string
 }
 
-// defaultIdleTimeout is the initial value of Deployment.IdleTimeout.
-const defaultIdleTimeout = 15 * time.Second
+// defaultIdleTimeout and defaultTimeout are the initial values of Deployment.IdleTimeout
+// and Deployment.Timeout.
+const (
+	defaultIdleTimeout = 15 * time.Second
+	defaultTimeout     = 2 * time.Second
+)
 
 // deployments is the number of deployments started by this process.
 var deployments atomic.Uint32
@@ -87,7 +93,7 @@
 }
 
 func start(program, directory string, hosts int, behindProxies, keyed bool) (*Deployment, error) {
-	d := &Deployment{Store: store.NewServer(uint64(hosts)), program: program, directory: directory, behindProxies: behindProxies, keyed: keyed, networkIndex: uint32(os.Getpid()) + deployments.Add(1), runs: make(map[string]int), IdleTimeout: defaultIdleTimeout}
+	d := &Deployment{Store: store.NewServer(uint64(hosts)), program: program, directory: directory, behindProxies: behindProxies, keyed: keyed, networkIndex: uint32(os.Getpid()) + deployments.Add(1), runs: make(map[string]int), IdleTimeout: defaultIdleTimeout, Timeout: defaultTimeout}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -165,6 +171,22 @@
 	}
 }
 
+// SetGrace changes the grace in the settings of a host and has its sidecar read them.
+func (d *Deployment) SetGrace(number int, grace time.Duration) error {
+	file, err := os.OpenFile(d.hosts[number].settingsFile, os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	// The settings end with the section of the grace.
+	if _, err := fmt.Fprintf(file, "grace = %s\n", grace); err != nil {
+		return err
+	}
+	if err := file.Close(); err != nil {
+		return err
+	}
+	return d.Signal(number, syscall.SIGHUP)
+}
+
 // Responds reports whether the sidecar of a host responds to a readiness check, with
 // any status.
 func (d *Deployment) Responds(number int) bool {
@@ -191,8 +213,9 @@
 // Configure writes a version of the configuration with one idempotent route, one
 // non-idempotent route and the given number of extra routes.
 func (d *Deployment) Configure(version, extraRoutes int) {
-	routes := `{"name":"get","prefix":"/get/","kind":"safe","timeout":"2s","targetLatency":"500ms","priority":1,"service":"orders","maxAttempts":3},
-{"name":"post","prefix":"/post/","kind":"unsafe","timeout":"2s","targetLatency":"500ms","priority":1,"service":"orders","maxAttempts":3}`
+	timeout := d.Timeout.Milliseconds()
+	routes := fmt.Sprintf(`{"name":"get","prefix":"/get/","kind":"safe","timeout":"%dms","targetLatency":"500ms","priority":1,"service":"orders","maxAttempts":3},
+{"name":"post","prefix":"/post/","kind":"unsafe","timeout":"%dms","targetLatency":"500ms","priority":1,"service":"orders","maxAttempts":3}`, timeout, timeout)
 	for i := range extraRoutes {
 		routes += fmt.Sprintf(`,{"name":"more-%d","prefix":"/more-%d/","kind":"safe","timeout":"1s","targetLatency":"500ms","priority":2,"service":"orders","maxAttempts":1,"public":true}`, i, i)
 	}
