platformscenario: bytes without end take no sidecar's memory

A report of another operator: a faulty instance sent bytes that were no answer, without end; the machine that had called it kept them all and ran out of memory. It does not happen here. The limits have had tests at one proxy; this one runs real processes: 64 callers of requests that get bytes without end in nine forms (in a head, a body, trailers, behind a complete response, as junk), of which some read everything, some nothing and some leave, beside 8 callers of usual requests.

--- a/internal/standin/app/app.go
+++ b/internal/standin/app/app.go
@@ -163,6 +163,10 @@
 		<-r.Context().Done()
 		return
 	}
+	if form := r.URL.Query().Get("endless"); form != "" {
+		sendEndless(w, id, form)
+		return
+	}
 	work, err := a.workTime(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
