proxy: bytes that belong to no request decide nothing about an order

What callers saw: an order was placed twice. An instance in trouble sent extra bytes after a complete response, which arrived where the next response of the connection was expected: a 503 with X-Rosemaryladder-Not-Executed and without a request ID. The order that had just been written there ran, and was sent to a second instance too. With 421 it was the same, and other statuses reached the caller as the response to its request.

Cause: isResponseTo accepted a response without an ID for any request, and checkResponse believed it. Not using the connection again came too late.

Change: on a connection that has carried another request, a response without ID may belong to none. For an order it is skipped like one with another ID, and the order's own response may follow. For an idempotent request it counts as unknown, so that a retry needs no wait; it is no longer passed on as the failure of the instance, nor taken for a statement that the request has not run. On a new connection a response without ID is believed as before. The counter unattributed_responses tells how often.

What it costs if an instance's true rejections lack the ID: an order that meets one on a kept connection waits for its deadline.

Related paths: before the request is written a kept connection with unread bytes is not used, as before. Between nodes no bytes of an instance are passed on without their ID being checked.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -147,7 +147,7 @@
 			}
 			continue
 		}
-		if e.request.Matches == nil || e.request.Matches(response) {
+		if e.request.Matches == nil || e.request.Matches(response, e.kept) {
 			e.Response = response
 			return acknowledged, nil
 		}
@@ -244,6 +244,9 @@
 		e.Response.StatusCode == http.StatusNotModified
 }
 
+// IsKept reports whether the connection carried other requests before.
+func (e *Exchange) IsKept() bool { return e.kept }
+
 // Address returns the address of the peer.
 func (e *Exchange) Address() string { return e.pool.address }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -42,7 +42,7 @@
 func newTestRequest(id string) *Request {
 	return &Request{
 		Method: http.MethodGet, URI: "/", Host: "h", Body: &Body{}, AddedHeaders: []HeaderField{{Name: "X-Id", Value: id}},
-		Matches: func(response *http.Response) bool { return response.Header.Get("X-Id") == id },
+		Matches: func(response *http.Response, _ bool) bool { return response.Header.Get("X-Id") == id },
 	}
 }
 
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -42,8 +42,9 @@
 	// request.
 	ExpectContinue bool
 	// Matches reports whether a response belongs to the request; nil accepts
-	// every one.
-	Matches func(*http.Response) bool
+	// every one. kept is set when the connection carried other requests before, so that
+	// the response may belong to one of them or to none.
+	Matches func(response *http.Response, kept bool) bool
 
 	// OnSent is called when the request, but for the part of its body that is not
 	// buffered, has been written or will not be written; nil for none.
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -132,7 +132,7 @@
 	out := &exchange.Request{
 		Method: req.method, URI: req.uri, Host: req.host, Header: req.header, SkipHeader: in.setsHeader, Body: req.body,
 		AddedHeaders: in.serverFields(req, server.ID),
-		Matches:      func(response *http.Response) bool { return in.isResponseTo(req, response) },
+		Matches:      func(response *http.Response, kept bool) bool { return in.isResponseTo(req, response, kept) },
 		OnSent:       func() { in.sending.Add(-1) },
 		MayResend:    func() bool { return in.mayResend(req, server.ID) },
 	}
@@ -188,18 +188,29 @@
 }
 
 // isResponseTo reports whether a response can belong to the request: a server may
-// send a late second response to an earlier request.
-func (in *inbound) isResponseTo(req *upstreamRequest, response *http.Response) bool {
+// send a late second response to an earlier request, or bytes that belong to none. One
+// without an ID on a kept connection can't be told from these. It decides nothing about a
+// non-idempotent request, whose own response may follow.
+func (in *inbound) isResponseTo(req *upstreamRequest, response *http.Response, kept bool) bool {
 	id := response.Header.Get(in.deps.Headers.RequestID)
+	if id == "" && kept && !req.idempotent {
+		in.metrics.unattributed.Inc(1)
+		return false
+	}
 	return id == "" || id == req.id
 }
 
-// checkResponse returns a refusal when the response doesn't come from the expected
-// server, says that the request was not executed or would say so to the caller although
+// checkResponse returns a refusal when the response may belong to no request, doesn't come
+// from the expected server, says that the request was not executed or would say so to the caller although
 // the server doesn't, is not signed or is encoded.
 func (in *inbound) checkResponse(req *upstreamRequest, e *exchange.Exchange) *refusalReason {
 	response := e.Response
 	header := response.Header
+	if e.IsKept() && header.Get(in.deps.Headers.RequestID) == "" {
+		// The request may be running.
+		in.metrics.unattributed.Inc(1)
+		return &refusalReason{code: result.OutcomeUnknown, message: fmt.Sprintf("the response of the server with status %d has no request ID and may belong to no request", response.StatusCode), maybeDelivered: true}
+	}
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		return &refusalReason{code: result.ServerGone, message: "another server listens on " + in.config.Server, maybeDelivered: true}
 	}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -23,6 +23,7 @@
 	invalidResponses tally.Counter
 	invalidLimits    tally.Counter
 	failuresByServer tally.Counter
+	unattributed     tally.Counter
 	cancelled        tally.Counter
 	inboundRequests  tally.Counter
 	latency          tally.Histogram
@@ -39,6 +40,7 @@
 		invalidResponses: scope.Counter("spoiled"),
 		invalidLimits:    scope.Counter("invalid_limits"),
 		failuresByServer: scope.Counter("failed_with_refusal_status"),
+		unattributed:     scope.Counter("unattributed_responses"),
 		cancelled:        scope.Counter("cancelled"),
 		inboundRequests:  scope.Counter("gated"),
 		latency:          scope.Histogram("latency", latencyBuckets),
