sidecar: follow a settings file that changes without a signal

What callers saw: nothing; servers did. The settings file of a host named another service, without a signal. Requests that began there named the previous service as their caller for as long as the process ran, and the check-ins of the new server were refused.

Cause: the file was read at the start and on SIGHUP only.

Change: the process looks at the contents of the file once a second (the hosts have no inotify) and reloads them as on SIGHUP once they differ from what was loaded last and were the same in two looks. A file that is being written, is missing or is changed back in between is not loaded; an invalid one is logged and the previous settings stay in force. A signal loads the file at once, and a later change of it is noticed too, so that the order of the two doesn't matter.

--- a/cmd/rosemaryladder-sidecar/main.go
+++ b/cmd/rosemaryladder-sidecar/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alexflint/go-arg"
 	"github.com/sirupsen/logrus"
@@ -57,6 +58,7 @@
 func run(reloads <-chan os.Signal) error {
 	var args arguments
 	arg.MustParse(&args)
+	watch := settings.NewWatch(args.Settings)
 	loaded, err := settings.LoadSidecar(args.Settings)
 	if err != nil {
 		return err
@@ -65,10 +67,10 @@
 		fmt.Println(args.Settings + ": valid")
 		return nil
 	}
-	return serve(args.Settings, loaded, reloads)
+	return serve(args.Settings, loaded, reloads, watch)
 }
 
-func serve(path string, loaded settings.Sidecar, reloads <-chan os.Signal) error {
+func serve(path string, loaded settings.Sidecar, reloads <-chan os.Signal, watch *settings.Watch) error {
 	debug.SetGCPercent(gcPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
@@ -83,14 +85,28 @@
 	if err != nil {
 		return err
 	}
-	go reload(path, reloads, node, log)
+	go reload(path, reloads, watch, node, log)
 	return node.Run(ctx)
 }
 
-// reload reloads the settings on each signal. Invalid settings are logged and the
-// previous ones stay in force.
-func reload(path string, signals <-chan os.Signal, node *sidecar.Sidecar, log *logrus.Entry) {
-	for range signals {
+// watchInterval is the time between two looks at the settings file. A change without a
+// signal is in force after two of them.
+const watchInterval = time.Second
+
+// reload reloads the settings on each signal, and when the file has changed without one.
+// Invalid settings are logged and the previous ones stay in force.
+func reload(path string, signals <-chan os.Signal, watch *settings.Watch, node *sidecar.Sidecar, log *logrus.Entry) {
+	ticker := time.NewTicker(watchInterval)
+	for {
+		select {
+		case <-signals:
+			watch.Loading()
+		case <-ticker.C:
+			if !watch.Changed() {
+				continue
+			}
+			log.Info("settings file has changed without a signal")
+		}
 		loaded, err := settings.LoadSidecar(path)
 		if err != nil {
 			log.WithError(err).Warn("changed settings rejected; the previous ones stay in force")
--- a/internal/standin/platformscenario/deployment.go
+++ b/internal/standin/platformscenario/deployment.go
@@ -4,6 +4,7 @@
 package platformscenario
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -171,6 +172,16 @@
 	}
 }
 
+// GiveToService changes the service in the settings of a host, without a signal.
+func (d *Deployment) GiveToService(number int, service string) error {
+	path := d.hosts[number].settingsFile
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, bytes.Replace(text, []byte("service = "+Service), []byte("service = "+service), 1), 0o600)
+}
+
 // SetGrace changes the grace in the settings of a host and has its sidecar read them.
 func (d *Deployment) SetGrace(number int, grace time.Duration) error {
 	file, err := os.OpenFile(d.hosts[number].settingsFile, os.O_APPEND|os.O_WRONLY, 0)
