instance: start times of a clock that was set back don't order two runs

An instance started while the clock of its host was 2 s ahead, ended, and started again under its ID after the clock had been set back. All check-ins of the second run were stale, also the one by which it said that it leaves, and that was acknowledged without effect: the requests for the known run went on reaching it. Under another ID it would never have been used.

Cause: two runs were ordered by their start times alone.

Change: a run that seems to be older counts as alive once it has announced itself for 2 s while the known run was silent (servers announce themselves every 1.5 s at most), and then takes its place. Until then its announcements are stale as before, except a leaving: under the ID of the known run it gets 503 instead of an acknowledgement, and is applied when it is repeated; under another ID it counts as a departure. A run that was superseded departs with the run that took its place, if they share an ID, because its late announcements would seem newer. A run that has left recently is not superseded by another one under its ID.

Not covered: a DELETE without start time of a run whose clock was ahead and none of whose check-ins has arrived yet.

--- a/internal/instance/departures.go
+++ b/internal/instance/departures.go
@@ -21,24 +21,27 @@
 
 type departure struct {
 	fleet.Departure
-	at time.Time
+	// exact is set when the departure is only that of the run which started at StartedBy.
+	exact bool
+	at    time.Time
 }
 
 // add records a departure. The oldest one is dropped when there are too many.
-func (d *departures) add(now time.Time, left fleet.Departure) {
+func (d *departures) add(left departure) {
 	*d = slices.DeleteFunc(*d, func(other departure) bool {
-		return other.Departure == left || now.Sub(other.at) >= departureTTL
+		return (other.Departure == left.Departure && other.exact == left.exact) || left.at.Sub(other.at) >= departureTTL
 	})
 	if len(*d) >= maxDepartures {
 		*d = slices.Delete(*d, 0, 1)
 	}
-	*d = append(*d, departure{left, now})
+	*d = append(*d, left)
 }
 
 // covers reports whether an announcement comes from a run that has left.
 func (d departures) covers(now time.Time, a Announcement) bool {
 	return slices.ContainsFunc(d, func(left departure) bool {
-		return left.Server == a.Server && a.StartTime <= left.StartedBy && now.Sub(left.at) < departureTTL
+		return left.Server == a.Server && now.Sub(left.at) < departureTTL &&
+			(a.StartTime == left.StartedBy || (a.StartTime < left.StartedBy && !left.exact))
 	})
 }
 
--- a/internal/instance/tracker.go
+++ b/internal/instance/tracker.go
@@ -28,6 +28,9 @@
 	// Departed means that a run other than the known one has left. The state did not change,
 	// but announcements of that run are stale from then on.
 	Departed Outcome = "departed"
+	// Unordered means that it is not known whether the input is older than the known state.
+	// It must not be acknowledged; one that is repeated will be applied.
+	Unordered Outcome = "unordered"
 )
 
 // Tracker holds the state of the node's local server. It is safe for concurrent
@@ -39,9 +42,15 @@
 	mu sync.Mutex
 	// left is set once Leave was called for the current run. Its announcements are stale
 	// from then on.
-	left      bool
-	departed  departures
-	listeners []func(old, new Server)
+	left bool
+	// leavingSince is when the known run announced that it leaves, or Leave was called for it.
+	leavingSince time.Time
+	departed     departures
+	// older is the run that seems to be older than the known one, and superseded the run with
+	// the latest start that such a one has replaced as the known one.
+	older      olderRun
+	superseded fleet.Departure
+	listeners  []func(old, new Server)
 }
 
 // NewTracker returns a tracker for a server of the given service, which is absent
@@ -78,6 +87,13 @@
 	if t.isStale(known, a) {
 		return Stale, nil
 	}
+	if isOlderRun(known, a) && (!t.older.isAlive(t.now(), a) || t.isLeavingAs(known, a.Server)) {
+		return t.announceOlder(known, a), nil
+	}
+	t.older = olderRun{}
+	if !isSameRun(known, a) {
+		t.replace(known, a)
+	}
 	next := Server{
 		Service: known.Service, ID: a.Server, State: fleet.Ready, Slots: a.Slots, StartTime: a.StartTime, Sequence: a.Sequence,
 		Departed: known.Departed,
@@ -87,11 +103,35 @@
 	}
 	if a.Draining {
 		next.State, next.Leaving = fleet.Draining, true
+		t.recordLeaving(known, next)
 	}
 	t.left = false
 	return t.update(known, next), nil
 }
 
+// isLeavingAs reports whether the known run has left under an identity so recently that
+// another one under it can't be told from a late announcement.
+func (t *Tracker) isLeavingAs(known Server, server string) bool {
+	return known.Leaving && known.ID == server && t.now().Sub(t.leavingSince) < departureTTL
+}
+
+// announceOlder applies an announcement of a run that seems to be older than the known one
+// and does not replace it.
+func (t *Tracker) announceOlder(known Server, a Announcement) Outcome {
+	switch {
+	case !a.Draining:
+		return Stale
+	case a.Server == known.ID && !known.Leaving:
+		// Requests for the known run reach this one if it is alive after all.
+		return Unordered
+	default:
+		next := known
+		t.depart(&next, departure{Departure: fleet.Departure{Server: a.Server, StartedBy: a.StartTime}, at: t.now()})
+		t.update(known, next)
+		return Departed
+	}
+}
+
 // Leave records that a run of the server shuts down. startTime is 0 when it was
 // not stated, and then the run is identified by server alone. The run need not be known:
 // its announcements may still be on their way.
@@ -108,37 +148,69 @@
 	}
 	next := known
 	if known.ID != "" && (known.ID != server || (startTime != 0 && known.StartTime > startTime)) {
-		t.depart(&next, left)
+		t.depart(&next, departure{Departure: left, at: t.now()})
+		t.leaveSuperseded(server)
 		t.update(known, next)
 		return Departed
 	}
 	if known.Leaving && !t.left {
 		// Leaving tells the next process of the node enough of a run that announced it.
-		t.departed.add(t.now(), left)
+		t.departed.add(departure{Departure: left, at: t.now()})
 	} else {
-		t.depart(&next, left)
+		t.depart(&next, departure{Departure: left, at: t.now()})
 	}
 	next.ID, next.State, next.Leaving = server, fleet.Draining, true
 	if startTime != 0 {
 		next.StartTime = startTime
 	}
 	t.left = true
+	t.recordLeaving(known, next)
 	return t.update(known, next)
 }
 
+// replace records that the run of an announcement takes the place of the known one.
+func (t *Tracker) replace(known Server, a Announcement) {
+	run := fleet.Departure{Server: known.ID, StartedBy: known.StartTime}
+	switch {
+	case isOlderRun(known, a) && known.StartTime > t.superseded.StartedBy:
+		t.superseded = run
+	case a.StartTime > t.superseded.StartedBy:
+		t.superseded = fleet.Departure{}
+	}
+	if known.Leaving {
+		t.departed.add(departure{Departure: run, at: t.now()})
+	}
+}
+
+// recordLeaving records when the known run has left.
+func (t *Tracker) recordLeaving(known, next Server) {
+	if !known.Leaving || known.ID != next.ID || known.StartTime != next.StartTime {
+		t.leavingSince = t.now()
+	}
+	t.leaveSuperseded(next.ID)
+}
+
+// leaveSuperseded records, as a run leaves, the departure of one under the same identity
+// that was superseded. A late announcement of that one would seem to be newer.
+func (t *Tracker) leaveSuperseded(server string) {
+	if t.superseded.Server == server {
+		t.departed.add(departure{Departure: t.superseded, exact: true, at: t.now()})
+	}
+}
+
 // Depart records a departure that an earlier process of this node knew.
 func (t *Tracker) Depart(left fleet.Departure) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.Server()
 	next := known
-	t.depart(&next, left)
+	t.depart(&next, departure{Departure: left, at: t.now()})
 	t.update(known, next)
 }
 
-func (t *Tracker) depart(next *Server, left fleet.Departure) {
-	t.departed.add(t.now(), left)
-	next.Departed = latestDepartures(next.Departed, left)
+func (t *Tracker) depart(next *Server, left departure) {
+	t.departed.add(left)
+	next.Departed = latestDepartures(next.Departed, left.Departure)
 }
 
 // ObserveHealthy records that a server passed a health check. It makes the known server
@@ -215,9 +287,6 @@
 	if t.departed.covers(t.now(), a) {
 		return true
 	}
-	if a.StartTime != 0 && known.StartTime != 0 && a.StartTime != known.StartTime {
-		return a.StartTime < known.StartTime
-	}
 	if !isSameRun(known, a) {
 		return false
 	}
