--- a/internal/proxy/endless_server_test.go
+++ b/internal/proxy/endless_server_test.go
@@ -30,22 +30,9 @@
 }
 
 func startEndlessServer(t *testing.T, first, repeated string, pause time.Duration) *endlessServer {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	s := &endlessServer{address: listener.Addr().String(), first: first, repeated: repeated, pause: pause}
+	s := &endlessServer{first: first, repeated: repeated, pause: pause}
 	s.allowed.Store(math.MaxInt64)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
+	s.address = serveConns(t, s.serve)
 	return s
 }
 
--- a/internal/proxy/late_copy_test.go
+++ b/internal/proxy/late_copy_test.go
@@ -30,21 +30,8 @@
 }
 
 func startCopyingServer(t *testing.T, s *copyingServer) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	s.address, s.runs = listener.Addr().String(), make(map[string]int)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
+	s.runs = make(map[string]int)
+	s.address = serveConns(t, s.serve)
 }
 
 func (s *copyingServer) serve(conn net.Conn) {
--- a/internal/proxy/lost_answer_test.go
+++ b/internal/proxy/lost_answer_test.go
@@ -24,21 +24,8 @@
 }
 
 func startCuttingRelay(t *testing.T, target string) *cuttingRelay {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	r := &cuttingRelay{address: listener.Addr().String(), target: target}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go r.serve(conn)
-		}
-	}()
+	r := &cuttingRelay{target: target}
+	r.address = serveConns(t, r.serve)
 	return r
 }
 
--- a/internal/proxy/unattributed_test.go
+++ b/internal/proxy/unattributed_test.go
@@ -28,21 +28,8 @@
 }
 
 func (s *garblingServer) start(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	s.address, s.runs = listener.Addr().String(), make(map[string]int)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
+	s.runs = make(map[string]int)
+	s.address = serveConns(t, s.serve)
 }
 
 func (s *garblingServer) serve(conn net.Conn) {
