soak: servers that fail what they ran, and servers that leave unannounced

They come from a source of random numbers of their own, so that the faults of the seeds that once failed stay. Orders that ran and got 408 or 429 count as refused, as 503 did.

--- a/internal/standin/app/app.go
+++ b/internal/standin/app/app.go
@@ -40,6 +40,8 @@
 	// PoisonPath is the path of requests that crash the server, after the duration in the
 	// query parameter "after"; empty for none.
 	PoisonPath string
+	// Silent starts the server without check-ins.
+	Silent bool
 	// OnRun is called with the id of each request that starts to run.
 	OnRun func(id string)
 	// OnRequest is called with the path and the header of each such request; nil for none.
@@ -56,6 +58,8 @@
 	// ackedAt is when the kernel received the acknowledgement of the drain; nil before.
 	ackedAt atomic.Pointer[time.Time]
 	crashed atomic.Bool
+	// failure is the status with which the server fails requests that it has run; 0 for none.
+	failure atomic.Int32
 	// silent is set once the server sends no further check-ins.
 	silent atomic.Bool
 	// headers are added to each response; nil for none.
@@ -76,6 +80,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &App{options: options, startTime: time.Now().UnixMilli(), cancel: cancel}
 	a.server = &http.Server{Handler: a, ConnContext: withConn}
+	a.silent.Store(options.Silent)
 	a.done.Go(func() { _ = a.server.Serve(listener) })
 	a.done.Go(func() { a.checkInLoop(ctx) })
 	return a, nil
@@ -90,6 +95,10 @@
 // Silence stops the check-ins.
 func (a *App) Silence() { a.silent.Store(true) }
 
+// Fail has the server fail the requests that it has run with a status from now on; 0 ends
+// it.
+func (a *App) Fail(status int) { a.failure.Store(int32(status)) }
+
 // SetHeaders has the server add headers to each response from now on, in place of the
 // previous ones.
 func (a *App) SetHeaders(headers http.Header) { a.headers.Store(&headers) }
@@ -183,6 +192,10 @@
 	case <-r.Context().Done():
 		return
 	}
+	if failure := a.failure.Load(); failure != 0 {
+		w.WriteHeader(int(failure))
+		return
+	}
 	_, _ = fmt.Fprintf(w, "%s %s %s", id, r.Header.Get("X-Rosemaryladder-Caller-Service"), body)
 }
 
--- a/internal/standin/app/check_in.go
+++ b/internal/standin/app/check_in.go
@@ -51,9 +51,22 @@
 	if err != nil {
 		panic(err)
 	}
+	return a.call(ctx, http.MethodPut, body)
+}
+
+// Leave sends DELETE and records its acknowledgement as that of the drain. Its check-ins
+// must have been silenced.
+func (a *App) Leave() {
+	if ackedAt, acknowledged := a.call(context.Background(), http.MethodDelete, nil); acknowledged {
+		a.ackedAt.Store(&ackedAt)
+	}
+}
+
+// call sends a check-in or DELETE.
+func (a *App) call(ctx context.Context, method string, body []byte) (ackedAt time.Time, acknowledged bool) {
 	var conn net.Conn
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }})
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+a.options.CheckInAddress+"/api/instances/"+a.options.ID, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+a.options.CheckInAddress+"/api/instances/"+a.options.ID, bytes.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
--- a/internal/standin/platformscenario/deployment.go
+++ b/internal/standin/platformscenario/deployment.go
@@ -254,6 +254,14 @@
 	return err
 }
 
+// StartSilentApp is like StartApp, but the backend server sends no check-ins.
+func (d *Deployment) StartSilentApp(number int) error {
+	h := d.hosts[number]
+	h.options.Silent = true
+	defer func() { h.options.Silent = false }()
+	return d.StartApp(number)
+}
+
 // Crashed returns the hosts whose backend server was crashed by a request.
 func (d *Deployment) Crashed() []int {
 	var crashed []int
--- a/internal/standin/platformscenario/load.go
+++ b/internal/standin/platformscenario/load.go
@@ -82,7 +82,7 @@
 		if runs > 1 {
 			l.Violations = append(l.Violations, fmt.Sprintf("order %s ran %d times", id, runs))
 		}
-		if status == http.StatusServiceUnavailable && runs > 0 {
+		if promisesNotRun(status) && runs > 0 {
 			l.Violations = append(l.Violations, fmt.Sprintf("order %s was refused as not run and ran", id))
 		}
 		if status == http.StatusOK && runs != 1 {
@@ -154,3 +154,8 @@
 		l.Failed++
 	}
 }
+
+// promisesNotRun reports whether a status promises that the request has not run.
+func promisesNotRun(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout
+}
--- a/internal/standin/soak/plan.go
+++ b/internal/standin/soak/plan.go
@@ -25,6 +25,8 @@
 	compact             kind = "drop history"
 	revoke              kind = "end leases"
 	configure           kind = "configure"
+	failRequests        kind = "fail requests"
+	leaveUnannounced    kind = "leave unannounced"
 )
 
 var kinds = []kind{
@@ -32,6 +34,10 @@
 	storeDown, storeLosesResponses, compact, revoke, configure, configure,
 }
 
+// laterKinds are drawn beside kinds from a source of their own, so that the other faults of
+// a seed that once failed stay as they were.
+var laterKinds = []kind{failRequests, leaveUnannounced}
+
 // fault is one entry of a plan.
 type fault struct {
 	at   time.Duration
@@ -57,9 +63,17 @@
 
 // plan returns the faults determined by a seed, sorted by start time.
 func plan(seed uint64, hosts int, period time.Duration) []fault {
-	random := rand.New(rand.NewPCG(seed, 0))
+	faults := append(
+		draw(rand.New(rand.NewPCG(seed, 0)), kinds, meanInterval, hosts, period),
+		draw(rand.New(rand.NewPCG(seed, 1)), laterKinds, 4*meanInterval, hosts, period)...)
+	slices.SortStableFunc(faults, func(a, b fault) int { return int(a.at - b.at) })
+	return faults
+}
+
+// draw returns random faults of some kinds at a mean interval.
+func draw(random *rand.Rand, kinds []kind, interval time.Duration, hosts int, period time.Duration) []fault {
 	var faults []fault
-	for at := time.Duration(0); at < period; at += time.Duration(random.ExpFloat64() * float64(meanInterval)) {
+	for at := time.Duration(0); at < period; at += time.Duration(random.ExpFloat64() * float64(interval)) {
 		f := fault{
 			at: at, kind: kinds[random.IntN(len(kinds))], host: random.IntN(hosts), variant: random.IntN(1 << 10),
 			duration: minDuration + time.Duration(random.Int64N(int64(maxDuration-minDuration))),
@@ -75,6 +89,5 @@
 			faults = append(faults, next)
 		}
 	}
-	slices.SortStableFunc(faults, func(a, b fault) int { return int(a.at - b.at) })
 	return faults
 }
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -103,6 +104,12 @@
 		r.hostLocks[f.host].Lock()
 		defer r.hostLocks[f.host].Unlock()
 		r.restartServer(f)
+	case failRequests:
+		r.failRequests(f)
+	case leaveUnannounced:
+		r.hostLocks[f.host].Lock()
+		defer r.hostLocks[f.host].Unlock()
+		r.leaveUnannounced(f)
 	case storeDown:
 		r.injectStoreFault(f, func(faults *store.Faults, enabled bool) { faults.Unavailable = enabled })
 	case storeLosesResponses:
@@ -216,6 +223,38 @@
 	r.recordError(r.deployment.StartApp(f.host))
 }
 
+// failureStatuses are those with which servers fail requests that they have run. Some of
+// them promise callers that a request has not run.
+var failureStatuses = []int{http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
+
+// failRequests has a backend server fail what it runs.
+func (r *runner) failRequests(f fault) {
+	r.hostLocks[f.host].Lock()
+	app := r.deployment.App(f.host)
+	r.hostLocks[f.host].Unlock()
+	app.Fail(failureStatuses[f.variant%len(failureStatuses)])
+	time.Sleep(f.duration)
+	app.Fail(0)
+}
+
+// leaveUnannounced replaces a backend server by one that leaves before its first check-in
+// arrives, and that one by a usual one.
+func (r *runner) leaveUnannounced(f fault) {
+	r.deployment.StopApp(f.host)
+	r.recordError(r.deployment.StartSilentApp(f.host))
+	app := r.deployment.App(f.host)
+	app.Leave()
+	time.Sleep(f.duration / 2)
+	// It fails while the sidecar does not respond.
+	_ = app.SendLateCheckIn()
+	time.Sleep(f.duration / 2)
+	if late := app.LateRequests(); late > 0 {
+		r.recordViolation("%d requests reached the server of host %d after its leaving was acknowledged, although it had not announced itself", late, f.host)
+	}
+	r.deployment.StopApp(f.host)
+	r.recordError(r.deployment.StartApp(f.host))
+}
+
 // idleTimeouts are the limits of successive versions of the configuration. Callers that
 // wait for their turn on other hosts exceed the shortest.
 var idleTimeouts = []time.Duration{15 * time.Second, 100 * time.Millisecond, 2 * time.Second}
