instance: split the tracker by what it decides

The outcomes, the leaving of runs and their order have files of their own now; no line of code has changed.

--- a/internal/instance/tracker.go
+++ b/internal/instance/tracker.go
@@ -11,28 +11,6 @@
 	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 )
 
-// Outcome is the result of applying an announcement or an observation.
-type Outcome string
-
-// Outcomes.
-const (
-	// Applied means that the state of the server changed.
-	Applied Outcome = "applied"
-	// Unchanged means that the input was current but changed nothing.
-	Unchanged Outcome = "unchanged"
-	// Stale means that the input was older than the known state.
-	Stale Outcome = "stale"
-	// Unknown means that the input names a server that has not announced itself. It may
-	// be one of another service that was given the address.
-	Unknown Outcome = "unknown"
-	// Departed means that a run other than the known one has left. The state did not change,
-	// but announcements of that run are stale from then on.
-	Departed Outcome = "departed"
-	// Unordered means that it is not known whether the input is older than the known state.
-	// It must not be acknowledged; one that is repeated will be applied.
-	Unordered Outcome = "unordered"
-)
-
 // Tracker holds the state of the node's local server. It is safe for concurrent
 // use; Server takes no lock.
 type Tracker struct {
@@ -109,110 +87,6 @@
 	return t.update(known, next), nil
 }
 
-// isLeavingAs reports whether the known run has left under an identity so recently that
-// another one under it can't be told from a late announcement.
-func (t *Tracker) isLeavingAs(known Server, server string) bool {
-	return known.Leaving && known.ID == server && t.now().Sub(t.leavingSince) < departureTTL
-}
-
-// announceOlder applies an announcement of a run that seems to be older than the known one
-// and does not replace it.
-func (t *Tracker) announceOlder(known Server, a Announcement) Outcome {
-	switch {
-	case !a.Draining:
-		return Stale
-	case a.Server == known.ID && !known.Leaving:
-		// Requests for the known run reach this one if it is alive after all.
-		return Unordered
-	default:
-		next := known
-		t.depart(&next, departure{Departure: fleet.Departure{Server: a.Server, StartedBy: a.StartTime}, at: t.now()})
-		t.update(known, next)
-		return Departed
-	}
-}
-
-// Leave records that a run of the server shuts down. startTime is 0 when it was
-// not stated, and then the run is identified by server alone. The run need not be known:
-// its announcements may still be on their way.
-func (t *Tracker) Leave(server string, startTime int64) Outcome {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	known := t.Server()
-	left := fleet.Departure{Server: server, StartedBy: startTime}
-	if startTime == 0 {
-		left.StartedBy = t.now().UnixMilli()
-	}
-	if startTime == 0 && known.ID == server {
-		left.StartedBy = max(left.StartedBy, known.StartTime)
-	}
-	next := known
-	if known.ID != "" && (known.ID != server || (startTime != 0 && known.StartTime > startTime)) {
-		t.depart(&next, departure{Departure: left, at: t.now()})
-		t.leaveSuperseded(server)
-		t.update(known, next)
-		return Departed
-	}
-	if known.Leaving && !t.left {
-		// Leaving tells the next process of the node enough of a run that announced it.
-		t.departed.add(departure{Departure: left, at: t.now()})
-	} else {
-		t.depart(&next, departure{Departure: left, at: t.now()})
-	}
-	next.ID, next.State, next.Leaving = server, fleet.Draining, true
-	if startTime != 0 {
-		next.StartTime = startTime
-	}
-	t.left = true
-	t.recordLeaving(known, next)
-	return t.update(known, next)
-}
-
-// replace records that the run of an announcement takes the place of the known one.
-func (t *Tracker) replace(known Server, a Announcement) {
-	run := fleet.Departure{Server: known.ID, StartedBy: known.StartTime}
-	switch {
-	case isOlderRun(known, a) && known.StartTime > t.superseded.StartedBy:
-		t.superseded = run
-	case a.StartTime > t.superseded.StartedBy:
-		t.superseded = fleet.Departure{}
-	}
-	if known.Leaving {
-		t.departed.add(departure{Departure: run, at: t.now()})
-	}
-}
-
-// recordLeaving records when the known run has left.
-func (t *Tracker) recordLeaving(known, next Server) {
-	if !known.Leaving || known.ID != next.ID || known.StartTime != next.StartTime {
-		t.leavingSince = t.now()
-	}
-	t.leaveSuperseded(next.ID)
-}
-
-// leaveSuperseded records, as a run leaves, the departure of one under the same identity
-// that was superseded. A late announcement of that one would seem to be newer.
-func (t *Tracker) leaveSuperseded(server string) {
-	if t.superseded.Server == server {
-		t.departed.add(departure{Departure: t.superseded, exact: true, at: t.now()})
-	}
-}
-
-// Depart records a departure that an earlier process of this node knew.
-func (t *Tracker) Depart(left fleet.Departure) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	known := t.Server()
-	next := known
-	t.depart(&next, departure{Departure: left, at: t.now()})
-	t.update(known, next)
-}
-
-func (t *Tracker) depart(next *Server, left departure) {
-	t.departed.add(left)
-	next.Departed = latestDepartures(next.Departed, left.Departure)
-}
-
 // ObserveHealthy records that a server passed a health check. It makes the known server
 // ready again when it was absent, but not when that run has announced that it shuts
 // down. The response of a health check does not name the service, so it makes no other
@@ -280,30 +154,6 @@
 	return t.update(known, next) == Applied
 }
 
-// isStale reports whether an announcement was sent before the known state or by a run that
-// has left. The first one by which a run says that it leaves never is: its acknowledgement
-// promises that no requests follow, and a run does not come back.
-func (t *Tracker) isStale(known Server, a Announcement) bool {
-	if t.departed.covers(t.now(), a) {
-		return true
-	}
-	if !isSameRun(known, a) {
-		return false
-	}
-	if a.Draining && !known.Leaving {
-		return false
-	}
-	if t.left && known.StartTime != 0 {
-		return true
-	}
-	return a.Sequence <= known.Sequence
-}
-
-// isSameRun reports whether an announcement comes from the known run of the server.
-func isSameRun(known Server, a Announcement) bool {
-	return a.Server == known.ID && (a.StartTime == known.StartTime || a.StartTime == 0 || known.StartTime == 0)
-}
-
 func (t *Tracker) update(old, next Server) Outcome {
 	t.current.Store(&next)
 	if old.IsSame(next) && slices.Equal(old.Departed, next.Departed) {
