--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -201,8 +201,8 @@
 }
 
 // checkResponse returns a refusal when the response may belong to no request, doesn't come
-// from the expected server, says that the request was not executed or would say so to the caller although
-// the server doesn't, is not signed or is encoded.
+// from the expected server, says that the request was not executed, has a status that
+// would say so to the caller, is not signed or is encoded.
 func (in *inbound) checkResponse(req *upstreamRequest, e *exchange.Exchange) *refusalReason {
 	response := e.Response
 	header := response.Header
@@ -218,7 +218,7 @@
 		return &refusalReason{code: result.ServerRefused, message: fmt.Sprintf("the server of node %s responded with status %d without running the request", in.config.Node, response.StatusCode), maybeDelivered: true}
 	}
 	if promisesNotRun(response.StatusCode) {
-		in.metrics.failuresByServer.Inc(1)
+		in.metrics.failedAsRefusal.Inc(1)
 		return &refusalReason{code: result.OutcomeUnknown, message: fmt.Sprintf("the server of node %s responded with status %d without stating that it did not run the request", in.config.Node, response.StatusCode), maybeDelivered: true}
 	}
 	success := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -22,7 +22,7 @@
 	broken           tally.Counter
 	invalidResponses tally.Counter
 	invalidLimits    tally.Counter
-	failuresByServer tally.Counter
+	failedAsRefusal  tally.Counter
 	unattributed     tally.Counter
 	cancelled        tally.Counter
 	inboundRequests  tally.Counter
@@ -39,7 +39,7 @@
 		broken:           scope.Counter("broken"),
 		invalidResponses: scope.Counter("spoiled"),
 		invalidLimits:    scope.Counter("invalid_limits"),
-		failuresByServer: scope.Counter("failed_with_refusal_status"),
+		failedAsRefusal:  scope.Counter("failed_with_refusal_status"),
 		unattributed:     scope.Counter("unattributed_responses"),
 		cancelled:        scope.Counter("cancelled"),
 		inboundRequests:  scope.Counter("gated"),
