--- a/internal/proxy/unattributed_test.go
+++ b/internal/proxy/unattributed_test.go
@@ -20,7 +20,7 @@
 	// extra is sent before every second response of a connection, before or after the
 	// request is read.
 	extra       string
-	beforeHand  bool
+	early       bool
 	serviceTime time.Duration
 
 	mu   sync.Mutex
@@ -37,7 +37,7 @@
 	reader := bufio.NewReader(conn)
 	for n := 0; ; n++ {
 		garbles := n%2 == 1
-		if garbles && s.beforeHand {
+		if garbles && s.early {
 			if _, err := reader.Peek(1); err != nil {
 				return
 			}
@@ -52,7 +52,7 @@
 		s.mu.Lock()
 		s.runs[id]++
 		s.mu.Unlock()
-		if garbles && !s.beforeHand {
+		if garbles && !s.early {
 			_, _ = io.WriteString(conn, s.extra)
 		}
 		time.Sleep(s.serviceTime)
@@ -79,11 +79,11 @@
 		"no length":   "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n\r\n",
 		"junk":        "junk\r\n\r\n",
 	} {
-		for _, beforeHand := range []bool{true, false} {
-			t.Run(fmt.Sprintf("%s, before the request is read %t", name, beforeHand), func(t *testing.T) {
+		for _, early := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, before the request is read %t", name, early), func(t *testing.T) {
 				t.Parallel()
 				g := gomega.NewWithT(t)
-				garbling := &garblingServer{extra: extra, beforeHand: beforeHand, serviceTime: 5 * time.Millisecond}
+				garbling := &garblingServer{extra: extra, early: early, serviceTime: 5 * time.Millisecond}
 				garbling.start(t)
 				// The second node has a sound server.
 				f := startTestFleet(&testFleet{t: t, rawServers: map[string]string{"a": garbling.address}}, 2, 4)
--- a/internal/standin/app/endless.go
+++ b/internal/standin/app/endless.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 )
 
@@ -27,13 +29,7 @@
 
 // EndlessForms returns the values of the query parameter "endless", with which a request
 // gets bytes without end.
-func EndlessForms() []string {
-	var names []string
-	for name := range endlessForms {
-		names = append(names, name)
-	}
-	return names
-}
+func EndlessForms() []string { return slices.Sorted(maps.Keys(endlessForms)) }
 
 // endlessWriteBytes is the size of a write, so that sending costs little.
 const endlessWriteBytes = 32 << 10
