--- a/internal/standin/platformscenario/endless_test.go
+++ b/internal/standin/platformscenario/endless_test.go
@@ -30,13 +30,7 @@
 // of such requests read everything, read nothing or leave.
 func TestEndlessResponsesEndNoProcess(t *testing.T) {
 	g := gomega.NewWithT(t)
-	d, err := Start(program, t.TempDir(), 3)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	t.Cleanup(d.Close)
-	d.Configure(1, 0)
-	g.Eventually(func() bool { return d.Ready(0) && d.Ready(1) && d.Ready(2) }).WithTimeout(15 * time.Second).Should(gomega.BeTrue())
-	time.Sleep(time.Second)
-
+	d := startReady(t, 3)
 	var endless, others sync.WaitGroup
 	stop := make(chan struct{})
 	time.AfterFunc(endlessTime, func() { close(stop) })
--- a/internal/standin/platformscenario/settings_test.go
+++ b/internal/standin/platformscenario/settings_test.go
@@ -20,12 +20,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			g := gomega.NewWithT(t)
-			d, err := Start(program, t.TempDir(), 2)
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			t.Cleanup(d.Close)
-			d.Configure(1, 0)
-			g.Eventually(func() bool { return d.Ready(0) && d.Ready(1) }).WithTimeout(15 * time.Second).Should(gomega.BeTrue())
-			time.Sleep(time.Second)
+			d := startReady(t, 2)
 			g.Expect(callerOf(g, d, "before")).To(gomega.Equal(Service))
 			d.StopApp(0)
 			if signals {
--- a/internal/standin/platformscenario/stop_late_test.go
+++ b/internal/standin/platformscenario/stop_late_test.go
@@ -16,13 +16,9 @@
 
 // startForStop starts three hosts with a long timeout of the routes.
 func startForStop(t *testing.T) *Deployment {
-	g := gomega.NewWithT(t)
-	d, err := Start(program, t.TempDir(), 3)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	t.Cleanup(d.Close)
+	d := startReady(t, 3)
 	d.Timeout = 10 * time.Second
-	d.Configure(1, 0)
-	g.Eventually(func() bool { return d.Ready(0) && d.Ready(1) && d.Ready(2) }).WithTimeout(15 * time.Second).Should(gomega.BeTrue())
+	d.Configure(2, 0)
 	time.Sleep(time.Second)
 	return d
 }
--- a/internal/standin/platformscenario/stop_test.go
+++ b/internal/standin/platformscenario/stop_test.go
@@ -26,12 +26,7 @@
 // ones and pipeline until the process is gone.
 func TestStopAnswersAcceptedRequests(t *testing.T) {
 	g := gomega.NewWithT(t)
-	d, err := Start(program, t.TempDir(), 3)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	t.Cleanup(d.Close)
-	d.Configure(1, 0)
-	g.Eventually(func() bool { return d.Ready(0) && d.Ready(1) && d.Ready(2) }).WithTimeout(15 * time.Second).Should(gomega.BeTrue())
-	time.Sleep(time.Second)
+	d := startReady(t, 3)
 	callers := &stopCallers{deployment: d, address: d.OutboundAddress(1)}
 	var group sync.WaitGroup
 	for i := range 9 {
