--- a/internal/registry/deputies.go
+++ b/internal/registry/fallback_readers.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// deputiesPerRegion is the number of nodes of a region that read a changed configuration
-	// from the store when the region has no news. They include its readers, which may be
-	// what it has lost.
-	deputiesPerRegion = 4
+	// fallbackReadersPerRegion is the number of nodes of a region that read a changed
+	// configuration from the store when the region has no news. They include its usual
+	// readers, which may be what it has lost.
+	fallbackReadersPerRegion = 4
 	// nearPeerTimeout bounds a query to a node of the own region. A compressed
 	// configuration takes a tenth of it on the slowest links.
 	nearPeerTimeout = 300 * time.Millisecond
@@ -26,8 +26,9 @@
 // mustReadStore reports whether a follower without news has to read the changed
 // configuration from the store. Its leaders may have failed for all nodes of the region at
 // once. If each of them read a large configuration over a thin link between regions, none
-// would get it in time. So a few deputies read it, and the others ask those and a random
-// node for the compressed one. A node that nobody answers is cut off, and reads at once.
+// would get it in time. So a few fallback readers do it, and the others ask those and a
+// random node for the compressed one. A node that nobody answers is cut off, and reads at
+// once.
 func (r *Registry) mustReadStore(ctx context.Context) bool {
 	before := r.deps.Routes.Version()
 	for round := range nearPeerRounds {
@@ -41,8 +42,8 @@
 		if r.deps.Routes.Version() > before {
 			return false
 		}
-		// Deputies may be down, so any node may read now and then.
-		if r.isDeputy(near) || r.deps.Random()*float64(len(near)) < 1 {
+		// Fallback readers may be down, so any node may read now and then.
+		if r.isFallbackReader(near) || r.deps.Random()*float64(len(near)) < 1 {
 			return true
 		}
 	}
@@ -57,21 +58,21 @@
 	return near
 }
 
-// isDeputy reports whether this node is a deputy among the nodes of the region.
-func (r *Registry) isDeputy(near []fleet.Entry) bool {
+// isFallbackReader reports whether this node is a fallback reader among the nodes of the region.
+func (r *Registry) isFallbackReader(near []fleet.Entry) bool {
 	local := r.LocalEntry().Node
-	return slices.ContainsFunc(near[:min(len(near), deputiesPerRegion)], func(e fleet.Entry) bool { return e.Node == local })
+	return slices.ContainsFunc(near[:min(len(near), fallbackReadersPerRegion)], func(e fleet.Entry) bool { return e.Node == local })
 }
 
-// queryNearPeers queries a deputy and another node of the region, and reports whether one
+// queryNearPeers queries a fallback reader and another node of the region, and reports whether one
 // of them responded.
 func (r *Registry) queryNearPeers(ctx context.Context, near []fleet.Entry) bool {
 	ctx, cancel := context.WithTimeout(ctx, nearPeerTimeout)
 	defer cancel()
-	deputies := min(len(near), deputiesPerRegion)
+	preferred := min(len(near), fallbackReadersPerRegion)
 	var responded [2]bool
 	var queries sync.WaitGroup
-	for i, candidates := range [][]fleet.Entry{near[:deputies], near} {
+	for i, candidates := range [][]fleet.Entry{near[:preferred], near} {
 		if peer, found := r.pickOther(candidates); found {
 			queries.Go(func() { responded[i] = r.queryPeer(ctx, peer) })
 		}
--- a/internal/registry/deputies_test.go
+++ b/internal/registry/fallback_readers_test.go
@@ -86,7 +86,7 @@
 		}
 	}
 	t.Logf("in force on all nodes after %s, with %d complete reads", time.Since(written), reads.Load())
-	g.Expect(reads.Load()).To(gomega.BeNumerically("<=", deputiesPerRegion+2))
+	g.Expect(reads.Load()).To(gomega.BeNumerically("<=", fallbackReadersPerRegion+2))
 }
 
 // TestFollowerKnowsTheRevision guards against a follower that reads the whole configuration
--- a/internal/registry/leaving_note.go
+++ b/internal/registry/leaving_note.go
@@ -17,8 +17,8 @@
 	leavingNoteTTL = 30 * time.Second
 )
 
-// noted is what a note tells: the run that leaves, and the last other one that has left.
-type noted struct{ leaving, departed fleet.Departure }
+// leavingNote is what a note tells: the run that leaves, and the last other one that has left.
+type leavingNote struct{ leaving, departed fleet.Departure }
 
 // storeLeavingNote keeps in the store that the local server leaves, once for each run that
 // does. The entry of the node says so too, but is deleted when the node stops and
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -64,7 +64,7 @@
 	lease store.LeaseID
 	// noted is the latest departure of which the store has a note. Only the lease loop uses
 	// it.
-	noted noted
+	noted leavingNote
 	// updates wakes the pending long polls of followers.
 	updates *notifier
 	// runID identifies this run of the process to followers.
