registry, proxy, ratelimit: what a last read of the change found

- pickPeerIn copied the list of the fleet twice in each pass of the peer loop since pickOther was split off; it copies it once again.
- promisesNotRun listed 421, which its only caller has handled before.
- The model of the rate limits rebuilt its workspaces in each step for limits that never change.

--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -231,11 +231,11 @@
 }
 
 // promisesNotRun reports whether a status tells a caller that its request has not run and
-// will not run, so that it may send even a non-idempotent one again. A server says so only
-// with the header NotExecuted or with status 421; its own failures have these statuses too.
+// will not run, so that it may send even a non-idempotent one again. Beside 421, a server
+// says so only with the header NotExecuted; its own failures have these statuses too.
 func promisesNotRun(status int) bool {
 	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return true
 	default:
 		return false
--- a/internal/ratelimit/delayed_fleet_test.go
+++ b/internal/ratelimit/delayed_fleet_test.go
@@ -200,16 +200,12 @@
 }
 
 // play sends the demand of each workspace, in requests a second, and returns the outcomes.
-func (f *delayedFleet) play(duration time.Duration, demand func(workspace int, at time.Duration) float64, limit func(workspace int, at time.Duration) float64) []fleetOutcome {
+func (f *delayedFleet) play(duration time.Duration, demand func(workspace int, at time.Duration) float64) []fleetOutcome {
 	outcomes := make([]fleetOutcome, len(f.workspaces))
 	tokens := make([]float64, len(f.workspaces))
 	const start = 2 * time.Second
 	for now := time.Duration(0); now < start+duration; now += simulationStep {
 		at := now - start
-		for w := range f.workspaces {
-			l := limit(w, max(at, 0))
-			f.workspaces[w] = &routing.Workspace{Name: fmt.Sprint(w), RatePerSecond: l, Burst: l}
-		}
 		f.step(now)
 		if at < 0 {
 			continue
@@ -247,14 +243,17 @@
 	for seed := range *delayedSeeds {
 		f := &delayedFleet{
 			random: rand.New(rand.NewPCG(seed, 2)), config: DefaultConfig(), domains: 4, maxDelay: 20 * time.Millisecond,
-			workspaces: make([]*routing.Workspace, len(limits)), disturbedFrom: 3 * time.Second, endsAt: 18 * time.Second,
+			disturbedFrom: 3 * time.Second, endsAt: 18 * time.Second,
+		}
+		for w, limit := range limits {
+			f.workspaces = append(f.workspaces, &routing.Workspace{Name: fmt.Sprint(w), RatePerSecond: limit, Burst: limit})
 		}
 		disturb(f)
 		for range 88 {
 			f.nodes = append(f.nodes, f.newNode())
 		}
 		owed, served := 0, 0
-		for w, o := range f.play(20*time.Second, hot(limits, 7.5, 0, 3), func(w int, _ time.Duration) float64 { return limits[w] }) {
+		for w, o := range f.play(20*time.Second, hot(limits, 7.5, 0, 3)) {
 			if excess := o.excess(limits[w], f.config.Window); excess > 0 {
 				t.Errorf("seed %d: workspace %d with a limit of %.0f exceeds the bound of a window by %.0f", seed, w, limits[w], excess)
 			}
--- a/internal/registry/fallback_readers.go
+++ b/internal/registry/fallback_readers.go
@@ -58,14 +58,15 @@
 	return near
 }
 
-// isFallbackReader reports whether this node is a fallback reader among the nodes of the region.
+// isFallbackReader reports whether this node is a fallback reader among the nodes of the
+// region.
 func (r *Registry) isFallbackReader(near []fleet.Entry) bool {
 	local := r.LocalEntry().Node
 	return slices.ContainsFunc(near[:min(len(near), fallbackReadersPerRegion)], func(e fleet.Entry) bool { return e.Node == local })
 }
 
-// queryNearPeers queries a fallback reader and another node of the region, and reports whether one
-// of them responded.
+// queryNearPeers queries a fallback reader and another node of the region, and reports
+// whether one of them responded.
 func (r *Registry) queryNearPeers(ctx context.Context, near []fleet.Entry) bool {
 	ctx, cancel := context.WithTimeout(ctx, nearPeerTimeout)
 	defer cancel()
@@ -73,7 +74,7 @@
 	var responded [2]bool
 	var queries sync.WaitGroup
 	for i, candidates := range [][]fleet.Entry{near[:preferred], near} {
-		if peer, found := r.pickOther(candidates); found {
+		if peer, found := r.pickOther(candidates, isAny); found {
 			queries.Go(func() { responded[i] = r.queryPeer(ctx, peer) })
 		}
 	}
--- a/internal/registry/peer_loop.go
+++ b/internal/registry/peer_loop.go
@@ -102,9 +102,11 @@
 
 // pickPeer returns a random other node, or false when there is none.
 func (r *Registry) pickPeer() (fleet.Entry, bool) {
-	return r.pickPeerIn(func(fleet.Entry) bool { return true })
+	return r.pickPeerIn(isAny)
 }
 
+func isAny(fleet.Entry) bool { return true }
+
 // pickNearPeer returns a random other node, if possible of the local failure domain.
 func (r *Registry) pickNearPeer() (fleet.Entry, bool) {
 	domain := r.LocalEntry().Domain
@@ -116,13 +118,13 @@
 
 // pickPeerIn returns a random other node among those that are eligible.
 func (r *Registry) pickPeerIn(eligible func(fleet.Entry) bool) (fleet.Entry, bool) {
-	return r.pickOther(slices.DeleteFunc(slices.Clone(r.deps.Fleet.View().Entries()), func(e fleet.Entry) bool { return !eligible(e) }))
+	return r.pickOther(r.deps.Fleet.View().Entries(), eligible)
 }
 
-// pickOther returns a random other node of a list, or false when there is none.
-func (r *Registry) pickOther(entries []fleet.Entry) (fleet.Entry, bool) {
+// pickOther returns a random other node of a list among those that are eligible.
+func (r *Registry) pickOther(entries []fleet.Entry, eligible func(fleet.Entry) bool) (fleet.Entry, bool) {
 	localNode := r.LocalEntry().Node
-	entries = slices.DeleteFunc(slices.Clone(entries), func(e fleet.Entry) bool { return e.Node == localNode })
+	entries = slices.DeleteFunc(slices.Clone(entries), func(e fleet.Entry) bool { return e.Node == localNode || !eligible(e) })
 	if len(entries) == 0 {
 		return fleet.Entry{}, false
 	}
