exchange: take a response with a broken head for no response

What callers saw: an instance in trouble sent a response in whose head the name of a field held a blank or a control byte. They got it as an answer, with that line ("X Other: 1") passed on, or with another body: all bytes up to the close behind "Content-Length : 2", the chunk sizes behind "Transfer-Encoding : chunked", two bytes of a header line behind a line feed before its name.

Cause: the head of a response was left to http.ReadResponse. It keeps a name with a blank as a field without effect, joins a line that begins with a blank or a tab with the one before it, and takes a line feed alone for the end of a line, so that an empty line of that kind ends the head. Other control bytes in a name it rejects. The heads of requests are checked for all of this (ingress), those of responses were not.

Change: the bytes of a head are checked while http.ReadResponse reads them. Names that are no tokens, lines that begin with a blank, and lines that end otherwise than the status line make the response none: the connection is not used again, the server is charged with a failure, a lookup goes to another server while there is time, and an order gets 502 with code 70. Heads that end all lines by a line feed have one reading and are accepted as before.

Both daemons and both hops read responses by this package.

Ruled out: checking the names of the parsed response, which no longer shows folded lines and the early end of a head.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -229,11 +229,19 @@
 	}
 	e.conn.limit.limitHead(e.pool.options.MaxHeadBytes + connReadBufferBytes)
 	defer e.conn.limit.lift()
+	// The bytes in the buffer can always be peeked at.
+	buffered, _ := e.conn.reader.Peek(e.conn.reader.Buffered())
+	head := &e.conn.limit.head
+	head.start(buffered)
 	response, err := http.ReadResponse(e.conn.reader, request)
-	if err == io.EOF {
-		err = io.ErrUnexpectedEOF
+	switch {
+	case err == io.EOF:
+		return nil, io.ErrUnexpectedEOF
+	case err != nil:
+		return nil, err
+	default:
+		return response, head.err
 	}
-	return response, err
 }
 
 // IsDelimited reports whether the end of the response can be distinguished from a
--- /dev/null
+++ b/internal/exchange/head_checker.go
@@ -0,0 +1,85 @@
+package exchange
+
+import (
+	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
+)
+
+// headPosition is a position in the head of a response.
+type headPosition int
+
+const (
+	// outsideHead is the position before and behind a head.
+	outsideHead headPosition = iota
+	inStatusLine
+	atLineStart
+	inFieldName
+	inFieldValue
+)
+
+// headChecker checks the head of a response while it is read. It finds the lines that
+// http.ReadResponse accepts and that another parser reads as other fields, or as another
+// end of the head: http.ReadResponse keeps "Content-Length " as a field without effect,
+// joins a folded line with the one before it (RFC 9112, sections 5.1 and 5.2), and takes a
+// line feed alone for the end of a line (section 2.2).
+type headChecker struct {
+	position headPosition
+	previous byte
+	// bareLineFeeds is set when the status line ends with a line feed alone.
+	bareLineFeeds bool
+	err           error
+}
+
+// start begins a head, of which a part has been read already.
+func (c *headChecker) start(read []byte) {
+	*c = headChecker{position: inStatusLine}
+	c.add(read)
+}
+
+// add checks the next bytes up to the end of the head.
+func (c *headChecker) add(read []byte) {
+	for _, b := range read {
+		if c.position == outsideHead {
+			return
+		}
+		c.addByte(b)
+		c.previous = b
+	}
+}
+
+func (c *headChecker) addByte(b byte) {
+	switch {
+	case b == '\n':
+		c.endLine()
+	case b == '\r':
+		// http.ReadResponse rejects a field with one that doesn't end its line.
+	case c.position == inStatusLine || c.position == inFieldValue:
+	case b == ':':
+		c.position = inFieldValue
+	case c.position == atLineStart && (b == ' ' || b == '\t'):
+		c.fail(errors.New("a header line of the response begins with a blank"))
+	case !httpguts.IsTokenRune(rune(b)):
+		c.fail(errors.Errorf("the name of a header field of the response holds the byte %#02x", b))
+	default:
+		c.position = inFieldName
+	}
+}
+
+func (c *headChecker) endLine() {
+	bareLineFeed := c.previous != '\r'
+	switch {
+	case c.position == inStatusLine:
+		c.bareLineFeeds = bareLineFeed
+	case bareLineFeed != c.bareLineFeeds:
+		c.fail(errors.New("some lines in the head of the response end with a line feed alone"))
+		return
+	case c.position == atLineStart:
+		c.position = outsideHead
+		return
+	}
+	c.position = atLineStart
+}
+
+func (c *headChecker) fail(err error) {
+	c.position, c.err = outsideHead, err
+}
--- a/internal/exchange/limit_reader.go
+++ b/internal/exchange/limit_reader.go
@@ -9,11 +9,12 @@
 // ErrHeadTooLarge is returned when the head of a response exceeds the limit.
 var ErrHeadTooLarge = errors.New("response head exceeds the size limit")
 
-// limitReader bounds the bytes read while a response head is expected, because
-// http.ReadResponse reads a head of any size.
+// limitReader bounds and checks the bytes read while a response head is expected, because
+// http.ReadResponse reads a head of any size and accepts ambiguous lines.
 type limitReader struct {
 	reader    io.Reader
 	remaining int64
+	head      headChecker
 }
 
 // limitHead allows the given number of bytes until lift is called.
@@ -32,5 +33,6 @@
 	}
 	n, err := l.reader.Read(p)
 	l.remaining -= int64(n)
+	l.head.add(p[:n])
 	return n, err
 }
--- /dev/null
+++ b/internal/proxy/broken_head_test.go
@@ -0,0 +1,117 @@
+package proxy
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rosemaryladder.dev/rosemaryladder/internal/result"
+)
+
+// brokenServer is a backend server that runs each request and sends the same response, with
+// ID replaced by the ID of the request. It then waits for its peer to close the connection.
+type brokenServer struct {
+	address  string
+	response string
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// brokenServerWait bounds the time for which a broken server keeps a connection open.
+const brokenServerWait = time.Second
+
+func startBrokenServer(t *testing.T, response string) *brokenServer {
+	s := &brokenServer{response: response, runs: make(map[string]int)}
+	s.address = serveConns(t, s.serve)
+	return s
+}
+
+func (s *brokenServer) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	id := request.Header.Get(testHeaders.RequestID)
+	s.mu.Lock()
+	s.runs[id]++
+	s.mu.Unlock()
+	_, _ = io.WriteString(conn, strings.ReplaceAll(s.response, "ID", id))
+	_ = conn.SetReadDeadline(time.Now().Add(brokenServerWait))
+	_, _ = reader.ReadByte()
+}
+
+func (s *brokenServer) runCount(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id]
+}
+
+// expectNoBrokenResponse sends lookups and orders to two nodes, one of which has a server
+// with the given response. Lookups are served by the other one, and an order that met the
+// response fails soon with an unknown outcome. The server is charged with failures.
+func expectNoBrokenResponse(t *testing.T, response string) {
+	g := gomega.NewWithT(t)
+	broken := startBrokenServer(t, response)
+	f := startTestFleet(&testFleet{t: t, rawServers: map[string]string{"a": broken.address}}, 2, 4)
+	for i := range 8 {
+		id := "get-" + strconv.Itoa(i)
+		expectResponse(g, f.get(id), id, "")
+		id = "post-" + strconv.Itoa(i)
+		startedAt := time.Now()
+		got := f.post(id, "order")
+		took := time.Since(startedAt)
+		g.Expect(broken.runCount(id) + f.nodes[1].backend.runCount(id)).To(gomega.Equal(1))
+		if broken.runCount(id) == 0 {
+			expectResponse(g, got, id, "order")
+			continue
+		}
+		g.Expect(got.err).NotTo(gomega.HaveOccurred())
+		g.Expect(got.status).To(gomega.Equal(http.StatusBadGateway), "header %q, body %q", got.header, got.body)
+		g.Expect(got.header.Get(HeaderResult)).To(gomega.Equal(strconv.Itoa(int(result.OutcomeUnknown))))
+		g.Expect(got.header.Get(testHeaders.Signature)).To(gomega.BeEmpty())
+		g.Expect(took).To(gomega.BeNumerically("<", brokenServerWait))
+	}
+	g.Expect(broken.runCount("get-0")+broken.runCount("post-0")).To(gomega.BeNumerically(">", 0), "no request met the response")
+	g.Expect(f.nodes[0].proxy.inbound.failures.value(time.Now())).To(gomega.BeNumerically(">", 0))
+}
+
+// TestBrokenHeadReachesNoCaller guards against a server in trouble whose response has a head
+// with a name that holds a blank or a control byte: the line reaches the caller, or one
+// that states where the body ends has no effect, so that the caller gets another body.
+func TestBrokenHeadReachesNoCaller(t *testing.T) {
+	for name, fields := range map[string]string{
+		"blank in a name":                    "X Other: 1\r\nContent-Length: 2\r\n",
+		"blank behind a name":                "X-Other : 1\r\nContent-Length: 2\r\n",
+		"blank before a name":                "X-Other: 1\r\n X-More: 2\r\nContent-Length: 2\r\n",
+		"tab before a name":                  "X-Other: 1\r\n\tX-More: 2\r\nContent-Length: 2\r\n",
+		"control byte in a name":             "X-Ot\x01her: 1\r\nContent-Length: 2\r\n",
+		"line feed before a name":            "Content-Length: 2\r\n\nX-Other: 1\r\n",
+		"blank behind Content-Length":        "Content-Length : 2\r\n",
+		"tab before Content-Length":          "X-Other: 1\r\n\tContent-Length: 2\r\n",
+		"line feed before Content-Length":    "\nContent-Length: 2\r\n",
+		"blank behind Transfer-Encoding":     "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n",
+		"blank behind both":                  "Transfer-Encoding : chunked\r\nContent-Length : 2\r\n",
+		"blank in the name of the signature": "X-Signature : other\r\nContent-Length: 2\r\n",
+	} {
+		for _, status := range []string{"200 OK", "404 Not Found", "500 Internal Server Error", "503 Service Unavailable"} {
+			for _, signature := range []string{"", "X-Signature: signed\r\n"} {
+				t.Run(name+", "+status+", "+signature, func(t *testing.T) {
+					t.Parallel()
+					expectNoBrokenResponse(t, "HTTP/1.1 "+status+"\r\nX-Id: ID\r\n"+signature+fields+"\r\nok")
+				})
+			}
+		}
+	}
+}
