exchange: take an encoded response before HTTP/1.1 for no response

What callers saw: a server in trouble sent a response of HTTP/1.0 with "Transfer-Encoding: chunked". They got it as a success, with the sizes of the chunks in the body, or with the first two bytes of them where a Content-Length of 2 stood beside it. Found by trying what else net/http accepts in a head after the fault with broken names.

Cause: http.ReadResponse ignores the field before HTTP/1.1 and removes it, so that nothing behind it knows of the encoding.

Change: the check of a head notes a Transfer-Encoding, and a response before HTTP/1.1 that has one is none. RFC 9112, section 6.1, has a client treat the framing of such a message as faulty. Other responses of HTTP/1.0 are accepted as before.

Tried as a trial and left as it is, because the caller got the server's body or 502: a repeated, empty, signed or listed Content-Length, Content-Length beside Transfer-Encoding, other encodings, control bytes behind the status, sizes of chunks with a sign, a blank, an extension or a bare line feed, broken names in a trailer section (not passed on), and other versions of the protocol.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -240,7 +240,7 @@
 	case err != nil:
 		return nil, err
 	default:
-		return response, head.err
+		return response, head.check(response)
 	}
 }
 
--- a/internal/exchange/head_checker.go
+++ b/internal/exchange/head_checker.go
@@ -1,6 +1,8 @@
 package exchange
 
 import (
+	"net/http"
+
 	"github.com/pkg/errors"
 	"golang.org/x/net/http/httpguts"
 )
@@ -17,17 +19,26 @@
 	inFieldValue
 )
 
+// transferEncoding is the name of a field in lower case.
+const transferEncoding = "transfer-encoding"
+
 // headChecker checks the head of a response while it is read. It finds the lines that
 // http.ReadResponse accepts and that another parser reads as other fields, or as another
 // end of the head: http.ReadResponse keeps "Content-Length " as a field without effect,
 // joins a folded line with the one before it (RFC 9112, sections 5.1 and 5.2), and takes a
-// line feed alone for the end of a line (section 2.2).
+// line feed alone for the end of a line (section 2.2). It also finds a Transfer-Encoding,
+// which http.ReadResponse ignores and removes before HTTP/1.1.
 type headChecker struct {
 	position headPosition
 	previous byte
 	// bareLineFeeds is set when the status line ends with a line feed alone.
 	bareLineFeeds bool
-	err           error
+	// matched is the number of bytes that the name of the current field has in common with
+	// transferEncoding; -1 when it differs.
+	matched int
+	// encoded is set when there is a Transfer-Encoding.
+	encoded bool
+	err     error
 }
 
 // start begins a head, of which a part has been read already.
@@ -56,12 +67,24 @@
 	case c.position == inStatusLine || c.position == inFieldValue:
 	case b == ':':
 		c.position = inFieldValue
+		c.encoded = c.encoded || c.matched == len(transferEncoding)
 	case c.position == atLineStart && (b == ' ' || b == '\t'):
 		c.fail(errors.New("a header line of the response begins with a blank"))
 	case !httpguts.IsTokenRune(rune(b)):
 		c.fail(errors.Errorf("the name of a header field of the response holds the byte %#02x", b))
 	default:
 		c.position = inFieldName
+		c.matchName(b)
+	}
+}
+
+// matchName compares the next byte of a name with transferEncoding.
+func (c *headChecker) matchName(b byte) {
+	const lowerCaseBit = 'a' - 'A'
+	if c.matched >= 0 && c.matched < len(transferEncoding) && b|lowerCaseBit == transferEncoding[c.matched] {
+		c.matched++
+	} else {
+		c.matched = -1
 	}
 }
 
@@ -77,7 +100,15 @@
 		c.position = outsideHead
 		return
 	}
-	c.position = atLineStart
+	c.position, c.matched = atLineStart, 0
+}
+
+// check returns why the head of a response that was read is none.
+func (c *headChecker) check(response *http.Response) error {
+	if c.err == nil && c.encoded && !response.ProtoAtLeast(1, 1) {
+		return errors.Errorf("the response of %s has a Transfer-Encoding", response.Proto)
+	}
+	return c.err
 }
 
 func (c *headChecker) fail(err error) {
--- a/internal/exchange/response_head_test.go
+++ b/internal/exchange/response_head_test.go
@@ -101,6 +101,41 @@
 	}
 }
 
+// TestTransferEncodingBeforeHTTP11IsNoResponse guards against a response whose encoding
+// http.ReadResponse ignores, so that the sizes of its chunks count as part of the body.
+func TestTransferEncodingBeforeHTTP11IsNoResponse(t *testing.T) {
+	for _, protocol := range []string{"HTTP/1.0", "HTTP/0.9"} {
+		for _, fields := range []string{
+			"Transfer-Encoding: chunked\r\n", "transfer-ENCODING:chunked\r\n", "Transfer-Encoding: gzip\r\nX-Other: 1\r\n",
+			"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding:\r\n",
+		} {
+			t.Run(protocol+" "+fields, func(t *testing.T) {
+				t.Parallel()
+				g := gomega.NewWithT(t)
+				client, address, _ := startResponder(t, protocol+" 200 OK\r\nX-Id: x\r\n"+fields+"\r\n2\r\nok\r\n0\r\n\r\n", false)
+				_, exchangeErr := client.Do(context.Background(), address, newTestRequest("x"))
+				g.Expect(exchangeErr).NotTo(gomega.BeNil())
+				g.Expect(exchangeErr.MaybeDelivered).To(gomega.BeTrue(), "the peer may have run the request")
+			})
+		}
+	}
+}
+
+// TestUnencodedHTTP10IsAResponse guards against a response of HTTP/1.0 that is rejected for a
+// field whose name resembles Transfer-Encoding.
+func TestUnencodedHTTP10IsAResponse(t *testing.T) {
+	for _, fields := range []string{"", "Transfer-Encodin: 1\r\n", "Transfer-Encodings: 1\r\n", "X-Transfer-Encoding: 1\r\n", "X-Other: Transfer-Encoding: chunked\r\n"} {
+		g := gomega.NewWithT(t)
+		client, address, _ := startResponder(t, "HTTP/1.0 200 OK\r\nX-Id: x\r\n"+fields+"Content-Length: 2\r\n\r\nok", false)
+		e, exchangeErr := client.Do(context.Background(), address, newTestRequest("x"))
+		g.Expect(exchangeErr).To(gomega.BeNil(), fields)
+		body, err := io.ReadAll(e.Response.Body)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(string(body)).To(gomega.Equal("ok"))
+		e.Finish(true)
+	}
+}
+
 // TestUnusualHeadIsAResponse guards against a head that is valid, or that ends all its lines
 // by a line feed, and is taken for a broken one.
 func TestUnusualHeadIsAResponse(t *testing.T) {
--- a/internal/proxy/broken_head_test.go
+++ b/internal/proxy/broken_head_test.go
@@ -115,3 +115,14 @@
 		}
 	}
 }
+
+// TestEncodingBeforeHTTP11ReachesNoCaller guards against a server in trouble whose response
+// of HTTP/1.0 states an encoding: the caller gets the sizes of the chunks in the body.
+func TestEncodingBeforeHTTP11ReachesNoCaller(t *testing.T) {
+	for _, length := range []string{"", "Content-Length: 2\r\n"} {
+		t.Run(length, func(t *testing.T) {
+			t.Parallel()
+			expectNoBrokenResponse(t, "HTTP/1.0 200 OK\r\nX-Id: ID\r\nX-Signature: signed\r\nTransfer-Encoding: chunked\r\n"+length+"\r\n2\r\nok\r\n0\r\n\r\n")
+		})
+	}
+}
