--- a/internal/exchange/response_head_test.go
+++ b/internal/exchange/response_head_test.go
@@ -10,7 +10,6 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/onsi/gomega"
 )
@@ -86,16 +85,7 @@
 				t.Parallel()
 				g := gomega.NewWithT(t)
 				client, address, conns := startResponder(t, response, singleBytes)
-				for i := range int64(2) {
-					ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-					startedAt := time.Now()
-					_, exchangeErr := client.Do(ctx, address, newTestRequest("x"))
-					cancel()
-					g.Expect(exchangeErr).NotTo(gomega.BeNil())
-					g.Expect(exchangeErr.MaybeDelivered).To(gomega.BeTrue(), "the peer may have run the request")
-					g.Expect(time.Since(startedAt)).To(gomega.BeNumerically("<", time.Second))
-					g.Expect(conns.Load()).To(gomega.Equal(i+1), "the connection must not be used again")
-				}
+				expectNoResponse(g, client, address, conns)
 			})
 		}
 	}
@@ -112,30 +102,13 @@
 			t.Run(protocol+" "+fields, func(t *testing.T) {
 				t.Parallel()
 				g := gomega.NewWithT(t)
-				client, address, _ := startResponder(t, protocol+" 200 OK\r\nX-Id: x\r\n"+fields+"\r\n2\r\nok\r\n0\r\n\r\n", false)
-				_, exchangeErr := client.Do(context.Background(), address, newTestRequest("x"))
-				g.Expect(exchangeErr).NotTo(gomega.BeNil())
-				g.Expect(exchangeErr.MaybeDelivered).To(gomega.BeTrue(), "the peer may have run the request")
+				client, address, conns := startResponder(t, protocol+" 200 OK\r\nX-Id: x\r\n"+fields+"\r\n2\r\nok\r\n0\r\n\r\n", false)
+				expectNoResponse(g, client, address, conns)
 			})
 		}
 	}
 }
 
-// TestUnencodedHTTP10IsAResponse guards against a response of HTTP/1.0 that is rejected for a
-// field whose name resembles Transfer-Encoding.
-func TestUnencodedHTTP10IsAResponse(t *testing.T) {
-	for _, fields := range []string{"", "Transfer-Encodin: 1\r\n", "Transfer-Encodings: 1\r\n", "X-Transfer-Encoding: 1\r\n", "X-Other: Transfer-Encoding: chunked\r\n"} {
-		g := gomega.NewWithT(t)
-		client, address, _ := startResponder(t, "HTTP/1.0 200 OK\r\nX-Id: x\r\n"+fields+"Content-Length: 2\r\n\r\nok", false)
-		e, exchangeErr := client.Do(context.Background(), address, newTestRequest("x"))
-		g.Expect(exchangeErr).To(gomega.BeNil(), fields)
-		body, err := io.ReadAll(e.Response.Body)
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		g.Expect(string(body)).To(gomega.Equal("ok"))
-		e.Finish(true)
-	}
-}
-
 // TestUnusualHeadIsAResponse guards against a head that is valid, or that ends all its lines
 // by a line feed, and is taken for a broken one.
 func TestUnusualHeadIsAResponse(t *testing.T) {
@@ -147,24 +120,27 @@
 		"all characters of names": "!#$%&'*+-.^_`|~09azAZ: 1\r\n",
 		"name of one character":   "x: 1\r\n",
 		"large head":              "X-Padding: " + strings.Repeat("p", connReadBufferBytes) + "\r\nX-Other: 1\r\n",
+		"names like an encoding":  "Transfer-Encodin: 1\r\nTransfer-Encodings: 1\r\nX-Transfer-Encoding: 1\r\nX-Other: Transfer-Encoding: chunked\r\n",
 	} {
-		for _, lineEnd := range []string{"\r\n", "\n"} {
-			for _, singleBytes := range []bool{false, true} {
-				t.Run(fmt.Sprintf("%s, line end %q, single bytes %t", name, lineEnd, singleBytes), func(t *testing.T) {
-					t.Parallel()
-					g := gomega.NewWithT(t)
-					response := "HTTP/1.1 200 OK\r\nX-Id: x\r\n" + fields + "Content-Length: 8\r\n\r\n"
-					client, address, conns := startResponder(t, strings.ReplaceAll(response, "\r\n", lineEnd)+"a b: c\n\r", singleBytes)
-					for range 2 {
-						e, exchangeErr := client.Do(context.Background(), address, newTestRequest("x"))
-						g.Expect(exchangeErr).To(gomega.BeNil())
-						body, err := io.ReadAll(e.Response.Body)
-						g.Expect(err).NotTo(gomega.HaveOccurred())
-						g.Expect(string(body)).To(gomega.Equal("a b: c\n\r"))
-						e.Finish(true)
-					}
-					g.Expect(conns.Load()).To(gomega.BeNumerically("==", 1))
-				})
+		for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			for _, lineEnd := range []string{"\r\n", "\n"} {
+				for _, singleBytes := range []bool{false, true} {
+					t.Run(fmt.Sprintf("%s, %s, line end %q, single bytes %t", name, protocol, lineEnd, singleBytes), func(t *testing.T) {
+						t.Parallel()
+						g := gomega.NewWithT(t)
+						head := protocol + " 200 OK\r\nX-Id: x\r\nConnection: keep-alive\r\n" + fields + "Content-Length: 8\r\n\r\n"
+						client, address, conns := startResponder(t, strings.ReplaceAll(head, "\r\n", lineEnd)+"a b: c\n\r", singleBytes)
+						for range 2 {
+							e, exchangeErr := client.Do(context.Background(), address, newTestRequest("x"))
+							g.Expect(exchangeErr).To(gomega.BeNil())
+							body, err := io.ReadAll(e.Response.Body)
+							g.Expect(err).NotTo(gomega.HaveOccurred())
+							g.Expect(string(body)).To(gomega.Equal("a b: c\n\r"))
+							e.Finish(true)
+						}
+						g.Expect(conns.Load()).To(gomega.BeNumerically("==", 1))
+					})
+				}
 			}
 		}
 	}
--- a/internal/exchange/status_test.go
+++ b/internal/exchange/status_test.go
@@ -32,20 +32,26 @@
 					fmt.Fprintf(conn, "HTTP/1.1 %s Status\r\nX-Id: %s\r\nContent-Length: 2\r\n\r\nok", status, request.Header.Get("X-Id"))
 				}
 			})
-			for i := range int64(2) {
-				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-				startedAt := time.Now()
-				_, exchangeErr := client.Do(ctx, address, newTestRequest("x"))
-				cancel()
-				g.Expect(exchangeErr).NotTo(gomega.BeNil())
-				g.Expect(exchangeErr.MaybeDelivered).To(gomega.BeTrue(), "the peer may have run the request")
-				g.Expect(time.Since(startedAt)).To(gomega.BeNumerically("<", time.Second))
-				g.Expect(conns.Load()).To(gomega.Equal(i + 1))
-			}
+			expectNoResponse(g, client, address, &conns)
 		})
 	}
 }
 
+// expectNoResponse sends two requests, each of which soon ends with an unknown outcome and on
+// a connection of its own.
+func expectNoResponse(g *gomega.WithT, client *Client, address string, conns *atomic.Int64) {
+	for i := range int64(2) {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		startedAt := time.Now()
+		_, exchangeErr := client.Do(ctx, address, newTestRequest("x"))
+		cancel()
+		g.Expect(exchangeErr).NotTo(gomega.BeNil())
+		g.Expect(exchangeErr.MaybeDelivered).To(gomega.BeTrue(), "the peer may have run the request")
+		g.Expect(time.Since(startedAt)).To(gomega.BeNumerically("<", time.Second))
+		g.Expect(conns.Load()).To(gomega.Equal(i+1), "the connection must not be used again")
+	}
+}
+
 // TestInterimResponsesAreSkipped guards against an interim response of the protocol that
 // ends an exchange.
 func TestInterimResponsesAreSkipped(t *testing.T) {
--- a/internal/proxy/broken_head_test.go
+++ b/internal/proxy/broken_head_test.go
@@ -7,12 +7,12 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"rosemaryladder.dev/rosemaryladder/internal/fleet"
 	"rosemaryladder.dev/rosemaryladder/internal/result"
 )
 
@@ -21,16 +21,14 @@
 type brokenServer struct {
 	address  string
 	response string
-
-	mu   sync.Mutex
-	runs map[string]int
+	runCounter
 }
 
 // brokenServerWait bounds the time for which a broken server keeps a connection open.
 const brokenServerWait = time.Second
 
 func startBrokenServer(t *testing.T, response string) *brokenServer {
-	s := &brokenServer{response: response, runs: make(map[string]int)}
+	s := &brokenServer{response: response}
 	s.address = serveConns(t, s.serve)
 	return s
 }
@@ -38,29 +36,17 @@
 func (s *brokenServer) serve(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
-	request, err := http.ReadRequest(reader)
+	id, err := s.run(reader)
 	if err != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, request.Body)
-	id := request.Header.Get(testHeaders.RequestID)
-	s.mu.Lock()
-	s.runs[id]++
-	s.mu.Unlock()
 	_, _ = io.WriteString(conn, strings.ReplaceAll(s.response, "ID", id))
 	_ = conn.SetReadDeadline(time.Now().Add(brokenServerWait))
 	_, _ = reader.ReadByte()
 }
 
-func (s *brokenServer) runCount(id string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.runs[id]
-}
-
-// expectNoBrokenResponse sends lookups and orders to two nodes, one of which has a server
-// with the given response. Lookups are served by the other one, and an order that met the
-// response fails soon with an unknown outcome. The server is charged with failures.
+// expectNoBrokenResponse sends requests to a node whose server has the given response, and
+// then to one from which only such a server can be reached.
 func expectNoBrokenResponse(t *testing.T, response string) {
 	g := gomega.NewWithT(t)
 	broken := startBrokenServer(t, response)
@@ -71,20 +57,37 @@
 		id = "post-" + strconv.Itoa(i)
 		startedAt := time.Now()
 		got := f.post(id, "order")
-		took := time.Since(startedAt)
 		g.Expect(broken.runCount(id) + f.nodes[1].backend.runCount(id)).To(gomega.Equal(1))
 		if broken.runCount(id) == 0 {
 			expectResponse(g, got, id, "order")
-			continue
+		} else {
+			expectSoonUnknown(g, got, startedAt)
 		}
-		g.Expect(got.err).NotTo(gomega.HaveOccurred())
-		g.Expect(got.status).To(gomega.Equal(http.StatusBadGateway), "header %q, body %q", got.header, got.body)
-		g.Expect(got.header.Get(HeaderResult)).To(gomega.Equal(strconv.Itoa(int(result.OutcomeUnknown))))
-		g.Expect(got.header.Get(testHeaders.Signature)).To(gomega.BeEmpty())
-		g.Expect(took).To(gomega.BeNumerically("<", brokenServerWait))
 	}
 	g.Expect(broken.runCount("get-0")+broken.runCount("post-0")).To(gomega.BeNumerically(">", 0), "no request met the response")
 	g.Expect(f.nodes[0].proxy.inbound.failures.value(time.Now())).To(gomega.BeNumerically(">", 0))
+
+	f = startTestFleet(&testFleet{t: t, rawServers: map[string]string{"b": broken.address}}, 2, 4)
+	f.nodes[0].tracker.MarkAbsent("server-a")
+	f.nodes[0].state = fleet.Absent
+	f.publish(f.nodes[0])
+	startedAt := time.Now()
+	expectSoonUnknown(g, f.get("remote-get"), startedAt)
+	startedAt = time.Now()
+	expectSoonUnknown(g, f.post("remote-post", "order"), startedAt)
+	g.Expect(broken.runCount("remote-post")).To(gomega.Equal(1))
+	g.Expect(f.nodes[1].proxy.inbound.failures.value(time.Now())).To(gomega.BeNumerically(">", 0))
+}
+
+// expectSoonUnknown expects the refusal of a request of unknown outcome before the server
+// has closed the connection.
+func expectSoonUnknown(g *gomega.WithT, got reply, startedAt time.Time) {
+	took := time.Since(startedAt)
+	g.Expect(got.err).NotTo(gomega.HaveOccurred())
+	g.Expect(got.status).To(gomega.Equal(http.StatusBadGateway), "header %q, body %q", got.header, got.body)
+	g.Expect(got.header.Get(HeaderResult)).To(gomega.Equal(strconv.Itoa(int(result.OutcomeUnknown))))
+	g.Expect(got.header.Get(testHeaders.Signature)).To(gomega.BeEmpty())
+	g.Expect(took).To(gomega.BeNumerically("<", brokenServerWait))
 }
 
 // TestBrokenHeadReachesNoCaller guards against a server in trouble whose response has a head
--- a/internal/proxy/raw_server_test.go
+++ b/internal/proxy/raw_server_test.go
@@ -1,7 +1,11 @@
 package proxy
 
 import (
+	"bufio"
+	"io"
 	"net"
+	"net/http"
+	"sync"
 	"testing"
 )
 
@@ -23,3 +27,32 @@
 	}()
 	return listener.Addr().String()
 }
+
+// runCounter reads the requests of a server and counts its runs by request ID.
+type runCounter struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// run reads a request with its body and returns its ID.
+func (c *runCounter) run(reader *bufio.Reader) (string, error) {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return "", err
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	id := request.Header.Get(testHeaders.RequestID)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.runs == nil {
+		c.runs = make(map[string]int)
+	}
+	c.runs[id]++
+	return id, nil
+}
+
+func (c *runCounter) runCount(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runs[id]
+}
--- a/internal/proxy/unattributed_test.go
+++ b/internal/proxy/unattributed_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
@@ -22,15 +21,10 @@
 	extra       string
 	early       bool
 	serviceTime time.Duration
-
-	mu   sync.Mutex
-	runs map[string]int
+	runCounter
 }
 
-func (s *garblingServer) start(t *testing.T) {
-	s.runs = make(map[string]int)
-	s.address = serveConns(t, s.serve)
-}
+func (s *garblingServer) start(t *testing.T) { s.address = serveConns(t, s.serve) }
 
 func (s *garblingServer) serve(conn net.Conn) {
 	defer conn.Close()
@@ -43,15 +37,10 @@
 			}
 			_, _ = io.WriteString(conn, s.extra)
 		}
-		request, err := http.ReadRequest(reader)
+		id, err := s.run(reader)
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, request.Body)
-		id := request.Header.Get(testHeaders.RequestID)
-		s.mu.Lock()
-		s.runs[id]++
-		s.mu.Unlock()
 		if garbles && !s.early {
 			_, _ = io.WriteString(conn, s.extra)
 		}
@@ -92,9 +81,7 @@
 					id := fmt.Sprintf("post-%d", i)
 					got := f.post(id, "order")
 					g.Expect(got.err).NotTo(gomega.HaveOccurred())
-					garbling.mu.Lock()
-					runs := garbling.runs[id] + f.nodes[1].backend.runCount(id)
-					garbling.mu.Unlock()
+					runs := garbling.runCount(id) + f.nodes[1].backend.runCount(id)
 					g.Expect(runs).To(gomega.BeNumerically("<=", 1), "%s ran twice", id)
 					switch got.status {
 					case http.StatusOK:
