--- a/internal/exchange/head_checker.go
+++ b/internal/exchange/head_checker.go
@@ -26,12 +26,12 @@
 // http.ReadResponse accepts and that another parser reads as other fields, or as another
 // end of the head: http.ReadResponse keeps "Content-Length " as a field without effect,
 // joins a folded line with the one before it (RFC 9112, sections 5.1 and 5.2), and takes a
-// line feed alone for the end of a line (section 2.2). It also finds a Transfer-Encoding,
+// bare line feed for the end of a line (section 2.2). It also finds a Transfer-Encoding,
 // which http.ReadResponse ignores and removes before HTTP/1.1.
 type headChecker struct {
 	position headPosition
 	previous byte
-	// bareLineFeeds is set when the status line ends with a line feed alone.
+	// bareLineFeeds is set when the status line ends with a bare line feed.
 	bareLineFeeds bool
 	// matched is the number of bytes that the name of the current field has in common with
 	// transferEncoding; -1 when it differs.
@@ -58,18 +58,19 @@
 	}
 }
 
+// addByte leaves the values of fields to http.ReadResponse, which rejects control bytes there.
 func (c *headChecker) addByte(b byte) {
 	switch {
 	case b == '\n':
 		c.endLine()
 	case b == '\r':
-		// http.ReadResponse rejects a field with one that doesn't end its line.
+		// http.ReadResponse rejects a field with a carriage return that doesn't end its line.
 	case c.position == inStatusLine || c.position == inFieldValue:
 	case b == ':':
 		c.position = inFieldValue
 		c.encoded = c.encoded || c.matched == len(transferEncoding)
 	case c.position == atLineStart && (b == ' ' || b == '\t'):
-		c.fail(errors.New("a header line of the response begins with a blank"))
+		c.fail(errors.New("a header line of the response begins with whitespace"))
 	case !httpguts.IsTokenRune(rune(b)):
 		c.fail(errors.Errorf("the name of a header field of the response holds the byte %#02x", b))
 	default:
@@ -94,7 +95,7 @@
 	case c.position == inStatusLine:
 		c.bareLineFeeds = bareLineFeed
 	case bareLineFeed != c.bareLineFeeds:
-		c.fail(errors.New("some lines in the head of the response end with a line feed alone"))
+		c.fail(errors.New("some lines in the head of the response end with a bare line feed, others with a carriage return and a line feed"))
 		return
 	case c.position == atLineStart:
 		c.position = outsideHead
