--- a/review/lab3/crashing.go
+++ b/review/lab3/crashing.go
@@ -15,7 +15,9 @@
 )
 
 const (
-	orderRoute = `{"name":"r-v72xgy3","prefix":"/puba11/wu5/","kind":"unsafe","timeout":"1000ms","targetLatency":"500ms","priority":1,"service":"katalog","maxAttempts":2,"public":false}`
+	// slowOrderRoute has the timeout of the orders of flagg-mesh-large.
+	slowOrderRoute = `{"name":"r-v72xgy3","prefix":"/puba11/wu5/","kind":"unsafe","timeout":"3000ms","targetLatency":"1000ms","priority":1,"service":"katalog","maxAttempts":2,"public":false}`
+	orderRoute     = `{"name":"r-v72xgy3","prefix":"/puba11/wu5/","kind":"unsafe","timeout":"1000ms","targetLatency":"500ms","priority":1,"service":"katalog","maxAttempts":2,"public":false}`
 	// crashingPath is the path of the request that crashes each instance which begins to
 	// run it.
 	crashingPath = "/puba11/wu5/7c"
@@ -27,11 +29,16 @@
 	releases          = 2
 	releasedInstances = 2
 	grace             = 6 * time.Second
+	// callerDeadline is what callers of crashingPath state.
+	callerDeadline = 6 * time.Second
 )
 
 // crashes keeps when the request has crashed instances, and its retries that reached any.
 type crashes struct {
 	lab *lab
+	// delay is the time from the begin of a run to the crash, and patience how long a caller
+	// waits for its answer.
+	delay, patience time.Duration
 
 	mu sync.Mutex
 	at []time.Time
@@ -43,18 +50,23 @@
 	runs    int
 }
 
-// crash is called by an instance that begins to run a request of crashingPath.
+// crash is called by an instance that begins to run a request of crashingPath. The instance
+// crashes after the delay, whether its caller is still there or not.
 func (c *crashes) crash(i *instance, id string) {
 	c.mu.Lock()
-	c.at = append(c.at, time.Now())
-	c.crashed = append(c.crashed, i.node)
 	c.reached[id] = true
-	c.runs++
-	run := c.runs
 	sentAt := c.sent[id]
 	c.mu.Unlock()
-	c.lab.note("retry %s, sent %.3f s ago, reaches instance %s beside %s: crash %d", id, time.Since(sentAt).Seconds(), i.id, i.node.name, run)
+	c.lab.note("retry %s, sent %.3f s ago, reaches instance %s beside %s", id, time.Since(sentAt).Seconds(), i.id, i.node.name)
+	time.Sleep(c.delay)
 	n := i.node
+	c.mu.Lock()
+	c.at = append(c.at, time.Now())
+	c.crashed = append(c.crashed, n)
+	c.runs++
+	run := c.runs
+	c.mu.Unlock()
+	c.lab.note("retry %s crashes instance %s beside %s: crash %d", id, i.id, n.name, run)
 	i.exit()
 	time.AfterFunc(backAfter, func() {
 		if n.gone.Load() {
@@ -71,7 +83,7 @@
 // retry sends the request once, at the node of a caller.
 func (c *crashes) retry(n *node, number int) {
 	id := fmt.Sprintf("dead%012x", number)
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), c.patience)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.outbound+crashingPath, bytes.NewReader([]byte(crashingBody)))
 	if err != nil {
@@ -79,7 +91,7 @@
 	}
 	request.Host = "cubo38.example"
 	request.Header.Set("X-Rosemaryladder-Request-Id", id)
-	request.Header.Set("X-Rosemaryladder-Deadline-Ms", "2000")
+	request.Header.Set("X-Rosemaryladder-Deadline-Ms", fmt.Sprint(callerDeadline.Milliseconds()))
 	c.mu.Lock()
 	c.sent[id] = time.Now()
 	c.mu.Unlock()
@@ -111,56 +123,92 @@
 // refused, releases follow: each replaces two instances that have crashed, one after the
 // other, together with their machines.
 func crashesForgottenAtRelease(l *lab) (int, error) {
-	l.configure(7, lookupRoute+","+orderRoute, "katalog", "bokning")
+	c := &crashes{lab: l, patience: callerDeadline}
+	kept, err := l.crashingDeployment(orderRoute, c)
+	if err != nil {
+		return couldntRun, err
+	}
+	load := l.startCallers("/levo940/", 50*time.Millisecond, 1500*time.Millisecond, kept)
+	time.Sleep(5 * time.Second)
+	end := c.startRetries(kept, 600*time.Millisecond)
+	time.Sleep(10 * time.Second)
+	for number := range releases {
+		if l.trouble {
+			l.note("release %d begins", number+1)
+			l.release(c.replaced(), c)
+		}
+		time.Sleep(10 * time.Second)
+	}
+	end()
+	l.note("answers to the other callers' requests: %v", statuses(load.end(), time.Time{}, time.Now()))
+	return c.judge()
+}
+
+// crashesAfterCallersLeft has callers repeat a request that crashes instances a while after
+// it has begun, and leave before.
+func crashesAfterCallersLeft(l *lab) (int, error) {
+	c := &crashes{lab: l, patience: callerDeadline, delay: 2700 * time.Millisecond}
+	if l.trouble {
+		c.patience = 300 * time.Millisecond
+	}
+	kept, err := l.crashingDeployment(slowOrderRoute, c)
+	if err != nil {
+		return couldntRun, err
+	}
+	load := l.startCallers("/levo940/", 50*time.Millisecond, 1500*time.Millisecond, kept)
+	time.Sleep(5 * time.Second)
+	end := c.startRetries(kept, 3*time.Second)
+	time.Sleep(40 * time.Second)
+	end()
+	l.note("answers to the other callers' requests: %v", statuses(load.end(), time.Time{}, time.Now()))
+	return c.judge()
+}
+
+// crashingDeployment starts five nodes beside instances of the service of a route, and
+// three others, which it returns: the callers send there.
+func (l *lab) crashingDeployment(route string, c *crashes) (kept []*node, err error) {
+	c.sent, c.reached = make(map[string]time.Time), make(map[string]bool)
+	l.configure(7, lookupRoute+","+route, "katalog", "bokning")
 	for _, h := range []struct{ zone, service string }{
 		{"svealand-a", "katalog"}, {"svealand-a", "katalog"}, {"gotaland-a", "katalog"}, {"svealand-b", "katalog"}, {"gotaland-b", "katalog"},
 		{"svealand-a", "bokning"}, {"gotaland-a", "bokning"}, {"svealand-b", "bokning"},
 	} {
 		if _, err := l.addNode(h.zone, h.service); err != nil {
-			return couldntRun, err
+			return nil, err
 		}
 	}
-	c := &crashes{lab: l, sent: make(map[string]time.Time), reached: make(map[string]bool)}
-	var kept []*node
 	for i, n := range l.nodes {
 		if err := l.startWithInstance(n, i, c); err != nil {
-			return couldntRun, err
+			return nil, err
 		}
 		if n.service != "katalog" {
 			kept = append(kept, n)
 		}
 	}
-	if err := l.awaitReady(15 * time.Second); err != nil {
-		return couldntRun, err
-	}
-	load := l.startCallers("/levo940/", 50*time.Millisecond, 1500*time.Millisecond, kept)
-	time.Sleep(5 * time.Second)
+	return kept, l.awaitReady(15 * time.Second)
+}
+
+// startRetries has the request sent in each interval, at one node after the other, until
+// the returned function is called.
+func (c *crashes) startRetries(nodes []*node, interval time.Duration) (end func()) {
 	stop := make(chan struct{})
 	var retries sync.WaitGroup
 	retries.Go(func() {
-		ticker := time.NewTicker(600 * time.Millisecond)
+		ticker := time.NewTicker(interval)
 		defer ticker.Stop()
 		for number := 1; ; number++ {
 			select {
 			case <-ticker.C:
-				retries.Go(func() { c.retry(kept[number%len(kept)], number) })
+				retries.Go(func() { c.retry(nodes[number%len(nodes)], number) })
 			case <-stop:
 				return
 			}
 		}
 	})
-	time.Sleep(10 * time.Second)
-	for number := range releases {
-		if l.trouble {
-			l.note("release %d begins", number+1)
-			l.release(c.replaced(), c)
-		}
-		time.Sleep(10 * time.Second)
+	return func() {
+		close(stop)
+		retries.Wait()
 	}
-	close(stop)
-	retries.Wait()
-	l.note("answers to the other callers' requests: %v", statuses(load.end(), time.Time{}, time.Now()))
-	return c.judge()
 }
 
 // startWithInstance starts a node and the instance beside it.
--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -9,11 +9,11 @@
 	"context"
 	"fmt"
 	"io"
-	"log"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -65,7 +65,6 @@
 	directory string
 	trouble   bool
 	started   time.Time
-	record    *log.Logger
 	store     *store.Server
 	storeAddr string
 	server    *http.Server
@@ -267,7 +266,7 @@
 }
 
 func main() {
-	cases := map[string]func(*lab) (int, error){"11": leavingForgottenAtKill, "12": leavingOverwritten, "13": crashesForgottenAtRelease}
+	cases := map[string]func(*lab) (int, error){"11": leavingForgottenAtKill, "12": leavingOverwritten, "13": crashesForgottenAtRelease, "14": crashesAfterCallersLeft}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: lab3 CASE FOLDER")
 		os.Exit(couldntRun)
@@ -277,6 +276,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(couldntRun)
 	}
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-ended
+		l.close()
+		os.Exit(couldntRun)
+	}()
 	result, err := cases[os.Args[1]](l)
 	if err != nil {
 		l.note("the case couldn't run: %v", err)
