--- a/review/lab3/instance.go
+++ b/review/lab3/instance.go
@@ -30,14 +30,16 @@
 
 // instance is a stand-in for an application instance. It keeps what reaches it.
 type instance struct {
-	lab      *lab
-	node     *node
-	id       string
-	born     int64
-	work     func(r *http.Request) time.Duration
-	body     func(r *http.Request) []byte
-	server   *http.Server
-	sequence atomic.Int64
+	lab  *lab
+	node *node
+	id   string
+	born int64
+	work func(r *http.Request) time.Duration
+	body func(r *http.Request) []byte
+	// breaksOff reports whether the next answer ends in its middle; nil for never.
+	breaksOff func() bool
+	server    *http.Server
+	sequence  atomic.Int64
 	// draining is set once its check-ins say that it drains, and leaving once it says that it
 	// leaves in any way; its health check fails then.
 	draining atomic.Bool
@@ -186,6 +188,10 @@
 	}
 	body := i.body(r)
 	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if i.breaksOff != nil && i.breaksOff() {
+		_, _ = w.Write(body[:len(body)/2])
+		panic(http.ErrAbortHandler)
+	}
 	_, _ = w.Write(body)
 }
 
--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -70,6 +70,8 @@
 	server    *http.Server
 	nodes     []*node
 	transport *http.Transport
+	// linkMbps is the rate of the nodes' links.
+	linkMbps string
 
 	mu   sync.Mutex
 	file *os.File
@@ -89,6 +91,7 @@
 	l := &lab{
 		directory: directory, trouble: os.Getenv("TROUBLE") != "0", started: time.Now(), file: file,
 		store: store.NewServer(1), transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 64},
+		linkMbps: "1000.0",
 	}
 	l.store.SetFaults(store.Faults{DelayMs: storeAnswerMs, NoEra: true})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -144,7 +147,7 @@
 	}
 	n.config = filepath.Join(l.directory, n.name+".ini")
 	text, err := render(string(template), map[string]string{
-		"node": n.name, "ip": ip, "zone": zone, "service": service, "app": n.app, "limits.linkMbps": "1000.0",
+		"node": n.name, "ip": ip, "zone": zone, "service": service, "app": n.app, "limits.linkMbps": l.linkMbps,
 		"regions":         "svealand-a:svealand,gotaland-a:gotaland,svealand-b:svealand,gotaland-b:gotaland",
 		"listen.outbound": n.outbound, "listen.inbound": n.inbound, "listen.ready": n.ready, "listen.control": n.control,
 		"platform.address": l.storeAddr, "platform.minTtl": "1000ms",
@@ -266,7 +269,7 @@
 }
 
 func main() {
-	cases := map[string]func(*lab) (int, error){"11": leavingForgottenAtKill, "12": leavingOverwritten, "13": crashesForgottenAtRelease, "14": crashesAfterCallersLeft}
+	cases := map[string]func(*lab) (int, error){"11": leavingForgottenAtKill, "12": leavingOverwritten, "13": crashesForgottenAtRelease, "14": crashesAfterCallersLeft, "15": pipelinedBehindCutDownload}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: lab3 CASE FOLDER")
 		os.Exit(couldntRun)
