--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -269,7 +269,7 @@
 }
 
 func main() {
-	cases := map[string]func(*lab) (int, error){"11": leavingForgottenAtKill, "12": leavingOverwritten, "13": crashesForgottenAtRelease, "14": crashesAfterCallersLeft, "15": pipelinedBehindCutDownload}
+	cases := map[string]func(*lab) (int, error){"11": leavingForgottenAtKill, "12": leavingOverwritten, "13": pipelinedBehindCutDownload, "14": crashesForgottenAtRelease, "15": crashesAfterCallersLeft}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: lab3 CASE FOLDER")
 		os.Exit(couldntRun)
